Add design, build, HTTP module and the interfaces between modules

Cause: the modules are built in parallel, so they need fixed interfaces, messages and style first. Ruled out: a lease row renewed in the store by each controller (1,890 writes a renewal interval at the target size, and an outage would take keys away); an outage bound for renewals (trades long outages against joint losses). Both are recorded in docs/design.md section 9. Change: design page, glossary, CMake workspace, formatter and linter settings, core, http, interface headers. Conclusion: g++ 12 miscompiles aggregate initialisation inside coroutines (free(): invalid pointer in connection_carries_several_exchanges), so message types have constructors.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Entry points for people and CI. `make demo` and `make test` work on a fresh machine.
+BUILD ?= build
+BUILD_TYPE ?= RelWithDebInfo
+JOBS ?= $(shell nproc)
+CLANG_FORMAT ?= clang-format-16
+SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.cpp' '*.hpp')
+
+.PHONY: packages configure build test unit format format-check lint clean
+
+packages:
+	@scripts/install-packages.sh
+
+configure: packages
+	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=$(BUILD_TYPE) >/dev/null
+
+build: configure
+	@cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	@ctest --test-dir $(BUILD) --output-on-failure -j $$(( $(JOBS) / 2 ))
+
+format:
+	@$(CLANG_FORMAT) -i $(SOURCES)
+
+format-check: packages
+	@$(CLANG_FORMAT) --dry-run --Werror $(SOURCES)
+
+lint: configure
+	@scripts/lint.sh $(BUILD)
+
+clean:
+	@rm -rf $(BUILD)
--- /dev/null
+++ b/src/core/tests/core_tests.cpp
@@ -0,0 +1,44 @@
+#include "core/clock.hpp"
+#include "core/error.hpp"
+#include "core/ids.hpp"
+#include "core/key_hash.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace briarfold::core;
+
+// Guards against a hash text that does not survive a round trip through a table row.
+BOOST_AUTO_TEST_CASE(hash_text_round_trip)
+{
+    const auto hash = key_hash("fleetdesk", "cart-17");
+    BOOST_TEST(from_hex(to_hex(hash)) == hash);
+    BOOST_TEST(to_hex(0) == "0000000000000000");
+    BOOST_TEST(from_hex("ffffffffffffffff") == ~std::uint64_t{0});
+}
+
+// Guards against silently accepting a truncated or signed hash.
+BOOST_AUTO_TEST_CASE(malformed_hash_text_is_refused)
+{
+    BOOST_CHECK_THROW(from_hex("12"), error);
+    BOOST_CHECK_THROW(from_hex("00000000000000zz"), error);
+    BOOST_CHECK_THROW(from_hex("-000000000000001"), error);
+}
+
+// Guards against keys of two services sharing an owner only because their names concatenate alike.
+BOOST_AUTO_TEST_CASE(hash_separates_service_and_key)
+{
+    BOOST_TEST(key_hash("a", "bc") != key_hash("ab", "c"));
+}
+
+BOOST_AUTO_TEST_CASE(ids_are_unique)
+{
+    BOOST_TEST(make_id("request") != make_id("request"));
+}
+
+BOOST_AUTO_TEST_CASE(error_names_step_and_peer)
+{
+    const timeout_error failure("grant", "127.0.0.1:9000", "no answer for 300 ms");
+    BOOST_TEST(failure.step() == "grant");
+    BOOST_TEST(failure.peer() == "127.0.0.1:9000");
+    BOOST_TEST(failure.what() == "grant [127.0.0.1:9000]: no answer for 300 ms");
+}
--- /dev/null
+++ b/src/http/client_connection.hpp
@@ -0,0 +1,45 @@
+/// One keep-alive HTTP/1.1 connection for one exchange at a time.
+#pragma once
+
+#include "core/asio.hpp"
+#include "core/clock.hpp"
+#include "http/http_types.hpp"
+
+#include <memory>
+
+namespace briarfold::http {
+
+/// Not thread-safe: all calls run on the executor given at construction. After an exchange that threw, the
+/// connection is closed for good; open a new one.
+class client_connection
+{
+public:
+    client_connection(core::asio::any_io_executor executor, endpoint peer);
+    ~client_connection();
+    client_connection(client_connection&&) noexcept;
+    client_connection& operator=(client_connection&&) noexcept;
+
+    /// Throws core::connection_error or core::timeout_error.
+    core::asio::awaitable<void> connect(core::duration timeout);
+
+    /// Sends the request and reads the whole answer. Throws core::connection_error or core::timeout_error;
+    /// `bytes_sent` then tells whether any byte of the request may have left.
+    core::asio::awaitable<response> exchange(const request& message, core::duration timeout);
+
+    /// Whether any byte of the current or last request was handed to the operating system.
+    bool bytes_sent() const;
+    /// Whether the connection can carry another exchange.
+    bool is_open() const;
+    /// Closes at once; a pending operation ends with core::connection_error.
+    void close();
+    const endpoint& peer() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+/// Connects, makes one exchange and closes. For control traffic and tools.
+core::asio::awaitable<response> fetch(endpoint peer, request message, core::duration timeout);
+
+} // namespace briarfold::http
--- /dev/null
+++ b/src/http/internal/client_connection.cpp
@@ -0,0 +1,140 @@
+#include "http/client_connection.hpp"
+
+#include "core/error.hpp"
+#include "http/internal/beast_message.hpp"
+
+namespace briarfold::http {
+
+namespace {
+
+namespace asio = core::asio;
+namespace beast = boost::beast;
+
+[[noreturn]] void rethrow(const boost::system::system_error& failure, const char* step, const endpoint& peer)
+{
+    if (failure.code() == beast::error::timeout)
+    {
+        throw core::timeout_error(step, to_string(peer), "timeout");
+    }
+    throw core::connection_error(step, to_string(peer), failure.code().message());
+}
+
+} // namespace
+
+struct client_connection::state
+{
+    state(asio::any_io_executor executor, endpoint remote)
+        : stream(std::move(executor)), peer(std::move(remote))
+    {}
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    endpoint peer;
+    bool sent = false;
+    bool open = false;
+};
+
+client_connection::client_connection(asio::any_io_executor executor, endpoint peer)
+    : state_(std::make_unique<state>(std::move(executor), std::move(peer)))
+{}
+
+client_connection::~client_connection() = default;
+client_connection::client_connection(client_connection&&) noexcept = default;
+client_connection& client_connection::operator=(client_connection&&) noexcept = default;
+
+asio::awaitable<void> client_connection::connect(core::duration timeout)
+{
+    auto& s = *state_;
+    try
+    {
+        s.stream.expires_after(std::chrono::milliseconds(timeout.ms));
+        const asio::ip::tcp::endpoint remote(asio::ip::make_address(s.peer.address), s.peer.port);
+        co_await s.stream.async_connect(remote, asio::use_awaitable);
+        s.stream.socket().set_option(asio::ip::tcp::no_delay(true));
+        s.open = true;
+    }
+    catch (const boost::system::system_error& failure)
+    {
+        close();
+        rethrow(failure, "connect", s.peer);
+    }
+}
+
+asio::awaitable<response> client_connection::exchange(const request& message, core::duration timeout)
+{
+    auto& s = *state_;
+    s.sent = false;
+    if (!s.open)
+    {
+        throw core::connection_error("exchange", to_string(s.peer), "connection is closed");
+    }
+    try
+    {
+        s.stream.expires_after(std::chrono::milliseconds(timeout.ms));
+        internal::beast_request outgoing;
+        outgoing.version(11);
+        outgoing.method_string(message.method);
+        outgoing.target(message.target);
+        outgoing.set(beast::http::field::host, to_string(s.peer));
+        internal::copy_headers(message.headers, outgoing);
+        outgoing.body() = message.body;
+        outgoing.prepare_payload();
+        // From here on bytes may leave at any time, whatever the outcome of the write.
+        s.sent = true;
+        co_await beast::http::async_write(s.stream, outgoing, asio::use_awaitable);
+
+        beast::http::response_parser<beast::http::string_body> parser;
+        parser.body_limit(boost::none);
+        if (message.method == "HEAD")
+        {
+            parser.skip(true);
+        }
+        co_await beast::http::async_read(s.stream, s.buffer, parser, asio::use_awaitable);
+        auto incoming = parser.release();
+        if (!incoming.keep_alive())
+        {
+            close();
+        }
+        response answer{incoming.result_int(), internal::to_headers(incoming), std::move(incoming.body())};
+        co_return answer;
+    }
+    catch (const boost::system::system_error& failure)
+    {
+        close();
+        rethrow(failure, "exchange", s.peer);
+    }
+}
+
+bool client_connection::bytes_sent() const
+{
+    return state_->sent;
+}
+
+bool client_connection::is_open() const
+{
+    return state_->open;
+}
+
+void client_connection::close()
+{
+    state_->open = false;
+    boost::system::error_code ignored;
+    state_->stream.socket().close(ignored);
+}
+
+const endpoint& client_connection::peer() const
+{
+    return state_->peer;
+}
+
+asio::awaitable<response> fetch(endpoint peer, request message, core::duration timeout)
+{
+    const auto deadline = core::clock::now() + timeout;
+    const auto executor = co_await asio::this_coro::executor;
+    client_connection connection(executor, std::move(peer));
+    co_await connection.connect(timeout);
+    const auto left = std::max(deadline - core::clock::now(), core::duration{1});
+    co_return co_await connection.exchange(message, left);
+}
+
+} // namespace briarfold::http
--- /dev/null
+++ b/src/http/internal/server.cpp
@@ -0,0 +1,284 @@
+#include "http/server.hpp"
+
+#include "core/error.hpp"
+#include "http/internal/beast_message.hpp"
+
+#include <atomic>
+#include <mutex>
+#include <set>
+
+namespace briarfold::http {
+
+namespace {
+
+namespace asio = core::asio;
+namespace beast = boost::beast;
+using boost::system::error_code;
+using boost::system::system_error;
+
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_body_too_large = 413;
+constexpr unsigned status_head_too_large = 431;
+constexpr unsigned status_internal_error = 500;
+
+unsigned status_of(const error_code& code)
+{
+    if (code == beast::http::error::body_limit)
+    {
+        return status_body_too_large;
+    }
+    if (code == beast::http::error::header_limit || code == beast::http::error::buffer_overflow)
+    {
+        return status_head_too_large;
+    }
+    return status_bad_request;
+}
+
+/// Errors of the HTTP parser are answered; errors of the transport end the connection.
+bool is_bad_input(const error_code& code)
+{
+    return code.category() == beast::http::make_error_code(beast::http::error::bad_method).category() &&
+           code != beast::http::error::end_of_stream && code != beast::http::error::partial_message;
+}
+
+} // namespace
+
+struct server::state : std::enable_shared_from_this<server::state>
+{
+    struct session
+    {
+        session(asio::ip::tcp::socket socket) : stream(std::move(socket)) {}
+
+        beast::tcp_stream stream;
+        beast::flat_buffer buffer;
+        endpoint caller;
+        bool is_busy = false;
+    };
+
+    state(const asio::any_io_executor& executor, handler request_handler, server_limits sizes,
+          bad_input_handler input_handler)
+        : acceptor(executor), on_request(std::move(request_handler)), limits(sizes),
+          on_bad_input(std::move(input_handler))
+    {}
+
+    asio::awaitable<void> accept();
+    asio::awaitable<void> serve(std::shared_ptr<session> connection);
+    /// Returns false when the connection must close.
+    asio::awaitable<bool> serve_one(session& connection);
+    asio::awaitable<void> write(session& connection, const response& answer, unsigned version,
+                                bool keep_alive, bool is_head);
+    asio::awaitable<response> answer(const internal::beast_request& incoming, const endpoint& caller);
+    void close_acceptor();
+    void close_sessions(bool only_idle);
+
+    asio::ip::tcp::acceptor acceptor;
+    handler on_request;
+    server_limits limits;
+    bad_input_handler on_bad_input;
+    unsigned short port = 0;
+    std::atomic<std::size_t> in_flight{0};
+    std::atomic<bool> is_stopping{false};
+    std::mutex mutex;
+    std::set<std::shared_ptr<session>> sessions;
+};
+
+server::server(const asio::any_io_executor& executor, const endpoint& local, handler on_request,
+               server_limits limits, bad_input_handler on_bad_input)
+    : state_(std::make_shared<state>(asio::make_strand(executor), std::move(on_request), limits,
+                                     std::move(on_bad_input)))
+{
+    try
+    {
+        const asio::ip::tcp::endpoint address(asio::ip::make_address(local.address), local.port);
+        state_->acceptor.open(address.protocol());
+        state_->acceptor.set_option(asio::socket_base::reuse_address(true));
+        state_->acceptor.bind(address);
+        state_->acceptor.listen();
+        state_->port = state_->acceptor.local_endpoint().port();
+    }
+    catch (const system_error& failure)
+    {
+        throw core::connection_error("listen", to_string(local), failure.code().message());
+    }
+    asio::co_spawn(
+        state_->acceptor.get_executor(), [self = state_] { return self->accept(); }, asio::detached);
+}
+
+server::~server()
+{
+    state_->is_stopping = true;
+    state_->close_acceptor();
+    state_->close_sessions(false);
+}
+
+unsigned short server::port() const
+{
+    return state_->port;
+}
+
+std::size_t server::in_flight() const
+{
+    return state_->in_flight;
+}
+
+void server::begin_stop()
+{
+    state_->is_stopping = true;
+    state_->close_acceptor();
+    state_->close_sessions(true);
+}
+
+void server::state::close_acceptor()
+{
+    asio::post(acceptor.get_executor(), [self = shared_from_this()] {
+        error_code ignored;
+        self->acceptor.close(ignored);
+    });
+}
+
+void server::state::close_sessions(bool only_idle)
+{
+    const std::scoped_lock lock(mutex);
+    for (const auto& connection : sessions)
+    {
+        asio::post(connection->stream.get_executor(), [connection, only_idle] {
+            if (only_idle && connection->is_busy)
+            {
+                return;
+            }
+            error_code ignored;
+            connection->stream.socket().close(ignored);
+        });
+    }
+}
+
+asio::awaitable<void> server::state::accept()
+{
+    const auto self = shared_from_this();
+    while (!is_stopping)
+    {
+        error_code code;
+        auto socket = co_await acceptor.async_accept(asio::make_strand(acceptor.get_executor()),
+                                                     asio::redirect_error(asio::use_awaitable, code));
+        if (code == asio::error::operation_aborted || code == asio::error::bad_descriptor)
+        {
+            co_return;
+        }
+        if (code)
+        {
+            continue;
+        }
+        error_code ignored;
+        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        const auto remote = socket.remote_endpoint(ignored);
+        const auto connection = std::make_shared<session>(std::move(socket));
+        connection->caller = {remote.address().to_string(), remote.port()};
+        {
+            const std::scoped_lock lock(mutex);
+            sessions.insert(connection);
+        }
+        asio::co_spawn(
+            connection->stream.get_executor(), [self, connection] { return self->serve(connection); },
+            asio::detached);
+    }
+}
+
+asio::awaitable<void> server::state::serve(std::shared_ptr<session> connection)
+{
+    try
+    {
+        while (co_await serve_one(*connection))
+        {
+        }
+    }
+    catch (const system_error&)
+    {
+        // The caller closed the connection or fell silent; there is nobody to tell.
+    }
+    error_code ignored;
+    connection->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    connection->stream.socket().close(ignored);
+    const std::scoped_lock lock(mutex);
+    sessions.erase(connection);
+}
+
+asio::awaitable<bool> server::state::serve_one(session& connection)
+{
+    beast::http::request_parser<beast::http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.head_bytes));
+    parser.body_limit(limits.body_bytes);
+    connection.is_busy = false;
+    if (is_stopping)
+    {
+        co_return false;
+    }
+    connection.stream.expires_after(std::chrono::milliseconds(limits.idle.ms));
+    error_code code;
+    co_await beast::http::async_read(connection.stream, connection.buffer, parser,
+                                     asio::redirect_error(asio::use_awaitable, code));
+    if (code && is_bad_input(code))
+    {
+        const auto status = status_of(code);
+        const auto answer = on_bad_input ? on_bad_input(status, code.message()) : response{status, {}, ""};
+        co_await write(connection, answer, 11, false, false);
+        co_return false;
+    }
+    if (code)
+    {
+        co_return false;
+    }
+    connection.is_busy = true;
+    connection.stream.expires_never();
+    const auto incoming = parser.release();
+    ++in_flight;
+    try
+    {
+        const auto reply = co_await answer(incoming, connection.caller);
+        const bool keep_alive = incoming.keep_alive() && !is_stopping;
+        connection.stream.expires_after(std::chrono::milliseconds(limits.idle.ms));
+        co_await write(connection, reply, incoming.version(), keep_alive,
+                       incoming.method() == beast::http::verb::head);
+        --in_flight;
+        co_return keep_alive;
+    }
+    catch (...)
+    {
+        --in_flight;
+        throw;
+    }
+}
+
+asio::awaitable<response> server::state::answer(const internal::beast_request& incoming,
+                                                const endpoint& caller)
+{
+    try
+    {
+        request message{std::string(incoming.method_string()), std::string(incoming.target()),
+                        internal::to_headers(incoming), incoming.body()};
+        co_return co_await on_request(std::move(message), caller);
+    }
+    catch (const std::exception& failure)
+    {
+        response reply{status_internal_error, {{"Content-Type", "text/plain"}}, failure.what()};
+        co_return reply;
+    }
+}
+
+asio::awaitable<void> server::state::write(session& connection, const response& answer, unsigned version,
+                                           bool keep_alive, bool is_head)
+{
+    internal::beast_response outgoing;
+    outgoing.version(version);
+    outgoing.result(answer.status);
+    internal::copy_headers(answer.headers, outgoing);
+    outgoing.keep_alive(keep_alive);
+    outgoing.body() = answer.body;
+    outgoing.prepare_payload();
+    if (is_head)
+    {
+        outgoing.body().clear();
+    }
+    co_await beast::http::async_write(connection.stream, outgoing, asio::use_awaitable);
+}
+
+} // namespace briarfold::http
--- /dev/null
+++ b/src/http/server.hpp
@@ -0,0 +1,46 @@
+/// HTTP/1.1 server with keep-alive, size limits and a graceful stop.
+#pragma once
+
+#include "core/asio.hpp"
+#include "core/clock.hpp"
+#include "http/http_types.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace briarfold::http {
+
+struct server_limits
+{
+    std::size_t head_bytes = 16384;
+    std::size_t body_bytes = 1048576;
+    core::duration idle{60000};
+};
+
+/// Answers one request. Runs on the strand of the connection. An exception becomes a 500 answer.
+using handler = std::function<core::asio::awaitable<response>(request message, endpoint caller)>;
+/// Makes the answer for input that could not be parsed: 400, 413 or 431.
+using bad_input_handler = std::function<response(unsigned status, const std::string& reason)>;
+
+class server
+{
+public:
+    /// Listens at once. Port 0 picks a free port. Throws core::connection_error when the address is in use.
+    server(const core::asio::any_io_executor& executor, const endpoint& local, handler on_request,
+           server_limits limits = {}, bad_input_handler on_bad_input = {});
+    /// Stops accepting and closes connections at once.
+    ~server();
+
+    unsigned short port() const;
+    /// Requests being answered now.
+    std::size_t in_flight() const;
+    /// Accepts no new connection, closes idle ones and closes each other one after its current answer. The
+    /// answer carries `Connection: close`.
+    void begin_stop();
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+} // namespace briarfold::http
--- /dev/null
+++ b/src/http/tests/http_tests.cpp
@@ -0,0 +1,112 @@
+#include "core/error.hpp"
+#include "http/client_connection.hpp"
+#include "http/server.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+#include <thread>
+
+using namespace briarfold;
+using namespace briarfold::core::literals;
+namespace asio = core::asio;
+
+namespace {
+
+/// Runs an io_context on one thread for the time of a test.
+struct running_context
+{
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> guard = asio::make_work_guard(context);
+    std::thread thread{[this] { context.run(); }};
+
+    ~running_context()
+    {
+        guard.reset();
+        context.stop();
+        thread.join();
+    }
+
+    template <class Function>
+    auto run(Function function)
+    {
+        return asio::co_spawn(context, std::move(function), asio::use_future).get();
+    }
+};
+
+asio::awaitable<http::response> echo(http::request message, http::endpoint)
+{
+    http::response answer{200, {{"X-Method", message.method}}, message.target + "|" + message.body};
+    co_return answer;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(connection_carries_several_exchanges)
+{
+    running_context runner;
+    http::server server(runner.context.get_executor(), {"127.0.0.1", 0}, echo);
+    const auto last = runner.run([&]() -> asio::awaitable<http::response> {
+        http::client_connection connection(co_await asio::this_coro::executor, {"127.0.0.1", server.port()});
+        co_await connection.connect(1000_ms);
+        co_await connection.exchange({"GET", "/a", {}, ""}, 1000_ms);
+        co_return co_await connection.exchange({"POST", "/b", {}, "body"}, 1000_ms);
+    });
+    BOOST_TEST(last.body == "/b|body");
+    BOOST_TEST(http::find_header(last.headers, "x-method") == "POST");
+}
+
+// Guards against a connection that is used again after a timed-out exchange: its late answer would reach the
+// next caller.
+BOOST_AUTO_TEST_CASE(timed_out_connection_is_closed)
+{
+    running_context runner;
+    http::server server(runner.context.get_executor(), {"127.0.0.1", 0},
+                        [](http::request, http::endpoint) -> asio::awaitable<http::response> {
+                            asio::steady_timer timer(co_await asio::this_coro::executor,
+                                                     std::chrono::milliseconds(300));
+                            co_await timer.async_wait(asio::use_awaitable);
+                            co_return http::response{};
+                        });
+    runner.run([&]() -> asio::awaitable<void> {
+        http::client_connection connection(co_await asio::this_coro::executor, {"127.0.0.1", server.port()});
+        co_await connection.connect(1000_ms);
+        bool is_timeout = false;
+        try
+        {
+            co_await connection.exchange({"GET", "/", {}, ""}, 50_ms);
+        }
+        catch (const core::timeout_error&)
+        {
+            is_timeout = true;
+        }
+        BOOST_TEST(is_timeout);
+        BOOST_TEST(connection.bytes_sent());
+        BOOST_TEST(!connection.is_open());
+    });
+}
+
+// Guards against oversized input reaching a handler.
+BOOST_AUTO_TEST_CASE(oversized_input_is_refused)
+{
+    running_context runner;
+    http::server server(runner.context.get_executor(), {"127.0.0.1", 0}, echo,
+                        {.head_bytes = 1024, .body_bytes = 64});
+    const auto fetch = [&](http::request message) {
+        return runner.run([&]() -> asio::awaitable<http::response> {
+            return http::fetch({"127.0.0.1", server.port()}, message, 1000_ms);
+        });
+    };
+    BOOST_TEST(fetch({"POST", "/", {}, std::string(65, 'x')}).status == 413);
+    BOOST_TEST(fetch({"GET", "/", {{"X-Long", std::string(2000, 'x')}}, ""}).status == 431);
+    BOOST_TEST(fetch({"POST", "/", {}, std::string(64, 'x')}).status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(endpoint_text)
+{
+    BOOST_TEST(http::to_string(http::parse_endpoint("127.0.0.1:80")) == "127.0.0.1:80");
+    BOOST_TEST(http::to_string(http::parse_endpoint("[::1]:80")) == "[::1]:80");
+    BOOST_CHECK_THROW(http::parse_endpoint("localhost:80"), core::error);
+    BOOST_CHECK_THROW(http::parse_endpoint("127.0.0.1:70000"), core::error);
+    BOOST_CHECK_THROW(http::parse_endpoint("127.0.0.1"), core::error);
+}
