--- a/standins/backend/backend_service.cpp
+++ b/standins/backend/backend_service.cpp
@@ -137,9 +137,10 @@
     co_return effect_refusal(item);
 }
 
-std::string backend_service::effect_refusal(const work& item) const
+std::string backend_service::effect_refusal(work& item) const
 {
     const auto now = core::clock::now();
+    item.rechecked = now;
     if (options_.server.checks_grants && !grants_.permits_effect(item.hash, item.series, now))
     {
         return "not_owner";
@@ -167,7 +168,9 @@
     line.epoch = grants_.epoch();
     line.received = item.received;
     line.answer_hash = core::to_hex(core::text_hash(answer.body));
-    history_.write(history::make_execute(line));
+    auto record = history::make_execute(line);
+    record.time = item.rechecked;
+    history_.write(std::move(record));
     return answer;
 }
 
@@ -272,7 +275,8 @@
     {
         return reply(status_ok, grant_answer(!options_.server.checks_grants, "no_nonce"));
     }
-    const auto refusal = is_stopping_ ? "stopping" : grants_.apply(order, core::clock::now());
+    const auto now = core::clock::now();
+    const auto refusal = is_stopping_ ? "stopping" : grants_.apply(order, now);
     if (!refusal.empty())
     {
         return reply(status_conflict, grant_answer(false, refusal));
@@ -287,7 +291,9 @@
     std::ranges::transform(grants_.slices(), std::back_inserter(line.slices),
                            [](const ownership::slice& part) { return ownership::to_string(part); });
     line.valid_until = grants_.valid_until();
-    history_.write(history::make_grant_accepted(line));
+    auto record = history::make_grant_accepted(line);
+    record.time = now;
+    history_.write(std::move(record));
     return reply(status_ok, grant_answer(true, ""));
 }
 
--- a/standins/backend/backend_service.hpp
+++ b/standins/backend/backend_service.hpp
@@ -56,6 +56,8 @@
         core::time_point received;
         /// Zero when the request has no deadline.
         core::time_point deadline;
+        /// When the grant was rechecked; the effect follows in the same step.
+        core::time_point rechecked;
         work_state state = work_state::waiting;
     };
 
@@ -74,7 +76,7 @@
     core::asio::awaitable<std::string> perform(work& item);
     /// Empty when the work may be admitted.
     std::string admission_refusal(const work& item, const std::string& service);
-    std::string effect_refusal(const work& item) const;
+    std::string effect_refusal(work& item) const;
     http::response apply_effect(const work& item, const http::request& message);
     void finish(std::list<work>::iterator position);
     bool may_run(std::uint64_t hash, core::time_point now) const;
