Add connections between routers and JSON-RPC over their frames

Cause: entries forward requests to fronts, and the ownership protocol calls methods at peers. Ruled out: a connection for each call (cost of connecting on the data path); exceptions of our own through libjsonrpccpp's client, which is compiled with exception specifications and ends the process for them.

--- /dev/null
+++ b/src/wire/internal/codec.hpp
@@ -0,0 +1,67 @@
+/// Frames as bytes: a 4-byte big-endian length, then a msgpack array that starts with type and id.
+#pragma once
+
+#include "wire/frame_types.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace briarfold::wire::internal {
+
+enum class frame_type : std::uint8_t
+{
+    hello = 1,
+    forward = 2,
+    result = 3,
+    cancel = 4,
+    rpc_call = 5,
+    rpc_answer = 6,
+    ping = 7,
+    pong = 8
+};
+
+/// A decoded frame; only the members of its type are set.
+struct frame
+{
+    frame_type type = frame_type::ping;
+    std::uint64_t id = 0;
+    /// hello: token. rpc: the JSON-RPC message.
+    std::string text;
+    /// hello: instance id of the sender.
+    std::string instance_id;
+    forward_request request;
+    forward_result result;
+};
+
+constexpr std::size_t length_bytes = 4;
+/// Larger than any request; answers of backend servers have no limit of their own.
+constexpr std::size_t max_frame_bytes = std::size_t{64} << 20U;
+
+void append_hello(std::string& out, const std::string& token, const std::string& instance_id);
+void append_forward(std::string& out, std::uint64_t id, const forward_request& request);
+void append_result(std::string& out, std::uint64_t id, const forward_result& result);
+/// rpc_call or rpc_answer.
+void append_text(std::string& out, frame_type type, std::uint64_t id, const std::string& text);
+/// cancel, ping or pong.
+void append_plain(std::string& out, frame_type type, std::uint64_t id);
+
+/// Collects received bytes and yields whole frames.
+class frame_reader
+{
+public:
+    /// Space for at least `size` bytes; `commit` tells how many were filled.
+    char* prepare(std::size_t size);
+    std::size_t capacity() const { return buffer_.size() - filled_; }
+    void commit(std::size_t size) { filled_ += size; }
+    /// Throws core::connection_error for a frame that is too long or malformed.
+    std::optional<frame> next();
+
+private:
+    std::string buffer_;
+    std::size_t filled_ = 0;
+    std::size_t parsed_ = 0;
+};
+
+} // namespace briarfold::wire::internal
--- /dev/null
+++ b/src/wire/internal/future_wait.hpp
@@ -0,0 +1,28 @@
+/// Waiting for a coroutine from a blocking thread.
+#pragma once
+
+#include "core/error.hpp"
+
+#include <atomic>
+#include <chrono>
+#include <future>
+
+namespace briarfold::wire::internal {
+
+/// Returns or throws what the future holds. The stop flag is polled because a stopped I/O context would never
+/// complete the future. Throws core::connection_error after a stop.
+template <class T>
+T wait_for(std::future<T>& result, const std::atomic<bool>& is_stopping)
+{
+    constexpr std::chrono::milliseconds poll_interval{50};
+    while (result.wait_for(poll_interval) != std::future_status::ready)
+    {
+        if (is_stopping)
+        {
+            throw core::connection_error("call", "", "shutting down");
+        }
+    }
+    return result.get();
+}
+
+} // namespace briarfold::wire::internal
--- /dev/null
+++ b/src/wire/internal/peer_session.cpp
@@ -0,0 +1,198 @@
+#include "wire/internal/peer_session.hpp"
+
+#include <openssl/crypto.h>
+
+namespace briarfold::wire::internal {
+
+namespace {
+
+namespace asio = core::asio;
+using boost::system::error_code;
+
+constexpr std::size_t read_bytes = 65536;
+
+/// Takes the same time wherever the texts differ.
+bool is_same_secret(const std::string& a, const std::string& b)
+{
+    return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
+forward_result make_refusal(const char* reason)
+{
+    constexpr unsigned status_unavailable = 503;
+    forward_result result;
+    result.outcome = outcome::refused_not_run;
+    result.status = status_unavailable;
+    result.step = "front";
+    result.reason = reason;
+    result.not_run_reason = "stopping";
+    return result;
+}
+
+forward_result make_unknown(const std::string& reason)
+{
+    constexpr unsigned status_bad_gateway = 502;
+    forward_result result;
+    result.status = status_bad_gateway;
+    result.step = "front";
+    result.reason = reason;
+    return result;
+}
+
+} // namespace
+
+peer_session::peer_session(asio::ip::tcp::socket socket, std::shared_ptr<const session_context> context)
+    : socket_(std::move(socket)), context_(std::move(context))
+{}
+
+asio::awaitable<void> peer_session::run()
+{
+    const auto self = shared_from_this();
+    while (!is_ended_)
+    {
+        error_code code;
+        char* const space = reader_.prepare(read_bytes);
+        const auto size = co_await socket_.async_read_some(asio::buffer(space, reader_.capacity()),
+                                                           asio::redirect_error(asio::use_awaitable, code));
+        if (code)
+        {
+            break;
+        }
+        reader_.commit(size);
+        try
+        {
+            while (auto message = reader_.next())
+            {
+                accept_frame(std::move(*message));
+            }
+        }
+        catch (const core::connection_error&)
+        {
+            break;
+        }
+    }
+    end();
+}
+
+void peer_session::accept_frame(frame message)
+{
+    if (!is_authenticated_)
+    {
+        if (message.type != frame_type::hello || !is_same_secret(message.text, context_->token))
+        {
+            throw core::connection_error("authenticate peer", "", "the first frame does not carry the token");
+        }
+        is_authenticated_ = true;
+        return;
+    }
+    const auto id = message.id;
+    if (message.type == frame_type::forward)
+    {
+        const auto cancel = std::make_shared<cancellation>();
+        in_flight_.emplace(id, cancel);
+        asio::co_spawn(socket_.get_executor(), serve_forward(id, std::move(message.request), cancel),
+                       asio::detached);
+    }
+    else if (message.type == frame_type::cancel)
+    {
+        if (const auto position = in_flight_.find(id); position != in_flight_.end())
+        {
+            position->second->cancel();
+        }
+    }
+    else if (message.type == frame_type::rpc_call)
+    {
+        serve_rpc(id, std::move(message.text));
+    }
+    else if (message.type == frame_type::ping)
+    {
+        append_plain(outbox_, frame_type::pong, 0);
+        flush();
+    }
+}
+
+asio::awaitable<void> peer_session::serve_forward(std::uint64_t id, forward_request request,
+                                                  std::shared_ptr<cancellation> cancel)
+{
+    const auto self = shared_from_this();
+    const auto handler = context_->forward();
+    forward_result result;
+    if (!handler)
+    {
+        result = make_refusal("the front is not ready");
+    }
+    else
+    {
+        try
+        {
+            result = co_await (*handler)(std::move(request), cancel);
+        }
+        catch (const std::exception& failure)
+        {
+            result = make_unknown(failure.what());
+        }
+    }
+    in_flight_.erase(id);
+    if (!is_ended_)
+    {
+        append_result(outbox_, id, result);
+        flush();
+    }
+}
+
+void peer_session::serve_rpc(std::uint64_t id, std::string message)
+{
+    const auto self = shared_from_this();
+    context_->rpc(std::move(message), [self, id](std::string answer) {
+        asio::post(self->socket_.get_executor(), [self, id, answer = std::move(answer)] {
+            if (!self->is_ended_)
+            {
+                append_text(self->outbox_, frame_type::rpc_answer, id, answer);
+                self->flush();
+            }
+        });
+    });
+}
+
+void peer_session::flush()
+{
+    if (is_writing_ || outbox_.empty() || is_ended_)
+    {
+        return;
+    }
+    is_writing_ = true;
+    writing_.clear();
+    writing_.swap(outbox_);
+    const auto self = shared_from_this();
+    asio::async_write(socket_, asio::buffer(writing_), [self](const error_code& code, std::size_t) {
+        self->is_writing_ = false;
+        if (code)
+        {
+            self->end();
+            return;
+        }
+        self->flush();
+    });
+}
+
+void peer_session::end()
+{
+    if (std::exchange(is_ended_, true))
+    {
+        return;
+    }
+    error_code ignored;
+    socket_.close(ignored);
+    // Nobody waits for these answers any more.
+    for (const auto& [id, cancel] : std::exchange(in_flight_, {}))
+    {
+        cancel->cancel();
+    }
+}
+
+void peer_session::close()
+{
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->end(); });
+}
+
+} // namespace briarfold::wire::internal
--- /dev/null
+++ b/src/wire/internal/peer_session.hpp
@@ -0,0 +1,54 @@
+/// The server side of one connection from a peer.
+#pragma once
+
+#include "core/asio.hpp"
+#include "wire/internal/codec.hpp"
+#include "wire/peer_network.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace briarfold::wire::internal {
+
+/// What a session needs from its router. The hooks stay valid for the life of the session.
+struct session_context
+{
+    std::string token;
+    std::function<std::shared_ptr<const forward_handler>()> forward;
+    /// Answers a JSON-RPC message from another thread; calls `reply` once.
+    std::function<void(std::string message, std::function<void(std::string)> reply)> rpc;
+};
+
+class peer_session : public std::enable_shared_from_this<peer_session>
+{
+public:
+    peer_session(core::asio::ip::tcp::socket socket, std::shared_ptr<const session_context> context);
+
+    /// Serves the peer until the connection ends. Runs on the executor of the socket, a strand.
+    core::asio::awaitable<void> run();
+    /// Thread-safe.
+    void close();
+
+private:
+    /// Throws core::connection_error when the first frame does not carry the token.
+    void accept_frame(frame message);
+    core::asio::awaitable<void> serve_forward(std::uint64_t id, forward_request request,
+                                              std::shared_ptr<cancellation> cancel);
+    void serve_rpc(std::uint64_t id, std::string message);
+    void flush();
+    void end();
+
+    core::asio::ip::tcp::socket socket_;
+    std::shared_ptr<const session_context> context_;
+    frame_reader reader_;
+    bool is_authenticated_ = false;
+    bool is_ended_ = false;
+    bool is_writing_ = false;
+    std::string outbox_;
+    std::string writing_;
+    std::map<std::uint64_t, std::shared_ptr<cancellation>> in_flight_;
+};
+
+} // namespace briarfold::wire::internal
--- a/src/wire/ipeer_rpc.hpp
+++ b/src/wire/ipeer_rpc.hpp
@@ -36,8 +36,8 @@
     virtual void register_method(std::string name, rpc_handler handler) = 0;
     /// Calls `method` at the router whose peer port is `peer` and returns its result. Thread-safe.
     /// Throws rpc_error, core::timeout_error after `timeout`, or core::connection_error.
-    virtual core::asio::awaitable<nlohmann::json>
-    call(http::endpoint peer, std::string method, nlohmann::json parameters, core::duration timeout) = 0;
+    virtual core::asio::awaitable<nlohmann::json> call(http::endpoint peer, std::string method,
+                                                       nlohmann::json parameters, core::duration timeout) = 0;
 };
 
 } // namespace briarfold::wire
--- /dev/null
+++ b/src/wire/peer_network.hpp
@@ -0,0 +1,54 @@
+/// Connections between routers: one multiplexed TCP connection to each peer, opened on demand and again
+/// after a loss, and a server side for the peers' connections.
+#pragma once
+
+#include "wire/iforwarder.hpp"
+#include "wire/ipeer_rpc.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace briarfold::wire {
+
+struct peer_settings
+{
+    peer_settings() = default;
+    peer_settings(http::endpoint listen_address, std::string shared_token, std::string own_instance_id)
+        : listen(std::move(listen_address)), token(std::move(shared_token)),
+          instance_id(std::move(own_instance_id))
+    {}
+
+    http::endpoint listen;
+    std::string token;
+    std::string instance_id;
+};
+
+/// Serves one forwarded request. It reports failures in the result; an exception becomes outcome unknown.
+using forward_handler =
+    std::function<core::asio::awaitable<forward_result>(forward_request, std::shared_ptr<cancellation>)>;
+
+class peer_network : public ipeer_rpc, public iforwarder
+{
+public:
+    /// Listens at once; port 0 picks a free port. Throws core::connection_error when the address is in use.
+    peer_network(core::asio::any_io_executor executor, peer_settings settings);
+    /// Closes all connections. Pending calls fail with link_error.
+    ~peer_network() override;
+
+    unsigned short port() const;
+    /// Forwarded requests are refused as not run until a handler is set.
+    void on_forward(forward_handler handler);
+
+    void register_method(std::string name, rpc_handler handler) override;
+    core::asio::awaitable<nlohmann::json> call(http::endpoint peer, std::string method,
+                                               nlohmann::json parameters, core::duration timeout) override;
+    core::asio::awaitable<forward_result> forward(http::endpoint peer, forward_request request,
+                                                  std::shared_ptr<cancellation> cancel) override;
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+} // namespace briarfold::wire
--- /dev/null
+++ b/src/wire/tests/wire_tests.cpp
@@ -0,0 +1,252 @@
+#include "wire/internal/codec.hpp"
+#include "wire/peer_network.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+#include <thread>
+
+using namespace briarfold;
+using namespace briarfold::core::literals;
+namespace asio = core::asio;
+
+namespace {
+
+struct running_context
+{
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> guard = asio::make_work_guard(context);
+    std::thread thread{[this] { context.run(); }};
+
+    ~running_context()
+    {
+        guard.reset();
+        context.stop();
+        thread.join();
+    }
+
+    template <class Function>
+    auto run(Function function)
+    {
+        return asio::co_spawn(context, std::move(function), asio::use_future).get();
+    }
+};
+
+constexpr core::duration generous{20000};
+
+wire::forward_request make_request(const std::string& body)
+{
+    wire::forward_request request;
+    request.customer = "kiosk";
+    request.service = "courseline";
+    request.key = "key\x01\xff";
+    request.method = "POST";
+    request.target = "/unlock?x=1";
+    request.headers = {{"Content-Type", "text/plain"}};
+    request.body = body;
+    request.request_id = "r-1";
+    request.deadline = generous;
+    request.is_idempotent = true;
+    request.traceparent = "00-1-2-01";
+    return request;
+}
+
+wire::forward_result make_echo(const wire::forward_request& request)
+{
+    wire::forward_result result;
+    result.outcome = wire::outcome::answered;
+    result.status = 200;
+    result.headers = {{"X-Request-Id", request.request_id}};
+    result.body = request.body;
+    result.retry_after = 7_ms;
+    return result;
+}
+
+/// A peer that accepts connections and reads, but never answers.
+asio::awaitable<void> hold_connections(asio::ip::tcp::acceptor& acceptor,
+                                       std::vector<std::shared_ptr<asio::ip::tcp::socket>>& held)
+{
+    for (;;)
+    {
+        held.push_back(
+            std::make_shared<asio::ip::tcp::socket>(co_await acceptor.async_accept(asio::use_awaitable)));
+    }
+}
+
+} // namespace
+
+// Guards against a field that one side writes and the other drops or reorders.
+BOOST_AUTO_TEST_CASE(frames_survive_encoding_in_any_split)
+{
+    std::string bytes;
+    const auto request = make_request("body");
+    wire::internal::append_forward(bytes, 5, request);
+    wire::internal::append_result(bytes, 6, make_echo(request));
+    wire::internal::append_text(bytes, wire::internal::frame_type::rpc_call, 7, "{}");
+    wire::internal::frame_reader reader;
+    std::vector<wire::internal::frame> frames;
+    for (const char byte : bytes)
+    {
+        *reader.prepare(1) = byte;
+        reader.commit(1);
+        if (auto frame = reader.next())
+        {
+            frames.push_back(std::move(*frame));
+        }
+    }
+    BOOST_REQUIRE(frames.size() == 3);
+    BOOST_TEST((frames[0].request == request));
+    BOOST_TEST((frames[1].result == make_echo(request)));
+    BOOST_TEST(frames[2].text == "{}");
+}
+
+// Guards against a crash or an unbounded buffer when a peer sends something else than frames.
+BOOST_AUTO_TEST_CASE(malformed_frames_are_refused)
+{
+    for (const std::string& bytes : {std::string("\xff\xff\xff\xff", 4), std::string("\0\0\0\x01\xc1", 5),
+                                     std::string("\0\0\0\x03\x92\x02\x01", 7), std::string("\0\0\0\0", 4)})
+    {
+        wire::internal::frame_reader reader;
+        std::copy(bytes.begin(), bytes.end(), reader.prepare(bytes.size()));
+        reader.commit(bytes.size());
+        BOOST_CHECK_THROW(reader.next(), core::connection_error);
+    }
+}
+
+// Guards against answers that reach the wrong call on the shared connection.
+BOOST_AUTO_TEST_CASE(concurrent_forwards_get_their_own_results)
+{
+    running_context runner;
+    const auto executor = runner.context.get_executor();
+    wire::peer_network server(executor, {{"127.0.0.1", 0}, "token", "a"});
+    wire::peer_network client(executor, {{"127.0.0.1", 0}, "token", "b"});
+    server.on_forward([](wire::forward_request request,
+                         std::shared_ptr<wire::cancellation>) -> asio::awaitable<wire::forward_result> {
+        asio::steady_timer timer(co_await asio::this_coro::executor,
+                                 std::chrono::milliseconds(request.body.back() % 5));
+        co_await timer.async_wait(asio::use_awaitable);
+        co_return make_echo(request);
+    });
+    std::vector<std::future<wire::forward_result>> results;
+    constexpr int calls = 200;
+    for (int i = 0; i < calls; ++i)
+    {
+        results.push_back(asio::co_spawn(
+            executor, client.forward({"127.0.0.1", server.port()}, make_request(std::to_string(i)), nullptr),
+            asio::use_future));
+    }
+    for (int i = 0; i < calls; ++i)
+    {
+        BOOST_TEST(results[i].get().body == std::to_string(i));
+    }
+}
+
+// Guards against a peer without the token that gets work done.
+BOOST_AUTO_TEST_CASE(wrong_token_is_refused)
+{
+    running_context runner;
+    const auto executor = runner.context.get_executor();
+    wire::peer_network server(executor, {{"127.0.0.1", 0}, "token", "a"});
+    wire::peer_network client(executor, {{"127.0.0.1", 0}, "other", "b"});
+    bool was_called = false;
+    server.on_forward([&](wire::forward_request request,
+                          std::shared_ptr<wire::cancellation>) -> asio::awaitable<wire::forward_result> {
+        was_called = true;
+        co_return make_echo(request);
+    });
+    auto result = asio::co_spawn(
+        executor, client.forward({"127.0.0.1", server.port()}, make_request("x"), nullptr), asio::use_future);
+    BOOST_CHECK_THROW(result.get(), wire::link_error);
+    BOOST_TEST(!was_called);
+}
+
+// Guards against a failed connect that is reported as if the request might have run.
+BOOST_AUTO_TEST_CASE(refused_connection_counts_as_not_sent)
+{
+    running_context runner;
+    const auto executor = runner.context.get_executor();
+    unsigned short closed_port = 0;
+    {
+        wire::peer_network server(executor, {{"127.0.0.1", 0}, "token", "a"});
+        closed_port = server.port();
+        runner.run([&]() -> asio::awaitable<void> { co_return; });
+    }
+    runner.run([&]() -> asio::awaitable<void> { co_return; });
+    wire::peer_network client(executor, {{"127.0.0.1", 0}, "token", "b"});
+    auto result = asio::co_spawn(
+        executor, client.forward({"127.0.0.1", closed_port}, make_request("x"), nullptr), asio::use_future);
+    BOOST_CHECK_EXCEPTION(result.get(), wire::link_error,
+                          [](const wire::link_error& failure) { return !failure.is_sent(); });
+}
+
+// Guards against a call that waits for its whole deadline on a connection that went silent.
+BOOST_AUTO_TEST_CASE(silent_connection_is_found_before_the_deadline)
+{
+    running_context runner;
+    const auto executor = runner.context.get_executor();
+    asio::ip::tcp::acceptor acceptor(runner.context, {asio::ip::make_address("127.0.0.1"), 0});
+    std::vector<std::shared_ptr<asio::ip::tcp::socket>> held;
+    asio::co_spawn(executor, hold_connections(acceptor, held), asio::detached);
+    wire::peer_network client(executor, {{"127.0.0.1", 0}, "token", "b"});
+    auto result = asio::co_spawn(
+        executor, client.forward({"127.0.0.1", acceptor.local_endpoint().port()}, make_request("x"), nullptr),
+        asio::use_future);
+    BOOST_CHECK_EXCEPTION(result.get(), wire::link_error,
+                          [](const wire::link_error& failure) { return failure.is_sent(); });
+}
+
+// Guards against a front that keeps working for a caller that has given up.
+BOOST_AUTO_TEST_CASE(cancel_reaches_the_handler)
+{
+    running_context runner;
+    const auto executor = runner.context.get_executor();
+    wire::peer_network server(executor, {{"127.0.0.1", 0}, "token", "a"});
+    wire::peer_network client(executor, {{"127.0.0.1", 0}, "token", "b"});
+    const auto cancel = std::make_shared<wire::cancellation>();
+    server.on_forward([&](wire::forward_request request,
+                          std::shared_ptr<wire::cancellation> flag) -> asio::awaitable<wire::forward_result> {
+        asio::steady_timer timer(co_await asio::this_coro::executor, std::chrono::hours(1));
+        flag->set_hook([&timer] { timer.cancel(); });
+        cancel->cancel();
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_return make_echo(request);
+    });
+    auto result = asio::co_spawn(
+        executor, client.forward({"127.0.0.1", server.port()}, make_request("x"), cancel), asio::use_future);
+    BOOST_TEST(result.get().body == "x");
+}
+
+// Guards against lost arguments, results, caller ids and errors in the JSON-RPC connectors.
+BOOST_AUTO_TEST_CASE(rpc_carries_results_and_errors)
+{
+    running_context runner;
+    const auto executor = runner.context.get_executor();
+    wire::peer_network server(executor, {{"127.0.0.1", 0}, "token", "a"});
+    wire::peer_network client(executor, {{"127.0.0.1", 0}, "token", "b"});
+    server.register_method("fence",
+                           [](std::string from, nlohmann::json arguments) -> asio::awaitable<nlohmann::json> {
+                               if (arguments["epoch"] == 0)
+                               {
+                                   throw core::error("fence", "", "no epoch");
+                               }
+                               nlohmann::json result = {{"from", from}, {"epoch", arguments["epoch"]}};
+                               co_return result;
+                           });
+    const http::endpoint peer("127.0.0.1", server.port());
+    const auto call = [&](const char* method, const nlohmann::json& arguments, core::duration timeout) {
+        return asio::co_spawn(executor, client.call(peer, method, arguments, timeout), asio::use_future)
+            .get();
+    };
+    const auto result = call("fence", {{"epoch", 256}}, generous);
+    BOOST_TEST(result["from"] == "b");
+    BOOST_TEST(result["epoch"] == 256);
+    BOOST_CHECK_THROW(call("fence", {{"epoch", 0}}, generous), wire::rpc_error);
+    BOOST_CHECK_THROW(call("absent", nlohmann::json::object(), generous), wire::rpc_error);
+    server.register_method("slow", [](std::string, nlohmann::json) -> asio::awaitable<nlohmann::json> {
+        asio::steady_timer timer(co_await asio::this_coro::executor, std::chrono::seconds(1));
+        co_await timer.async_wait(asio::use_awaitable);
+        co_return nlohmann::json::object();
+    });
+    BOOST_CHECK_THROW(call("slow", nlohmann::json::object(), 50_ms), core::timeout_error);
+}
