Add the entry and front roles

Cause: keyed requests need one path from the caller to the owning backend server with truthful outcomes. Ruled out: a probe by /health for quiet exchanges, which tells slow service and a silent connection apart only when the whole backend server is idle; the cancel order names the request itself. Change: src/routing with validation, owner lookup, rendezvous choice of the front, slot gate with a fair queue by slot time, connection pool with request id check and probes of quiet exchanges, retry budgets, holding after not_owner, cancellation, leaving and unchecked backend servers, graceful stop, hooks for contracts, limits, history and spans.

--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -30,6 +30,9 @@
     bool bytes_sent() const;
     /// Whether the connection can carry another exchange.
     bool is_open() const;
+    /// Whether the connection is open, idle and quiet: the peer has neither closed it nor sent bytes that
+    /// nobody asked for, such as the end of an earlier answer.
+    bool is_reusable();
     /// Closes at once; a pending operation ends with core::connection_error.
     void close();
     const endpoint& peer() const;
--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -3,6 +3,9 @@
 #include "core/error.hpp"
 #include "http/internal/beast_message.hpp"
 
+#include <cerrno>
+#include <sys/socket.h>
+
 namespace briarfold::http {
 
 namespace {
@@ -115,6 +118,17 @@
     return state_->open;
 }
 
+bool client_connection::is_reusable()
+{
+    if (!state_->open || state_->buffer.size() != 0)
+    {
+        return false;
+    }
+    char byte = 0;
+    const auto received = ::recv(state_->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void client_connection::close()
 {
     state_->open = false;
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -55,10 +55,10 @@
         bool is_busy = false;
     };
 
-    state(const asio::any_io_executor& executor, handler request_handler, server_limits sizes,
+    state(const asio::any_io_executor& base, handler request_handler, server_limits sizes,
           bad_input_handler input_handler)
-        : acceptor(executor), on_request(std::move(request_handler)), limits(sizes),
-          on_bad_input(std::move(input_handler))
+        : executor(base), acceptor(asio::make_strand(base)), on_request(std::move(request_handler)),
+          limits(sizes), on_bad_input(std::move(input_handler))
     {}
 
     asio::awaitable<void> accept();
@@ -71,6 +71,7 @@
     void close_acceptor();
     void close_sessions(bool only_idle);
 
+    asio::any_io_executor executor;
     asio::ip::tcp::acceptor acceptor;
     handler on_request;
     server_limits limits;
@@ -84,8 +85,7 @@
 
 server::server(const asio::any_io_executor& executor, const endpoint& local, handler on_request,
                server_limits limits, bad_input_handler on_bad_input)
-    : state_(std::make_shared<state>(asio::make_strand(executor), std::move(on_request), limits,
-                                     std::move(on_bad_input)))
+    : state_(std::make_shared<state>(executor, std::move(on_request), limits, std::move(on_bad_input)))
 {
     try
     {
@@ -158,7 +158,9 @@
     while (!is_stopping)
     {
         error_code code;
-        auto socket = co_await acceptor.async_accept(asio::make_strand(acceptor.get_executor()),
+        // A strand of its own for each connection; a strand on the acceptor's strand would serialise them
+        // all.
+        auto socket = co_await acceptor.async_accept(asio::make_strand(executor),
                                                      asio::redirect_error(asio::use_awaitable, code));
         if (code == asio::error::operation_aborted || code == asio::error::bad_descriptor)
         {
--- /dev/null
+++ b/src/routing/ifront.hpp
@@ -0,0 +1,27 @@
+/// The router through which all requests for one backend server pass.
+#pragma once
+
+#include "core/asio.hpp"
+#include "wire/cancellation.hpp"
+#include "wire/frame_types.hpp"
+
+#include <memory>
+
+namespace briarfold::routing {
+
+class ifront
+{
+public:
+    virtual ~ifront() = default;
+
+    /// Serves one request at the backend server that it names. Failures are reported in the result.
+    /// `cancel` may be null. Thread-safe.
+    virtual core::asio::awaitable<wire::forward_result> serve(wire::forward_request request,
+                                                              std::shared_ptr<wire::cancellation> cancel) = 0;
+    /// Requests being served now.
+    virtual std::size_t in_flight() const = 0;
+    /// Refuses new requests as not run; those in flight finish.
+    virtual void begin_stop() = 0;
+};
+
+} // namespace briarfold::routing
--- /dev/null
+++ b/src/routing/tests/front_tests.cpp
@@ -0,0 +1,299 @@
+#include "routing/tests/fakes.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace briarfold;
+using namespace briarfold::routing::tests;
+
+namespace {
+
+struct fixture
+{
+    explicit fixture(fake_backend::behaviour work)
+        : backend(runner.context.get_executor(), "b1", std::move(work)),
+          target(runner.context.get_executor(), ownership, "a")
+    {
+        publish(backend.row());
+    }
+
+    void publish(const ownership::backend_server& row) { ownership.publish({row}, row.id); }
+    http::response ask(const http::request& message) { return start(runner, target, message).get(); }
+
+    running_context runner;
+    fake_ownership ownership;
+    fake_backend backend;
+    router target;
+};
+
+/// Closes the connection without an answer: the server ends the connection for an exception in flight.
+asio::awaitable<http::response> never_answer(http::request, int)
+{
+    co_await pause(60000);
+    co_return http::response();
+}
+
+} // namespace
+
+// Guards against more requests in progress than the backend server has slots, and against lost waiters.
+BOOST_AUTO_TEST_CASE(slots_are_never_exceeded)
+{
+    fixture f([](http::request message, int) -> asio::awaitable<http::response> {
+        co_await pause(2);
+        co_return echo_answer(message);
+    });
+    std::vector<std::future<http::response>> answers;
+    constexpr int requests = 100;
+    for (int i = 0; i < requests; ++i)
+    {
+        answers.push_back(start(f.runner, f.target, make_request("POST", "r" + std::to_string(i))));
+    }
+    for (int i = 0; i < requests; ++i)
+    {
+        const auto answer = answers[i].get();
+        BOOST_TEST(outcome_of(answer) == "answered");
+        BOOST_TEST(http::find_header(answer.headers, "X-Request-Id") == "r" + std::to_string(i));
+    }
+    BOOST_TEST(f.backend.most_running == f.backend.slots);
+}
+
+// Guards against an unbounded queue, and against a refusal that claims less than "not run".
+BOOST_AUTO_TEST_CASE(full_queue_refuses_without_running)
+{
+    std::promise<void> release;
+    auto released = release.get_future().share();
+    fixture f([released](http::request message, int) -> asio::awaitable<http::response> {
+        while (released.wait_for(std::chrono::seconds(0)) != std::future_status::ready)
+        {
+            co_await pause(2);
+        }
+        co_return echo_answer(message);
+    });
+    std::vector<std::future<http::response>> answers;
+    constexpr int requests = 200;
+    for (int i = 0; i < requests; ++i)
+    {
+        answers.push_back(start(f.runner, f.target, make_request("POST", "r" + std::to_string(i))));
+    }
+    constexpr int queued = 4 * 32;
+    BOOST_TEST(eventually([&] { return f.target.counters.queue_rejections == requests - queued - 4U; }));
+    release.set_value();
+    int refused = 0;
+    for (auto& answer : answers)
+    {
+        refused += outcome_of(answer.get()) == "refused-not-run" ? 1 : 0;
+    }
+    BOOST_TEST(refused == requests - queued - 4);
+    BOOST_TEST(f.backend.attempts == queued + 4);
+}
+
+// Guards against a caller that receives the answer to another request (G3).
+BOOST_AUTO_TEST_CASE(answer_with_another_id_is_not_passed_on)
+{
+    fixture f([](http::request message, int attempt) -> asio::awaitable<http::response> {
+        auto answer = echo_answer(message);
+        if (attempt == 1)
+        {
+            answer.headers[0].value = "another";
+        }
+        co_return answer;
+    });
+    const auto first = f.ask(make_request("POST", "r1"));
+    BOOST_TEST(first.status == 502U);
+    BOOST_TEST(outcome_of(first) == "unknown");
+    BOOST_TEST(f.target.counters.id_mismatches == 1U);
+    BOOST_TEST(outcome_of(f.ask(make_request("POST", "r2"))) == "answered");
+    BOOST_TEST(f.target.counters.connections_opened == 2U);
+}
+
+// Guards against a second run of a non-idempotent request (G5) and a missing retry of an idempotent one.
+BOOST_AUTO_TEST_CASE(only_idempotent_requests_are_sent_again)
+{
+    fixture f([](http::request message, int attempt) -> asio::awaitable<http::response> {
+        auto answer = echo_answer(message);
+        if (attempt <= 2)
+        {
+            answer.headers[0].value = "another";
+        }
+        co_return answer;
+    });
+    BOOST_TEST(outcome_of(f.ask(make_request("POST", "r1"))) == "unknown");
+    BOOST_TEST(f.backend.attempts == 1);
+    BOOST_TEST(outcome_of(f.ask(make_request("PUT", "r2"))) == "answered");
+    BOOST_TEST(f.backend.attempts == 3);
+}
+
+// Guards against "not run" for a request whose earlier attempt may have run (G4).
+BOOST_AUTO_TEST_CASE(refusal_after_a_lost_attempt_is_unknown)
+{
+    fixture f([](http::request message, int attempt) -> asio::awaitable<http::response> {
+        auto answer = attempt == 1 ? echo_answer(message) : refusal_answer(message, "expired");
+        answer.headers[0].value = attempt == 1 ? "another" : answer.headers[0].value;
+        co_return answer;
+    });
+    BOOST_TEST(outcome_of(f.ask(make_request("PUT", "r1"))) == "unknown");
+    BOOST_TEST(f.backend.attempts == 2);
+}
+
+// Guards against retries that multiply the load on a backend server that fails every request.
+BOOST_AUTO_TEST_CASE(retries_stay_within_the_budget)
+{
+    fixture f([](http::request message, int) -> asio::awaitable<http::response> {
+        auto answer = echo_answer(message);
+        answer.headers[0].value = "another";
+        co_return answer;
+    });
+    constexpr int requests = 50;
+    for (int i = 0; i < requests; ++i)
+    {
+        f.ask(make_request("PUT", "r" + std::to_string(i)));
+    }
+    // The reserve of 10 and a tenth of the requests.
+    BOOST_TEST(f.backend.attempts <= requests + 10 + requests / 10);
+    BOOST_TEST(f.target.counters.retries_over_budget > 0U);
+}
+
+// Guards against an invented outcome after the deadline, and against reuse of the connection (G3).
+BOOST_AUTO_TEST_CASE(passed_deadline_is_unknown_unless_cancelled_before_start)
+{
+    fixture f(never_answer);
+    f.backend.set_state("r1", "running");
+    f.backend.set_state("r2", "cancelled_before_start");
+    const auto first = f.ask(make_request("POST", "r1", 100));
+    BOOST_TEST(first.status == 504U);
+    BOOST_TEST(outcome_of(first) == "unknown");
+    BOOST_TEST(outcome_of(f.ask(make_request("POST", "r2", 100))) == "refused-not-run");
+    BOOST_TEST(f.target.counters.connections_opened == 2U);
+}
+
+// Guards against a slot that is given away while an overdue request still runs.
+BOOST_AUTO_TEST_CASE(overdue_request_keeps_its_slot)
+{
+    fixture f([](http::request message, int attempt) -> asio::awaitable<http::response> {
+        co_await pause(attempt == 1 ? 60000 : 0);
+        co_return echo_answer(message);
+    });
+    auto row = f.backend.row();
+    row.slots = 1;
+    f.publish(row);
+    f.backend.set_state("r1", "running");
+    BOOST_TEST(outcome_of(f.ask(make_request("POST", "r1", 100))) == "unknown");
+    auto second = start(f.runner, f.target, make_request("POST", "r2"));
+    const int before = f.backend.cancels;
+    BOOST_TEST(eventually([&] { return f.backend.cancels > before + 1; }));
+    BOOST_TEST(f.backend.attempts == 1);
+    f.backend.set_state("r1", "finished");
+    BOOST_TEST(outcome_of(second.get()) == "answered");
+}
+
+// Guards against a time budget that restarts at each hop.
+BOOST_AUTO_TEST_CASE(backend_server_receives_the_time_left)
+{
+    fixture f([](http::request message, int) -> asio::awaitable<http::response> {
+        co_await pause(60);
+        co_return echo_answer(message);
+    });
+    auto row = f.backend.row();
+    row.slots = 1;
+    f.publish(row);
+    auto first = start(f.runner, f.target, make_request("POST", "r1", 5000));
+    BOOST_TEST(eventually([&] { return f.backend.running == 1; }));
+    auto second = start(f.runner, f.target, make_request("POST", "r2", 5000));
+    second.get();
+    // r2 waited for the slot of r1.
+    BOOST_TEST(f.backend.last_deadline_ms < 5000);
+}
+
+// Guards against a slow request that is taken for a silent connection, and a silent one that is waited for.
+BOOST_AUTO_TEST_CASE(silent_connection_is_told_from_slow_service)
+{
+    fixture f([](http::request message, int attempt) -> asio::awaitable<http::response> {
+        const bool is_slow = http::find_header(message.headers, "X-Request-Id") == "slow";
+        co_await pause(is_slow ? 1200 : attempt == 2 ? 60000 : 0);
+        co_return echo_answer(message);
+    });
+    f.backend.set_state("slow", "running");
+    BOOST_TEST(outcome_of(f.ask(make_request("POST", "slow", 20000))) == "answered");
+    BOOST_TEST(f.target.counters.silent_connections == 0U);
+    // The second attempt never arrives as far as the backend server knows.
+    BOOST_TEST(outcome_of(f.ask(make_request("PUT", "lost", 20000))) == "answered");
+    BOOST_TEST(f.target.counters.silent_connections == 1U);
+    BOOST_TEST(f.backend.attempts == 3);
+}
+
+// Guards against a lost proof: a non-idempotent request may be sent again after a confirmed cancellation.
+BOOST_AUTO_TEST_CASE(request_withdrawn_by_a_probe_is_sent_again)
+{
+    fixture f([](http::request message, int attempt) -> asio::awaitable<http::response> {
+        co_await pause(attempt == 1 ? 60000 : 0);
+        co_return echo_answer(message);
+    });
+    f.backend.set_state("r1", "cancelled_before_start");
+    BOOST_TEST(outcome_of(f.ask(make_request("POST", "r1", 20000))) == "answered");
+    BOOST_TEST(f.backend.attempts == 2);
+}
+
+// Guards against new work for a backend server that left (G6), and for one that is lost or stopped.
+BOOST_AUTO_TEST_CASE(leaving_backend_server_gets_no_new_work)
+{
+    fixture f(echo);
+    auto row = f.backend.row();
+    row.intent = ownership::intent::leaving;
+    f.publish(row);
+    BOOST_TEST(
+        eventually([&] { return outcome_of(f.ask(make_request("POST", "r", 50))) == "refused-not-run"; }));
+    const int before = f.backend.attempts;
+    f.ask(make_request("POST", "r", 50));
+    BOOST_TEST(f.backend.attempts == before);
+    row.intent = ownership::intent::active;
+    f.publish(row);
+    BOOST_TEST(outcome_of(f.ask(make_request("POST", "r"))) == "answered");
+    row.intent = ownership::intent::lost;
+    f.publish(row);
+    BOOST_TEST(outcome_of(f.ask(make_request("POST", "r", 50))) == "refused-not-run");
+}
+
+// Guards against work for a backend server that does not check orders, sent without authority or with a
+// deadline beyond what a new owner waits for.
+BOOST_AUTO_TEST_CASE(unchecked_backend_server_needs_authority)
+{
+    fixture f(echo);
+    auto row = f.backend.row();
+    row.checks_grants = false;
+    row.controller = "a";
+    f.publish(row);
+    BOOST_TEST(outcome_of(f.ask(make_request("POST", "r1", 100))) == "refused-not-run");
+    BOOST_TEST(f.backend.attempts == 0);
+    f.ownership.authority_ms = 400;
+    BOOST_TEST(outcome_of(f.ask(make_request("POST", "r2", 60000))) == "answered");
+    BOOST_TEST(f.backend.last_deadline_ms <= 2000);
+}
+
+// Guards against a queue place that a caller keeps after giving up, and a missing cancel at the backend
+// server.
+BOOST_AUTO_TEST_CASE(cancellation_leaves_the_queue_and_reaches_the_backend_server)
+{
+    std::promise<void> release;
+    auto released = release.get_future().share();
+    fixture f([released](http::request message, int) -> asio::awaitable<http::response> {
+        while (released.wait_for(std::chrono::seconds(0)) != std::future_status::ready)
+        {
+            co_await pause(2);
+        }
+        co_return echo_answer(message);
+    });
+    auto row = f.backend.row();
+    row.slots = 1;
+    f.publish(row);
+    const auto first_cancel = std::make_shared<wire::cancellation>();
+    const auto second_cancel = std::make_shared<wire::cancellation>();
+    auto first = start(f.runner, f.target, make_request("POST", "r1"), first_cancel);
+    BOOST_TEST(eventually([&] { return f.backend.running == 1; }));
+    auto second = start(f.runner, f.target, make_request("POST", "r2"), second_cancel);
+    BOOST_TEST(eventually([&] { return f.target.counters.queue_waits == 1U; }));
+    second_cancel->cancel();
+    BOOST_TEST(outcome_of(second.get()) == "refused-not-run");
+    first_cancel->cancel();
+    BOOST_TEST(eventually([&] { return f.backend.cancels == 1; }));
+    release.set_value();
+    BOOST_TEST(outcome_of(first.get()) == "answered");
+}
