--- /dev/null
+++ b/src/ownership/internal/machine.hpp
@@ -0,0 +1,136 @@
+/// The ownership protocol of one router as one state machine: time, messages and rows in, actions out.
+#pragma once
+
+#include "membership/membership_types.hpp"
+#include "ownership/internal/assignment.hpp"
+#include "ownership/iownership.hpp"
+#include "ownership/internal/row_controller.hpp"
+#include "ownership/internal/witness.hpp"
+
+#include <functional>
+#include <set>
+
+namespace briarfold::ownership::internal {
+
+/// Not thread-safe. Every input takes the current time, and the caller then carries out take_actions().
+class machine
+{
+public:
+    /// `make_id` makes operation ids, unique over all routers.
+    machine(membership::router_info self, std::function<std::string()> make_id);
+
+    void on_row(const platform::row& row, core::time_point now);
+    void on_live(const std::vector<membership::router_info>& live, core::time_point now);
+    void tick(core::time_point now);
+
+    void on_reply(const std::string& server, std::int64_t exchange, const grant_reply& reply,
+                  core::time_point now);
+    void on_failure(const std::string& server, std::int64_t exchange, core::time_point now);
+    /// The outcome of a commit_request.
+    void on_commit(const std::string& operation_id, const platform::commit_result& result,
+                   core::time_point now);
+    fenced_rows on_heartbeat(const std::string& from, core::time_point now);
+    void on_voucher(const std::string& from, std::int64_t seq, fenced_rows fenced);
+    fence_answer on_fence(const fence_request& request, core::time_point now);
+    void on_fence_answer(const std::string& from, const fence_request& request, const fence_answer& answer,
+                         core::time_point now);
+    void on_alive(const std::string& server, core::time_point now);
+    /// Takes the row over. Returns false when it is unknown or already held.
+    bool on_hand_over(const std::string& server, core::time_point now);
+
+    /// Starts a move; its end is reported as move_end with `wish`. Returns false when it is refused.
+    bool move(const slice_move& wanted, std::int64_t wish, core::time_point now);
+    /// From now on every row is offered to other routers, and none is taken.
+    void begin_stop()
+    {
+        is_stopping_ = true;
+        next_hand_over_ = {};
+    }
+    std::size_t controlled() const { return controllers_.size(); }
+    bool is_controller(const std::string& server) const { return controllers_.contains(server); }
+    core::duration unchecked_authority(const std::string& server, core::time_point now) const;
+    const std::map<std::string, known_row>& rows() const { return rows_; }
+    const voucher_book& vouchers() const { return vouchers_; }
+
+    actions take_actions() { return std::exchange(out_, {}); }
+
+private:
+    struct pending_commit
+    {
+        commit_request request;
+        /// The row whose controller made the write; empty for others.
+        std::string server;
+        row_need need = row_need::none;
+        bool is_witness_change = false;
+    };
+    struct former_control
+    {
+        std::int64_t epoch = 0;
+        std::optional<core::time_point> last_nonce_used;
+    };
+
+    row_context context(core::time_point now) { return {now, vouchers_, next_exchange_, out_}; }
+    void adopt(const known_row& row, core::time_point now);
+    void drop_controller(const std::string& server);
+    void submit(pending_commit commit, core::time_point now);
+    bool is_busy(const std::string& server) const { return busy_.contains(row_key(server)); }
+
+    void choose_witnesses(core::time_point now);
+    void tick_controllers(core::time_point now);
+    void serve_need(row_controller& controller, core::time_point now);
+    bool change_witnesses(row_controller& controller, core::time_point now);
+    void write_row(const row_controller& controller, backend_server changed, row_need need,
+                   core::time_point now);
+    void reassign(const row_controller& controller, core::time_point now);
+    void commit_move(row_controller& controller, core::time_point now);
+    void retire(row_controller& controller, core::time_point now);
+    void probe_receivers(const row_controller& controller, core::time_point now);
+    bool is_usable_receiver(const backend_server& server, core::time_point now) const;
+
+    void tick_takeovers(core::time_point now);
+    /// Whether rows of the controller may have to be taken; decided once for all of its rows.
+    bool is_questionable(const std::string& controller, core::time_point now);
+    bool is_takeover_due(const known_row& row, core::time_point now);
+    std::size_t rank_for(const backend_server& server) const;
+    void take(const known_row& row, core::time_point now);
+    void tick_hand_overs(core::time_point now);
+    void offer(const std::string& server, bool is_rebalancing);
+    void tick_first_assignment(core::time_point now);
+
+    membership::router_info self_;
+    std::function<std::string()> make_id_;
+    std::vector<membership::router_info> live_;
+    std::set<std::string> live_ids_;
+    core::time_point live_changed_at_{};
+    std::map<std::string, core::time_point> absent_since_;
+
+    std::map<std::string, known_row> rows_;
+    std::map<std::string, std::set<std::string>> rows_of_;
+    std::map<std::string, std::int64_t> deleted_;
+    std::map<std::string, core::time_point> first_seen_;
+    std::set<std::string> services_;
+    std::map<std::string, row_controller> controllers_;
+    /// What this router did under epochs it no longer holds; kept because fences ask for it later.
+    std::map<std::string, former_control> former_;
+    /// Epochs up to which this router promised to act no more.
+    std::map<std::string, std::int64_t> stopped_;
+
+    voucher_book vouchers_;
+    witness witness_;
+    std::map<std::string, core::time_point> silent_witnesses_;
+
+    std::map<std::string, pending_commit> pending_;
+    /// Keys of rows with a write whose outcome is unknown.
+    std::set<std::string> busy_;
+    std::map<std::string, core::time_point> alive_at_;
+    std::map<std::string, core::time_point> next_probe_;
+    std::map<std::string, core::time_point> next_order_;
+    core::time_point next_takeover_scan_{};
+    core::time_point next_hand_over_{};
+    core::time_point next_first_assignment_{};
+    std::int64_t next_exchange_ = 1;
+    bool is_stopping_ = false;
+    actions out_;
+};
+
+} // namespace briarfold::ownership::internal
--- /dev/null
+++ b/src/ownership/internal/machine_writes.cpp
@@ -0,0 +1,284 @@
+// The part of the machine that serves the needs of controlled rows with transactions.
+#include "ownership/internal/machine.hpp"
+#include "ownership/internal/slice_sets.hpp"
+#include "ownership/timing.hpp"
+
+#include <algorithm>
+
+namespace briarfold::ownership::internal {
+
+using core::duration;
+using core::time_point;
+
+namespace {
+
+constexpr duration probe_interval{250};
+/// An answer of a receiver counts for this long.
+constexpr duration probe_validity{1000};
+constexpr duration order_interval{1000};
+
+bool is_retiring(const backend_server& server)
+{
+    return server.intent == intent::leaving || server.intent == intent::stopped;
+}
+
+} // namespace
+
+void machine::submit(pending_commit commit, time_point)
+{
+    for (const auto& write : commit.request.writes)
+    {
+        busy_.insert(write.key);
+    }
+    const auto id = commit.request.operation_id;
+    out_.emplace_back(commit.request);
+    pending_.emplace(id, std::move(commit));
+}
+
+void machine::on_commit(const std::string& operation_id, const platform::commit_result& result,
+                        time_point now)
+{
+    const auto found = pending_.find(operation_id);
+    if (found == pending_.end())
+    {
+        return;
+    }
+    const auto done = std::move(found->second);
+    pending_.erase(found);
+    for (const auto& write : done.request.writes)
+    {
+        busy_.erase(write.key);
+    }
+    std::map<std::string, std::vector<platform::row>> pushes;
+    for (const auto& write : done.request.writes)
+    {
+        if (!result.is_committed)
+        {
+            break;
+        }
+        const platform::row row(write.key, write.expected_version + 1, result.revision, operation_id, write.value);
+        on_row(row, now);
+        const auto controller = write.value.value("controller", "");
+        if (!controller.empty() && controller != self_.instance_id)
+        {
+            pushes[controller].push_back(row);
+        }
+    }
+    std::ranges::for_each(result.conflicts, [&](const platform::row& row) { on_row(row, now); });
+    for (auto& [to, rows] : pushes)
+    {
+        out_.emplace_back(row_push{to, std::move(rows)});
+    }
+    const auto held = controllers_.find(done.server);
+    if (held == controllers_.end())
+    {
+        return;
+    }
+    auto surroundings = context(now);
+    if (done.is_witness_change)
+    {
+        held->second.end_witness_change();
+    }
+    if (done.need == row_need::commit_move || (done.need == row_need::reassign && result.is_committed))
+    {
+        held->second.end_move(done.need == row_need::commit_move && result.is_committed, surroundings);
+    }
+}
+
+void machine::tick_controllers(time_point now)
+{
+    auto surroundings = context(now);
+    for (auto& [id, controller] : controllers_)
+    {
+        controller.tick(surroundings);
+        serve_need(controller, now);
+    }
+}
+
+void machine::serve_need(row_controller& controller, time_point now)
+{
+    const auto& server = controller.row().server;
+    if (!controller.is_reachable(now))
+    {
+        probe_receivers(controller, now);
+    }
+    if (is_busy(server.id))
+    {
+        return;
+    }
+    switch (const auto need = controller.need(now))
+    {
+    case row_need::reassign:
+        reassign(controller, now);
+        return;
+    case row_need::commit_move:
+        commit_move(controller, now);
+        return;
+    case row_need::record:
+        write_row(controller, controller.recorded(), need, now);
+        return;
+    case row_need::clear_predecessors:
+        write_row(controller, server, need, now);
+        return;
+    case row_need::none:
+        break;
+    }
+    if (!change_witnesses(controller, now) && is_retiring(server))
+    {
+        retire(controller, now);
+    }
+}
+
+bool machine::change_witnesses(row_controller& controller, time_point now)
+{
+    const auto& wanted = vouchers_.witnesses();
+    if (wanted.empty() || std::ranges::is_permutation(wanted, controller.row().server.witnesses))
+    {
+        return false;
+    }
+    controller.begin_witness_change(wanted);
+    auto changed = controller.row().server;
+    changed.witnesses = wanted;
+    pending_commit commit{make_commit(make_id_(), {{controller.row(), std::move(changed)}}),
+                          controller.row().server.id, row_need::none, true};
+    submit(std::move(commit), now);
+    return true;
+}
+
+void machine::write_row(const row_controller& controller, backend_server changed, row_need need, time_point now)
+{
+    if (controller.is_cleared())
+    {
+        changed.predecessors.clear();
+    }
+    pending_commit commit{make_commit(make_id_(), {{controller.row(), std::move(changed)}}),
+                          controller.row().server.id, need, false};
+    submit(std::move(commit), now);
+}
+
+bool machine::is_usable_receiver(const backend_server& server, time_point now) const
+{
+    if (is_busy(server.id))
+    {
+        return false;
+    }
+    if (const auto own = controllers_.find(server.id); own != controllers_.end())
+    {
+        return own->second.is_reachable(now) && own->second.moving().empty();
+    }
+    const auto alive = alive_at_.find(server.id);
+    return alive != alive_at_.end() && now - alive->second <= probe_validity;
+}
+
+void machine::probe_receivers(const row_controller& controller, time_point now)
+{
+    const auto& server = controller.row().server;
+    auto& next = next_probe_[server.id];
+    if (server.slices.empty() || now < next)
+    {
+        return;
+    }
+    next = now + probe_interval;
+    // Twice the receivers needed, as some of them may be lost together with the backend server.
+    constexpr std::size_t probe_count = 8;
+    const auto candidates = receivers(rows_, server, [](const backend_server&) { return true; });
+    for (std::size_t i = 0; i < std::min(probe_count, candidates.size()); ++i)
+    {
+        out_.emplace_back(liveness_probe{candidates[i].server.id, candidates[i].server.address});
+    }
+}
+
+void machine::reassign(const row_controller& controller, time_point now)
+{
+    const auto& row = controller.row();
+    const auto targets = receivers(rows_, row.server, [&](const backend_server& server) {
+        return is_usable_receiver(server, now);
+    });
+    if (targets.empty() && !row.server.slices.empty())
+    {
+        return;
+    }
+    auto changes = add_parts(rows_, distribute(row.server.slices, targets));
+    auto emptied = row.server;
+    emptied.slices.clear();
+    ++emptied.slices_version;
+    emptied.predecessors.clear();
+    if (emptied.intent == intent::active)
+    {
+        emptied.intent = intent::lost;
+    }
+    changes.insert(changes.begin(), {row, std::move(emptied)});
+    submit({make_commit(make_id_(), changes), row.server.id, row_need::reassign, false}, now);
+}
+
+void machine::commit_move(row_controller& controller, time_point now)
+{
+    const auto& row = controller.row();
+    std::vector<std::pair<slice, std::string>> parts;
+    bool is_possible = true;
+    for (const auto& moving : controller.moving())
+    {
+        const auto target = rows_.find(moving.target);
+        parts.emplace_back(moving.part, moving.target);
+        is_possible = is_possible && target != rows_.end() && target->second.server.intent == intent::active;
+        if (is_busy(moving.target))
+        {
+            return;
+        }
+    }
+    auto changes = is_possible ? add_parts(rows_, parts) : row_changes{};
+    if (changes.empty())
+    {
+        auto surroundings = context(now);
+        controller.end_move(false, surroundings);
+        return;
+    }
+    auto source = row.server;
+    source.slices = controller.wanted_slices();
+    source.slices_version = std::max(source.slices_version + 1, controller.held_version());
+    if (controller.is_cleared())
+    {
+        source.predecessors.clear();
+    }
+    changes.insert(changes.begin(), {row, std::move(source)});
+    submit({make_commit(make_id_(), changes), row.server.id, row_need::commit_move, false}, now);
+}
+
+void machine::retire(row_controller& controller, time_point now)
+{
+    const auto& server = controller.row().server;
+    if (!controller.moving().empty() || !controller.is_reachable(now))
+    {
+        return;
+    }
+    auto& next = next_order_[server.id];
+    if (now < next)
+    {
+        return;
+    }
+    next = now + order_interval;
+    if (server.slices.empty())
+    {
+        out_.emplace_back(lifecycle_order{server.id, server.address, server.intent == intent::stopped,
+                                          server.epoch, server.id + "-" + std::to_string(server.epoch)});
+        return;
+    }
+    probe_receivers(controller, now);
+    const auto targets = receivers(rows_, server, [&](const backend_server& other) {
+        return is_usable_receiver(other, now);
+    });
+    std::vector<moving_part> parts;
+    for (const auto& [part, target] : distribute(server.slices, targets))
+    {
+        parts.push_back({part, target, 0});
+    }
+    if (parts.empty())
+    {
+        next = now + probe_interval;
+        return;
+    }
+    auto surroundings = context(now);
+    controller.begin_move(std::move(parts), surroundings);
+}
+
+} // namespace briarfold::ownership::internal
