--- /dev/null
+++ b/src/membership/heartbeat_packet.hpp
@@ -0,0 +1,43 @@
+/// UDP packets between routers. Layout: docs/design.md section 5.4.
+#pragma once
+
+#include "core/clock.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace briarfold::membership {
+
+enum class packet_kind : std::uint8_t
+{
+    heartbeat = 1,
+    voucher = 2,
+    suspect = 3
+};
+
+struct heartbeat_packet
+{
+    packet_kind kind = packet_kind::heartbeat;
+    /// Instance id of the sender.
+    std::string from;
+    /// A voucher repeats the number of its heartbeat. Number 0 only asks whether the receiver is alive.
+    std::int64_t seq = 0;
+    core::time_point sent;
+    /// Table revision up to which the sender's replica is complete.
+    std::int64_t revision = 0;
+    /// Voucher: rows that it does not cover, with the highest epoch concerned.
+    std::map<std::string, std::int64_t> fenced;
+    /// Suspect: the instance id of the router that fell silent.
+    std::string instance;
+
+    bool operator==(const heartbeat_packet&) const = default;
+};
+
+std::string encode(const heartbeat_packet& packet);
+/// Empty when the bytes are not a valid packet.
+std::optional<heartbeat_packet> decode_packet(std::string_view bytes);
+
+} // namespace briarfold::membership
--- /dev/null
+++ b/src/ownership/internal/map_builder.hpp
@@ -0,0 +1,32 @@
+/// Builds the published map from changed rows.
+#pragma once
+
+#include "ownership/iownership.hpp"
+#include "platform/platform_types.hpp"
+
+#include <map>
+#include <mutex>
+#include <set>
+
+namespace briarfold::ownership::internal {
+
+/// Thread-safe. A change costs one pass over the slices of the services concerned.
+class map_builder
+{
+public:
+    map_builder();
+
+    /// Rows may come in any order; older ones are ignored. Returns whether a new map was published.
+    bool apply(const std::vector<platform::row>& rows, std::int64_t revision);
+    std::shared_ptr<const iownership_map> current() const;
+
+private:
+    class slice_map;
+    bool apply_row(slice_map& next, const platform::row& row, std::set<std::string>& touched);
+
+    mutable std::mutex mutex_;
+    std::shared_ptr<const slice_map> current_;
+    std::map<std::string, std::int64_t> revisions_;
+};
+
+} // namespace briarfold::ownership::internal
--- a/src/ownership/internal/protocol_types.hpp
+++ b/src/ownership/internal/protocol_types.hpp
@@ -119,16 +119,8 @@
     bool is_done = false;
 };
 
-/// A line of the history; fields as JSON.
-struct history_event
-{
-    std::string kind;
-    nlohmann::json fields;
-};
-
 using action = std::variant<grant_request, commit_request, fence_request, heartbeat_request, row_push,
-                            hand_over_request, suspicion_report, liveness_probe, lifecycle_order, move_end,
-                            history_event>;
+                            hand_over_request, suspicion_report, liveness_probe, lifecycle_order, move_end>;
 using actions = std::vector<action>;
 
 /// A backend server's row as this router knows it.
--- a/src/replica/feed.hpp
+++ b/src/replica/feed.hpp
@@ -66,11 +66,14 @@
     std::uint64_t failures() const { return failures_; }
 
 private:
+    feed_sources ordered_sources();
     core::asio::awaitable<bool> follow(std::shared_ptr<ifeed_source> source);
 
     replica& target_;
     source_order order_;
     std::string upstream_;
+    /// Sources that failed, by name, and when; they come last for a while.
+    std::map<std::string, core::time_point> failed_at_;
     std::atomic<bool> is_stopping_{false};
     std::atomic<std::uint64_t> failures_{0};
 };
--- a/src/replica/internal/feed.cpp
+++ b/src/replica/internal/feed.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace briarfold::replica {
 
 namespace asio = core::asio;
@@ -12,6 +14,8 @@
 constexpr core::duration poll_wait{1000};
 constexpr core::duration read_timeout{2000};
 constexpr core::duration retry_pause{100};
+/// A source that failed is tried after the others for this long, so that a hanging store delays only one round.
+constexpr core::duration failure_pause{5000};
 
 asio::awaitable<void> pause_for(core::duration span)
 {
@@ -62,12 +66,23 @@
     }
 }
 
+feed_sources feed::ordered_sources()
+{
+    auto sources = order_();
+    const auto now = core::clock::now();
+    std::ranges::stable_partition(sources, [&](const auto& source) {
+        const auto failed = failed_at_.find(source->name());
+        return failed == failed_at_.end() || now - failed->second > failure_pause;
+    });
+    return sources;
+}
+
 asio::awaitable<void> feed::run()
 {
     while (!is_stopping_)
     {
         bool is_fed = false;
-        for (const auto& source : order_())
+        for (const auto& source : ordered_sources())
         {
             is_fed = co_await follow(source);
             if (is_fed || is_stopping_)
@@ -113,6 +128,7 @@
     catch (const core::error&)
     {
         ++failures_;
+        failed_at_[source->name()] = core::clock::now();
         co_return false;
     }
 }
