--- a/src/ownership/internal/row_controller.cpp
+++ b/src/ownership/internal/row_controller.cpp
@@ -305,7 +305,11 @@
         return row_need::commit_move;
     }
     const auto updated = recorded();
-    if (updated.incarnation != row_.server.incarnation || updated.intent != row_.server.intent)
+    const bool is_restarted = updated.incarnation != row_.server.incarnation;
+    // The former incarnation may be frozen rather than gone, so its grants have to end first.
+    const bool may_restart = row_.server.incarnation.empty() ||
+                             (are_predecessors_cleared(now) && now > own_expiry());
+    if ((is_restarted && may_restart) || updated.intent != row_.server.intent)
     {
         return row_need::record;
     }
@@ -319,13 +323,14 @@
 backend_server row_controller::recorded() const
 {
     auto server = row_.server;
-    if (!seen_incarnation_.empty())
+    const bool is_usable = server.checks_grants ? is_granted_ : last_reply_.has_value() && failures_ == 0;
+    const bool is_new = server.intent == intent::joining || server.intent == intent::lost;
+    if (!seen_incarnation_.empty() && seen_incarnation_ != server.incarnation)
     {
         server.incarnation = seen_incarnation_;
+        return server;
     }
-    const bool is_usable = server.checks_grants ? is_granted_ : last_reply_.has_value() && failures_ == 0;
-    const bool is_new = server.intent == intent::joining || server.intent == intent::lost;
-    if (is_usable && is_new && failures_ == 0 && server.incarnation == row_.server.incarnation)
+    if (is_usable && is_new && failures_ == 0)
     {
         server.intent = intent::active;
     }
