Add contracts: validation, conditional edits, history and the contracts in force

Ruled out: the row version as the order of versions in force (a deleted and recreated row starts again at 1; the table revision does not); history inside the contract row (it would grow in every router's replica). Change: immutable contract, contract_registry over ireplica, contract_store with one transaction for the row and its log row, and a trim to the object store. Conclusion: deletion of a contract is not offered; a customer ends with a contract of minimal limits.

--- /dev/null
+++ b/src/contracts/tests/memory_store.hpp
@@ -0,0 +1,159 @@
+/// A table service and an object store in memory, with faults, for tests.
+#pragma once
+
+#include "platform/iobject_store.hpp"
+#include "platform/itable_store.hpp"
+
+#include <algorithm>
+#include <map>
+#include <mutex>
+
+namespace briarfold::contracts::tests {
+
+class memory_table : public platform::itable_store
+{
+public:
+    /// The next commits take effect, but their answer is lost.
+    int lost_answers = 0;
+    /// Every call fails.
+    bool is_down = false;
+    /// Called before each commit, without the lock.
+    std::function<void()> before_commit;
+
+    core::asio::awaitable<platform::commit_result>
+    commit(std::string operation_id, std::vector<platform::row_write> writes, core::duration) override
+    {
+        if (before_commit)
+        {
+            std::exchange(before_commit, {})();
+        }
+        co_return commit_now(operation_id, writes);
+    }
+
+    core::asio::awaitable<std::optional<platform::row>> read(std::string key, core::duration) override
+    {
+        check();
+        const std::scoped_lock lock(mutex_);
+        std::optional<platform::row> found;
+        if (rows_.contains(key))
+        {
+            found = rows_.at(key);
+        }
+        co_return found;
+    }
+
+    core::asio::awaitable<platform::row_batch> read_prefix(std::string prefix, core::duration) override
+    {
+        check();
+        co_return all(prefix);
+    }
+
+    core::asio::awaitable<platform::row_batch> changes(std::int64_t, core::duration) override
+    {
+        check();
+        co_return all("");
+    }
+
+    platform::row_batch all(const std::string& prefix) const
+    {
+        const std::scoped_lock lock(mutex_);
+        platform::row_batch batch;
+        batch.revision = revision_;
+        for (const auto& [key, row] : rows_)
+        {
+            if (key.starts_with(prefix))
+            {
+                batch.rows.push_back(row);
+            }
+        }
+        return batch;
+    }
+
+    platform::commit_result commit_now(const std::string& operation_id,
+                                       const std::vector<platform::row_write>& writes)
+    {
+        check();
+        const std::scoped_lock lock(mutex_);
+        platform::commit_result result;
+        for (const auto& write : writes)
+        {
+            const auto version = rows_.contains(write.key) ? rows_.at(write.key).version : 0;
+            if (version != write.expected_version)
+            {
+                result.conflicts.push_back(version == 0 ? platform::row(write.key, 0, 0, "", nullptr)
+                                                        : rows_.at(write.key));
+            }
+        }
+        if (!result.conflicts.empty())
+        {
+            return result;
+        }
+        result.is_committed = true;
+        result.revision = ++revision_;
+        for (const auto& write : writes)
+        {
+            if (write.value.is_null())
+            {
+                rows_.erase(write.key);
+                continue;
+            }
+            rows_[write.key] = {write.key, write.expected_version + 1, revision_, operation_id, write.value};
+        }
+        if (lost_answers > 0)
+        {
+            --lost_answers;
+            throw platform::store_error("table transaction", "memory", "answer lost");
+        }
+        return result;
+    }
+
+private:
+    void check() const
+    {
+        if (is_down)
+        {
+            throw platform::store_error("table", "memory", "down");
+        }
+    }
+
+    mutable std::mutex mutex_;
+    std::map<std::string, platform::row> rows_;
+    std::int64_t revision_ = 0;
+};
+
+class memory_objects : public platform::iobject_store
+{
+public:
+    bool is_down = false;
+
+    core::asio::awaitable<void> put(std::string name, std::string content, core::duration) override
+    {
+        check();
+        objects_[name] = content;
+        co_return;
+    }
+
+    core::asio::awaitable<std::optional<std::string>> get(std::string name, core::duration) override
+    {
+        check();
+        std::optional<std::string> found;
+        if (objects_.contains(name))
+        {
+            found = objects_.at(name);
+        }
+        co_return found;
+    }
+
+private:
+    void check() const
+    {
+        if (is_down)
+        {
+            throw platform::store_error("object", "memory", "down");
+        }
+    }
+
+    std::map<std::string, std::string> objects_;
+};
+
+} // namespace briarfold::contracts::tests
