--- a/src/document/field_reader.hpp
+++ b/src/document/field_reader.hpp
@@ -45,6 +45,8 @@
                   std::optional<double> fallback = std::nullopt);
     bool boolean(const std::string& name, std::optional<bool> fallback = std::nullopt);
 
+    /// Accepts a field that is checked elsewhere.
+    void allow(const std::string& name) { known_.insert(name); }
     /// For checks across fields.
     void add_error(const std::string& name, const std::string& value, const std::string& allowed);
     /// Adds an error for each field that was never asked for, then throws invalid_document when there are
