--- a/src/routing/hooks.hpp
+++ b/src/routing/hooks.hpp
@@ -87,6 +87,7 @@
     std::string trace_id;
     std::string span_id;
     std::string parent_span_id;
+    std::string request_id;
     /// "entry" or "front".
     std::string name;
     core::time_point start;
--- a/src/routing/internal/entry.cpp
+++ b/src/routing/internal/entry.cpp
@@ -134,6 +134,7 @@
     value.trace_id = request.trace.trace_id;
     value.span_id = request.trace.span_id;
     value.parent_span_id = request.trace.parent_span_id;
+    value.request_id = request.forward.request_id;
     value.name = "entry";
     value.start = request.wall_start;
     value.end = core::clock::wall();
--- a/src/routing/internal/front.cpp
+++ b/src/routing/internal/front.cpp
@@ -94,6 +94,7 @@
     value.trace_id = trace.trace_id;
     value.span_id = trace.span_id;
     value.parent_span_id = trace.parent_span_id;
+    value.request_id = request.forward.request_id;
     value.name = "front";
     value.start = start;
     value.end = core::clock::wall();
