--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 CLANG_FORMAT ?= clang-format-16
 SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.cpp' '*.hpp')
 
-.PHONY: packages configure build test unit format format-check lint clean
+.PHONY: packages configure build test unit format format-check lint clean demo scenario scenarios
 
 packages:
 	@scripts/install-packages.sh
@@ -28,5 +28,19 @@
 lint: configure
 	@scripts/lint.sh $(BUILD)
 
+# Starts platform stand-in, backend servers and routers, sends keyed requests and checks the histories.
+DEPLOYMENT ?=
+demo: build
+	@$(BUILD)/bin/briarfold-scenario demo $(if $(DEPLOYMENT),--deployment $(DEPLOYMENT))
+
+# One failure scenario: make scenario NAME=kill-backend SEED=7 LONG=1
+SEED ?= 1
+scenario: build
+	@$(BUILD)/bin/briarfold-scenario $(NAME) --seed $(SEED) $(if $(LONG),--long) \
+		$(if $(DEPLOYMENT),--deployment $(DEPLOYMENT))
+
+scenarios: build
+	@$(BUILD)/bin/briarfold-scenario --list
+
 clean:
 	@rm -rf $(BUILD)
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -16,6 +16,20 @@
 /// The service accepts bodies of whole tables, which are larger than a caller's request may be.
 constexpr std::size_t body_limit_bytes = std::size_t{64} * 1024 * 1024;
 
+/// Parses "FROM=TO".
+std::pair<unsigned short, unsigned short> parse_port_pair(const std::string& text)
+{
+    const auto mark = text.find('=');
+    if (mark == std::string::npos)
+    {
+        throw core::error("parse port pair", "", "expected FROM=TO, got \"" + text + "\"");
+    }
+    const auto port = [](const std::string& number) {
+        return http::parse_endpoint("127.0.0.1:" + number).port;
+    };
+    return {port(text.substr(0, mark)), port(text.substr(mark + 1))};
+}
+
 int run(const options::variables_map& settings, const standins::platform_options& limits)
 {
     asio::io_context context(1);
@@ -50,6 +64,9 @@
     add("log-length", options::value(&limits.log_length)->default_value(limits.log_length),
         "changes kept for readers");
     add("instance-lag-ms", options::value(&limits.instance_lag.ms)->default_value(limits.instance_lag.ms));
+    std::vector<std::string> port_pairs;
+    add("map-router-port", options::value(&port_pairs)->composing(),
+        "FROM=TO, replaced in router rows so that routers meet through relays; may be repeated");
     try
     {
         options::variables_map settings;
@@ -60,6 +77,10 @@
             std::cout << all << "\n";
             return 0;
         }
+        for (const auto& text : port_pairs)
+        {
+            limits.router_ports.insert(parse_port_pair(text));
+        }
         return run(settings, limits);
     }
     catch (const std::exception& failure)
--- a/standins/platform/platform_service.cpp
+++ b/standins/platform/platform_service.cpp
@@ -54,8 +54,8 @@
 
 platform_service::platform_service(asio::any_io_executor executor, platform_options options,
                                    history::writer& history)
-    : executor_(std::move(executor)), options_(options), history_(history), table_(options.log_length),
-      writes_(options.writes_per_s), reads_(options.reads_per_s)
+    : executor_(std::move(executor)), options_(std::move(options)), history_(history),
+      table_(options_.log_length), writes_(options_.writes_per_s), reads_(options_.reads_per_s)
 {}
 
 asio::awaitable<http::response> platform_service::answer(http::request message)
@@ -119,7 +119,9 @@
         operation_id = body.at("operation_id");
         for (const auto& item : body.at("writes"))
         {
-            writes.push_back({item.at("key"), item.at("expected_version"), item.at("value")});
+            auto& write = writes.emplace_back();
+            write = {item.at("key"), item.at("expected_version"), item.at("value")};
+            map_ports(write.key, write.value);
         }
     }
     catch (const json::exception& failure)
@@ -145,6 +147,22 @@
     return reply(status_ok, {{"revision", result.revision}, {"versions", std::move(versions)}});
 }
 
+void platform_service::map_ports(const std::string& key, json& value) const
+{
+    if (!key.starts_with("router/") || !value.is_object())
+    {
+        return;
+    }
+    for (const auto* field : {"peer_port", "udp_port"})
+    {
+        const auto found = options_.router_ports.find(value.value(field, static_cast<unsigned short>(0)));
+        if (found != options_.router_ports.end())
+        {
+            value[field] = found->second;
+        }
+    }
+}
+
 void platform_service::record(const table_commit& result)
 {
     for (const auto& row : result.rows)
--- a/standins/platform/platform_service.hpp
+++ b/standins/platform/platform_service.hpp
@@ -22,6 +22,8 @@
     double reads_per_s = 2000;
     std::size_t log_length = 10000;
     core::duration instance_lag{5000};
+    /// Replaces these port numbers in router rows, so that routers reach each other through relays.
+    std::map<unsigned short, unsigned short> router_ports;
 };
 
 /// Runs on one thread.
@@ -57,6 +59,7 @@
     /// Reads and writes that need no waiting.
     http::response answer_at_once(const http::request& message, const target& where);
     http::response commit(const http::request& message);
+    void map_ports(const std::string& key, nlohmann::json& value) const;
     http::response answer_rows(const target& where);
     http::response answer_object(const http::request& message, const std::string& name);
     http::response answer_instances();
