--- a/src/history/internal/contract_check.cpp
+++ b/src/history/internal/contract_check.cpp
@@ -2,6 +2,8 @@
 // exempt it for their time.
 #include "history/internal/checks.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <map>
 #include <optional>
@@ -110,8 +112,8 @@
         if (back != versions.end())
         {
             found.push_back({violation_kind::contract_went_back, (back + 1)->time,
-                             process + " went from version " + std::to_string(back->version) + " of " +
-                                 customer + " to " + std::to_string((back + 1)->version)});
+                             fmt::format("{} went from version {} of {} to {}", process, back->version,
+                                         customer, (back + 1)->version)});
         }
     }
 }
@@ -153,7 +155,7 @@
                 !is_exempt(faults, process, begin, by))
             {
                 found.push_back({violation_kind::contract_late, by,
-                                 process + " lacks version " + std::to_string(version) + " of " + customer});
+                                 fmt::format("{} lacks version {} of {}", process, version, customer)});
             }
         }
     }
--- a/src/history/internal/ownership_check.cpp
+++ b/src/history/internal/ownership_check.cpp
@@ -4,6 +4,8 @@
 #include "core/key_hash.hpp"
 #include "history/internal/checks.hpp"
 
+#include <fmt/format.h>
+
 #include <map>
 #include <ranges>
 #include <set>
@@ -100,7 +102,7 @@
     void apply_release(const event& value)
     {
         auto& server = holders_[value.fields.at("backend_server")];
-        if (server.incarnation == value.fields.at("incarnation"))
+        if (server.incarnation == value.fields.at("incarnation").get<std::string>())
         {
             server.held.clear();
             server.until = {};
@@ -120,8 +122,9 @@
             const hash_set common = server.held & other.held;
             if (!common.empty())
             {
-                report(violation_kind::two_owners, now,
-                       id + " and " + other_id + " hold " + describe(common) + " of " + server.service);
+                report(
+                    violation_kind::two_owners, now,
+                    fmt::format("{} and {} hold {} of {}", id, other_id, describe(common), server.service));
             }
         }
         const hash_set outside = server.held - server.assigned;
@@ -152,13 +155,13 @@
     const auto found = holders_.find(id);
     static const holder unknown{};
     const holder& server = found == holders_.end() ? unknown : found->second;
-    if (server.former_incarnations.contains(value.fields.at("incarnation")))
+    if (server.former_incarnations.contains(value.fields.at("incarnation").get<std::string>()))
     {
-        return id + " ran " + request + " in a former incarnation";
+        return fmt::format("{} ran {} in a former incarnation", id, request);
     }
     if (server.has_grants && server.until <= value.time)
     {
-        return id + " ran " + request + " without a grant";
+        return fmt::format("{} ran {} without a grant", id, request);
     }
     for (const auto& [other_id, other] : holders_)
     {
@@ -172,7 +175,7 @@
             !server.has_grants && !other.has_grants && boost::icl::contains(other.assigned, hash);
         if (is_held || is_row_only)
         {
-            return id + " ran " + request + " while " + other_id + " holds its key";
+            return fmt::format("{} ran {} while {} holds its key", id, request, other_id);
         }
     }
     return "";
--- a/standins/backend/tests/backend_tests.cpp
+++ b/standins/backend/tests/backend_tests.cpp
@@ -176,7 +176,8 @@
     auto shed = backend.finish(backend.begin(fixture::work("r2")));
     BOOST_TEST(fixture::reason(shed) == "shed");
     BOOST_TEST(backend.order("/cancel", {{"request_id", "r1"}}).at("state") == "cancelled_before_start");
-    BOOST_TEST(fixture::reason(backend.finish(std::move(waiting))) == "cancelled");
+    const auto cancelled = backend.finish(std::move(waiting));
+    BOOST_TEST(fixture::reason(cancelled) == "cancelled");
     BOOST_TEST(backend.order("/cancel", {{"request_id", "r9"}}).at("state") == "unknown");
 }
 
@@ -191,6 +192,7 @@
     BOOST_TEST(backend.order("/stop", {{"epoch", 256}, {"operation_id", "o"}}).at("in_flight") == 1);
     BOOST_TEST(!backend.has_ended);
     BOOST_TEST(fixture::reason(backend.finish(backend.begin(fixture::work("r2")))) == "draining");
-    BOOST_TEST(backend.finish(std::move(running)).status == 200U);
+    const auto finished = backend.finish(std::move(running));
+    BOOST_TEST(finished.status == 200U);
     BOOST_TEST(backend.has_ended);
 }
