--- a/src/ownership/internal/machine.hpp
+++ b/src/ownership/internal/machine.hpp
@@ -3,9 +3,9 @@
 
 #include "membership/membership_types.hpp"
 #include "ownership/internal/assignment.hpp"
-#include "ownership/iownership.hpp"
 #include "ownership/internal/row_controller.hpp"
 #include "ownership/internal/witness.hpp"
+#include "ownership/iownership.hpp"
 
 #include <functional>
 #include <set>
--- a/src/ownership/internal/machine_writes.cpp
+++ b/src/ownership/internal/machine_writes.cpp
@@ -56,7 +56,8 @@
         {
             break;
         }
-        const platform::row row(write.key, write.expected_version + 1, result.revision, operation_id, write.value);
+        const platform::row row(write.key, write.expected_version + 1, result.revision, operation_id,
+                                write.value);
         on_row(row, now);
         const auto controller = write.value.value("controller", "");
         if (!controller.empty() && controller != self_.instance_id)
@@ -145,7 +146,8 @@
     return true;
 }
 
-void machine::write_row(const row_controller& controller, backend_server changed, row_need need, time_point now)
+void machine::write_row(const row_controller& controller, backend_server changed, row_need need,
+                        time_point now)
 {
     if (controller.is_cleared())
     {
@@ -191,9 +193,8 @@
 void machine::reassign(const row_controller& controller, time_point now)
 {
     const auto& row = controller.row();
-    const auto targets = receivers(rows_, row.server, [&](const backend_server& server) {
-        return is_usable_receiver(server, now);
-    });
+    const auto targets = receivers(
+        rows_, row.server, [&](const backend_server& server) { return is_usable_receiver(server, now); });
     if (targets.empty() && !row.server.slices.empty())
     {
         return;
@@ -264,9 +265,8 @@
         return;
     }
     probe_receivers(controller, now);
-    const auto targets = receivers(rows_, server, [&](const backend_server& other) {
-        return is_usable_receiver(other, now);
-    });
+    const auto targets =
+        receivers(rows_, server, [&](const backend_server& other) { return is_usable_receiver(other, now); });
     std::vector<moving_part> parts;
     for (const auto& [part, target] : distribute(server.slices, targets))
     {
