--- a/src/contracts/internal/contract_store.cpp
+++ b/src/contracts/internal/contract_store.cpp
@@ -76,12 +76,12 @@
     entries.erase(first, last);
 }
 
-edit_result committed(const edit& wish, const nlohmann::json& value, std::int64_t revision)
+edit_result committed(const edit& wish, std::int64_t version, const nlohmann::json& value,
+                      std::int64_t revision)
 {
-    return {
-        edit_status::applied,
-        {wish.expected_version + 1, wish.author, value.at("time_ms").get<std::int64_t>(), wish.operation_id},
-        revision};
+    return {edit_status::applied,
+            {version, wish.author, value.at("time_ms").get<std::int64_t>(), wish.operation_id},
+            revision};
 }
 
 edit_result refused(const platform::row& winner)
@@ -143,7 +143,7 @@
                 co_await table_.commit(wish.operation_id, make_writes(wish, checked.customer(), value), left);
             if (result.is_committed)
             {
-                co_return committed(wish, value, result.revision);
+                co_return committed(wish, wish.expected_version + 1, value, result.revision);
             }
             const auto other = co_await find_committed(wish, checked.customer(), left);
             co_return other.value_or(refused(result.conflicts.front()));
@@ -163,15 +163,14 @@
 {
     std::optional<edit_result> result;
     const auto row = co_await table_.read(contract_key(customer), timeout);
-    const auto version = row ? row->version : 0;
-    if (version == wish.expected_version)
+    if (row && row->operation_id == wish.operation_id)
     {
+        check_same(wish, row->value);
+        result = committed(wish, row->version, row->value, row->revision);
         co_return result;
     }
-    if (row && row->operation_id == wish.operation_id)
+    if ((row ? row->version : 0) == wish.expected_version)
     {
-        check_same(wish, row->value);
-        result = committed(wish, row->value, row->revision);
         co_return result;
     }
     // Ours may have committed and been replaced since; its log row tells.
@@ -179,7 +178,7 @@
     if (log && log->operation_id == wish.operation_id)
     {
         check_same(wish, log->value);
-        result = committed(wish, log->value, log->revision);
+        result = committed(wish, wish.expected_version + 1, log->value, log->revision);
         co_return result;
     }
     result = refused(row.value_or(platform::row(contract_key(customer), 0, 0, "", nullptr)));
--- a/src/contracts/tests/contract_store_tests.cpp
+++ b/src/contracts/tests/contract_store_tests.cpp
@@ -83,6 +83,16 @@
     BOOST_TEST(repeat.info.time_ms == first.info.time_ms);
 }
 
+// Guards against a second version when a repeat names the version that its first attempt made.
+BOOST_FIXTURE_TEST_CASE(repeat_on_top_of_itself_changes_nothing, store_fixture)
+{
+    apply(0, "ada", "op-1");
+    auto repeat = make_edit(0, "ada", "op-1");
+    repeat.expected_version = 1;
+    BOOST_TEST(run(store.apply(repeat, 1000_ms)).info.version == 1);
+    BOOST_TEST(table.all("contract/").rows.front().version == 1);
+}
+
 // Guards against an operation id that makes another document look applied.
 BOOST_FIXTURE_TEST_CASE(reused_operation_id_is_refused, store_fixture)
 {
