--- a/apps/router/logging.cpp
+++ b/apps/router/logging.cpp
@@ -1,10 +1,9 @@
 #include "apps/router/logging.hpp"
 
+#include <nlohmann/json.hpp>
 #include <spdlog/pattern_formatter.h>
 #include <spdlog/spdlog.h>
 
-#include <nlohmann/json.hpp>
-
 #include <memory>
 
 namespace briarfold::router {
--- a/apps/router/observers.cpp
+++ b/apps/router/observers.cpp
@@ -1,24 +1,11 @@
 #include "apps/router/observers.hpp"
 
-#include "core/key_hash.hpp"
+#include <array>
 
 namespace briarfold::router {
 
 namespace {
 
-history::event to_event(const routing::outcome_event& finished)
-{
-    history::outcome_fields fields;
-    fields.request_id = finished.request_id;
-    fields.outcome = routing::to_string(finished.outcome);
-    fields.status = finished.status;
-    fields.answer_id = finished.answer_id;
-    fields.answer_hash = core::to_hex(core::text_hash(finished.body));
-    fields.peer = finished.peer;
-    fields.reason = finished.reason;
-    return history::make_outcome(fields);
-}
-
 trace::span to_span(const routing::span& hop)
 {
     trace::span span;
@@ -62,15 +49,8 @@
 
 } // namespace
 
-void observe_requests(routing::routing_hooks& hooks, history::writer& history, trace::ispan_sink& spans)
+void observe_requests(routing::routing_hooks& hooks, trace::ispan_sink& spans)
 {
-    hooks.on_call = [&history](const routing::call_event& started) {
-        history.write(history::make_call(started.request_id, started.customer, started.service, started.key,
-                                         started.is_idempotent));
-    };
-    hooks.on_outcome = [&history](const routing::outcome_event& finished) {
-        history.write(to_event(finished));
-    };
     hooks.on_span = [&spans](const routing::span& hop) { spans.record(to_span(hop)); };
 }
 
@@ -79,10 +59,9 @@
 {
     for (const auto& [name, value] : routing::to_map(routing))
     {
-        registry.computed_gauge("briarfold_routing_events", "Routing events since the start.",
-                                {{"event", name}}, [&routing, name = name] {
-                                    return static_cast<double>(routing::to_map(routing).at(name));
-                                });
+        registry.computed_gauge(
+            "briarfold_routing_events", "Routing events since the start.", {{"event", name}},
+            [&routing, name = name] { return static_cast<double>(routing::to_map(routing).at(name)); });
     }
     for (const auto& item : protocol_counter_names)
     {
@@ -93,10 +72,9 @@
     }
     registry.computed_gauge("briarfold_table_revision", "Table revision of this router's copy.", {},
                             [&rows] { return static_cast<double>(rows.current()->revision); });
-    registry.computed_gauge("briarfold_table_unconfirmed_ms",
-                            "Time since the copy of the table was known to be current.", {}, [&rows] {
-                                return static_cast<double>((core::clock::now() - rows.confirmed_at()).ms);
-                            });
+    registry.computed_gauge(
+        "briarfold_table_unconfirmed_ms", "Time since the copy of the table was known to be current.", {},
+        [&rows] { return static_cast<double>((core::clock::now() - rows.confirmed_at()).ms); });
 }
 
 } // namespace briarfold::router
--- a/apps/router/observers.hpp
+++ b/apps/router/observers.hpp
@@ -1,7 +1,6 @@
-/// Connects routing to history, traces and metrics.
+/// Connects routing to traces and metrics.
 #pragma once
 
-#include "history/writer.hpp"
 #include "metrics/registry.hpp"
 #include "ownership/ownership.hpp"
 #include "replica/ireplica.hpp"
@@ -11,8 +10,9 @@
 
 namespace briarfold::router {
 
-/// Fills on_call, on_outcome and on_span. The writer and the sink outlive the hooks.
-void observe_requests(routing::routing_hooks& hooks, history::writer& history, trace::ispan_sink& spans);
+/// Fills on_span; the sink outlives the hooks. Calls and outcomes are recorded by the callers in a test,
+/// since what a caller was told is what the guarantees speak of.
+void observe_requests(routing::routing_hooks& hooks, trace::ispan_sink& spans);
 
 /// Gauges that read the counters at each scrape. Everything passed outlives the registry.
 void publish_counters(metrics::registry& registry, const routing::routing_counters& routing,
--- a/apps/router/router_app.cpp
+++ b/apps/router/router_app.cpp
@@ -127,15 +127,14 @@
                        }
                        co_return co_await admin_api->handle(std::move(message), std::move(caller));
                    }),
-      self(
-          [this] {
-              auto info = make_self(values, instance_id);
-              info.http_port = http_server.port();
-              info.peer_port = network.port();
-              info.udp_port = udp.port();
-              info.admin_port = admin_server.port();
-              return info;
-          }()),
+      self([this] {
+          auto info = make_self(values, instance_id);
+          info.http_port = http_server.port();
+          info.peer_port = network.port();
+          info.udp_port = udp.port();
+          info.admin_port = admin_server.port();
+          return info;
+      }()),
       members(self, rows), heartbeats(context.get_executor(), udp, members, rows, table),
       registration(self, table, rows),
       ownership(context.get_executor(), {members, heartbeats, rows, table, network, history}),
@@ -146,13 +145,13 @@
       feed(rows, membership::make_feed_order(members, table, network))
 {
     admin_api = std::make_unique<admin::admin_api>(make_admin_inputs());
-    network.on_forward(
-        [this](wire::forward_request request, std::shared_ptr<wire::cancellation> cancel)
-        { return front.serve(std::move(request), std::move(cancel)); });
+    network.on_forward([this](wire::forward_request request, std::shared_ptr<wire::cancellation> cancel) {
+        return front.serve(std::move(request), std::move(cancel));
+    });
     replica::serve_changes(network, rows);
     contracts.on_applied([this](const contracts::contract_pointer& applied) {
-        history.write(history::make_contract_applied("router", applied->contract.customer(),
-                                                     applied->info.version));
+        history.write(
+            history::make_contract_applied("router", applied->contract.customer(), applied->info.version));
     });
     publish_counters(metrics, counters, ownership, rows);
 }
@@ -161,7 +160,7 @@
 {
     routing::routing_hooks hooks;
     hooks.terms = [this](const std::string& customer) { return terms.find(customer); };
-    observe_requests(hooks, history, spans);
+    observe_requests(hooks, spans);
     return hooks;
 }
 
@@ -174,10 +173,12 @@
             backend_servers,
             metrics,
             [this] { return ownership.map(); },
-            [this](std::vector<std::string> customers, core::duration timeout)
-            { return cluster.ask_all(std::move(customers), timeout); },
-            [this](std::string request_id, core::duration timeout)
-            { return cluster.find_spans(std::move(request_id), timeout); },
+            [this](std::vector<std::string> customers, core::duration timeout) {
+                return cluster.ask_all(std::move(customers), timeout);
+            },
+            [this](std::string request_id, core::duration timeout) {
+                return cluster.find_spans(std::move(request_id), timeout);
+            },
             [this] { return not_ready_reasons(); }};
 }
 
