--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 CLANG_FORMAT ?= clang-format-16
 SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.cpp' '*.hpp')
 
-.PHONY: packages configure build test unit format format-check lint clean demo scenario scenarios
+.PHONY: packages configure build test unit format format-check lint clean demo scenario scenarios model
 
 packages:
 	@scripts/install-packages.sh
@@ -42,5 +42,9 @@
 scenarios: build
 	@$(BUILD)/bin/briarfold-scenario --list
 
+# Checks the protocol model and its broken variants with Spin.
+model: packages
+	@scripts/check-model.sh
+
 clean:
 	@rm -rf $(BUILD)
--- a/model/ownership.pml
+++ b/model/ownership.pml
@@ -2,11 +2,13 @@
  * Ownership protocol of docs/design.md section 4 for one slice: controller C1 (epoch 1) renews the grant of
  * backend server B1, router S takes the row over (epoch 2) and may assign the slice to backend server B2.
  * Every step is one guarded command, so pauses, delays, losses and crashes are all interleavings in which a
- * step happens late or never. Time is discrete and passes independently of every other step.
+ * step happens late or never. Time is discrete and passes independently of every other step. All times are kept as ages or remaining spans,
+ * so the model is finite without a bound on time.
  *
  * Two steps are merged into one where an extra delay only shortens a right: a nonce is received when it is
  * issued, and a voucher starts when the witness answers. Both give C1 and S the longest rights and the
- * successor the earliest bound, so every behaviour with more delay is covered.
+ * successor the earliest bound, so every behaviour with more delay is covered. The two witnesses are one
+ * process: C1 may use either until both are fenced, and S uses the younger of their two reports.
  *
  * Invariant: B1 and B2 never hold a grant for the slice at the same time.
  *
@@ -14,17 +16,15 @@
  * NO_INCARNATION, KEEP_LONGER_GRANT. Not modelled: clock drift (a constant factor on V and D in the code), a second successor.
  */
 
-#define V 2         /* voucher duration */
-#define D 2         /* grant duration */
-#define TIME_MAX 7  /* long enough for voucher, grant and one takeover after another */
+#define V 2           /* voucher duration */
+#define D 2           /* grant duration */
+#define OLD (V + D)   /* ages stop here: nothing older is distinguished */
 #define NONE 15
 
-byte now = 1;
-
 /* B1: what the backend server process knows. A restart forgets all but the incarnation. */
 byte b1_incarnation = 1;
 byte b1_epoch = 0;
-byte b1_until = 0;
+byte b1_remaining = 0;
 byte b1_slices_version = 0;
 bool b1_holds_slice = false;
 
@@ -35,31 +35,33 @@
 byte row_incarnation = 1;
 bool s_taken = false;
 
-/* C1: the nonce held, the voucher, the order in flight to B1. */
-byte c1_nonce = NONE, c1_nonce_inc;
+/* C1: age of the nonce held, time left of the voucher, age of the nonce in the order in flight. */
+byte c1_nonce = NONE, c1_nonce_inc = 1;
 byte c1_known_incarnation = 1;
-byte c1_voucher_until = 0;
-byte c1_order = NONE, c1_order_inc;
-byte c1_last_used = 0;
+byte c1_voucher = 0;
+byte c1_order = NONE, c1_order_inc = 1;
+byte c1_last_used = OLD;
 bool c1_stopped = false;
 
-/* Witnesses: last heartbeat answered, promise. */
-byte last_heartbeat[2] = 0;
-bool fenced[2] = false;
+/* Witnesses: age of the last heartbeat answered, promise of both. */
+byte last_heartbeat = OLD;
+bool fenced = false;
 
 /* S. */
-byte s_nonce = NONE, s_nonce_inc;
-byte s_order = NONE, s_order_inc, s_order_version;
-byte s_last_used = 0;
+byte s_nonce = NONE, s_nonce_inc = 1;
+byte s_order = NONE, s_order_inc = 1, s_order_version = 1;
+byte s_last_used = OLD;
 byte s_version = 1;
-bool s_cleared = false;       /* B1 accepted epoch 2, or C1's grants have expired */
+bool s_cleared = false;      /* B1 accepted epoch 2 */
 bool s_accept_in_flight = false;
 bool s_release_in_flight = false;
 bool s_released = false;
-bool s_gave_up = false;       /* no more orders to B1 */
-byte s_c1_last_used = NONE;   /* reported by C1 when it confirmed that it stopped */
+bool s_gave_up = false;      /* no more orders to B1 */
+bool c1_confirmed = false;   /* C1 told S that it stopped, with the age of the nonce it used last */
 
 #define MAX(a, b) ((a) > (b) -> (a) : (b))
+#define OLDER(age) ((age) < OLD -> (age) + 1 : (age))
+#define LESS(span) ((span) > 0 -> (span) - 1 : 0)
 
 #ifdef NO_FENCING
 #define EPOCH_OK(e) true
@@ -68,11 +70,11 @@
 #endif
 
 #ifdef DURATION_FROM_ARRIVAL
-#define UNTIL(nonce) (now + D)
-#define FRESH(nonce) true
+#define LEFT(age) D
+#define FRESH(age) true
 #else
-#define UNTIL(nonce) (nonce + D)
-#define FRESH(nonce) (now < nonce + D)
+#define LEFT(age) (D - (age))
+#define FRESH(age) ((age) < D)
 #endif
 
 /*
@@ -80,9 +82,9 @@
  * of the grant from its own nonces alone. Within an epoch an older nonce never shortens the grant.
  */
 #ifdef KEEP_LONGER_GRANT
-#define NEW_UNTIL(e, until) MAX(b1_until, until)
+#define NEW_REMAINING(e, left) MAX(b1_remaining, left)
 #else
-#define NEW_UNTIL(e, until) (e > b1_epoch -> (until) : MAX(b1_until, until))
+#define NEW_REMAINING(e, left) (e > b1_epoch -> (left) : MAX(b1_remaining, left))
 #endif
 
 #ifdef NO_INCARNATION
@@ -91,10 +93,9 @@
 #define C1_MAY_GRANT(inc) (inc == c1_known_incarnation)
 #endif
 
-#define C1_EXPIRED_BY_FENCE \
-    (fenced[0] && fenced[1] && now >= MAX(last_heartbeat[0], last_heartbeat[1]) + V + D)
-#define C1_EXPIRED_BY_CONFIRMATION (s_c1_last_used != NONE && now >= s_c1_last_used + D)
-#define B1_OWNS (b1_holds_slice && now < b1_until)
+#define C1_EXPIRED_BY_FENCE (fenced && last_heartbeat >= V + D)
+#define C1_EXPIRED_BY_CONFIRMATION (c1_confirmed && c1_last_used >= D)
+#define B1_OWNS (b1_holds_slice && b1_remaining > 0)
 
 active proctype system()
 {
@@ -103,50 +104,54 @@
     :: atomic { B1_OWNS && b2_owns -> assert(false) }
 
     /* Time passes whatever the processes do. */
-    :: atomic { now < TIME_MAX -> now++ }
+    :: atomic { true ->
+        b1_remaining = LESS(b1_remaining); c1_voucher = LESS(c1_voucher);
+        c1_last_used = OLDER(c1_last_used); last_heartbeat = OLDER(last_heartbeat);
+        s_last_used = OLDER(s_last_used);
+        c1_nonce = OLDER(c1_nonce); c1_order = OLDER(c1_order);
+        s_nonce = OLDER(s_nonce); s_order = OLDER(s_order);
+        if
+        :: b1_remaining == 0 && b1_epoch > 0 -> b1_holds_slice = false
+        :: else
+        fi }
 
     /* B1 restarts once and forgets the highest epoch. */
     :: atomic { b1_incarnation == 1 ->
-        b1_incarnation = 2; b1_epoch = 0; b1_until = 0; b1_slices_version = 0; b1_holds_slice = false }
+        b1_incarnation = 2; b1_epoch = 0; b1_remaining = 0; b1_slices_version = 0; b1_holds_slice = false }
 
     /* C1 receives a nonce from B1. */
-    :: atomic { !c1_stopped && c1_nonce != now -> c1_nonce = now; c1_nonce_inc = b1_incarnation }
+    :: atomic { !c1_stopped && c1_nonce != 0 -> c1_nonce = 0; c1_nonce_inc = b1_incarnation }
 
     /* C1 records a new incarnation of B1 by a conditional write, which fails once S has taken the row. */
     :: atomic { !s_taken && c1_nonce != NONE && c1_nonce_inc != c1_known_incarnation ->
         c1_known_incarnation = c1_nonce_inc; row_incarnation = c1_nonce_inc }
 
     /* A witness answers a heartbeat. */
-    :: atomic { !c1_stopped && !fenced[0] && last_heartbeat[0] != now ->
-        last_heartbeat[0] = now; c1_voucher_until = now + V }
-    :: atomic { !c1_stopped && !fenced[1] && last_heartbeat[1] != now ->
-        last_heartbeat[1] = now; c1_voucher_until = now + V }
+    :: atomic { !c1_stopped && !fenced && c1_voucher < V -> last_heartbeat = 0; c1_voucher = V }
 
-    /* C1 checks its voucher and picks a nonce. The order may reach B1 at any later time. */
-    :: atomic { !c1_stopped && now < c1_voucher_until && c1_nonce != NONE && c1_order == NONE &&
+    /* C1 checks its voucher and picks a nonce. The order may reach B1 at any later time, or never. */
+    :: atomic { !c1_stopped && c1_voucher > 0 && c1_nonce != NONE && c1_order == NONE &&
                 C1_MAY_GRANT(c1_nonce_inc) ->
         c1_order = c1_nonce; c1_order_inc = c1_nonce_inc; c1_last_used = c1_nonce; c1_nonce = NONE }
     :: atomic { c1_order != NONE ->
         if
         :: c1_order_inc == b1_incarnation && EPOCH_OK(1) && b1_slices_version <= 1 && FRESH(c1_order) ->
-            b1_until = NEW_UNTIL(1, UNTIL(c1_order)); b1_epoch = MAX(b1_epoch, 1);
+            b1_remaining = NEW_REMAINING(1, LEFT(c1_order)); b1_epoch = MAX(b1_epoch, 1);
             b1_holds_slice = true; b1_slices_version = 1
         :: else
         fi; c1_order = NONE }
-    /* An order is lost. */
-    :: atomic { c1_order != NONE -> c1_order = NONE }
 
     /* S takes the row, at any time: taking is always safe. */
     :: atomic { !s_taken -> s_taken = true }
 
-    /* S fences the witnesses, or C1 confirms that it stopped. */
-    :: atomic { s_taken && !fenced[0] -> fenced[0] = true }
-    :: atomic { s_taken && !fenced[1] -> fenced[1] = true }
-    :: atomic { s_taken && !c1_stopped -> c1_stopped = true; s_c1_last_used = c1_last_used }
+    /* S fences both witnesses, or C1 confirms that it stopped. */
+    :: atomic { s_taken && !fenced -> fenced = true }
+    :: atomic { s_taken && !c1_stopped -> c1_stopped = true; c1_confirmed = true; c1_nonce = NONE }
 
     /* S reaches B1 and grants at epoch 2. */
-    :: atomic { s_taken && !s_gave_up && s_nonce != now -> s_nonce = now; s_nonce_inc = b1_incarnation }
-    :: atomic { s_taken && s_nonce != NONE && s_nonce_inc != row_incarnation -> row_incarnation = s_nonce_inc }
+    :: atomic { s_taken && !s_gave_up && s_nonce != 0 -> s_nonce = 0; s_nonce_inc = b1_incarnation }
+    :: atomic { s_taken && !s_gave_up && s_nonce != NONE && s_nonce_inc != row_incarnation ->
+        row_incarnation = s_nonce_inc }
     :: atomic { s_taken && !s_gave_up && s_nonce != NONE && s_nonce_inc == row_incarnation && s_order == NONE ->
         s_order = s_nonce; s_order_inc = s_nonce_inc; s_order_version = s_version;
         s_last_used = s_nonce; s_nonce = NONE }
@@ -154,7 +159,7 @@
         if
         :: s_order_inc == b1_incarnation && EPOCH_OK(2) && b1_slices_version <= s_order_version &&
            FRESH(s_order) ->
-            b1_until = NEW_UNTIL(2, UNTIL(s_order)); b1_epoch = 2;
+            b1_remaining = NEW_REMAINING(2, LEFT(s_order)); b1_epoch = 2;
             b1_holds_slice = (s_order_version == 1); b1_slices_version = s_order_version;
             s_accept_in_flight = true;
             if
@@ -163,7 +168,6 @@
             fi
         :: else
         fi; s_order = NONE }
-    :: atomic { s_order != NONE -> s_order = NONE }
     :: atomic { s_accept_in_flight -> s_cleared = true; s_accept_in_flight = false }
     :: atomic { s_release_in_flight -> s_released = true; s_release_in_flight = false }
 
@@ -171,15 +175,15 @@
     :: atomic { s_cleared && s_version == 1 -> s_version = 2 }
 
     /* S gives B1 up as lost. */
-    :: atomic { s_taken && !s_gave_up -> s_gave_up = true }
+    :: atomic { s_taken && !s_gave_up -> s_gave_up = true; s_nonce = NONE }
 
     /* S assigns the slice to B2 after a confirmed release under epoch 2 ... */
     :: atomic { s_released && !b2_owns -> b2_owns = true }
     /* ... or after every grant has certainly expired. */
 #ifdef NO_WAIT
-    :: atomic { s_gave_up && !b2_owns && fenced[0] && fenced[1] -> b2_owns = true }
+    :: atomic { s_gave_up && !b2_owns && fenced -> b2_owns = true }
 #else
-    :: atomic { s_gave_up && !b2_owns && (s_last_used == 0 || now >= s_last_used + D) &&
+    :: atomic { s_gave_up && !b2_owns && s_last_used >= D &&
                 (s_cleared || C1_EXPIRED_BY_FENCE || C1_EXPIRED_BY_CONFIRMATION) -> b2_owns = true }
 #endif
     od
--- a/scripts/check-model.sh
+++ b/scripts/check-model.sh
@@ -16,8 +16,8 @@
     (
         cd "$folder"
         spin -a ${define:+-D$define} "$model" >spin.log
-        cc -O2 -DSAFETY -DCOLLAPSE -DMEMLIM=8192 -o pan pan.c >cc.log 2>&1
-        ./pan -m1000000 >pan.log 2>&1
+        cc -O2 -DSAFETY -DCOLLAPSE -DMEMLIM=4096 -o pan pan.c >cc.log 2>&1
+        ./pan -m2000000 >pan.log 2>&1
     ) || true
     local errors states complete
     errors=$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' "$folder/pan.log")
