Destroy the load's connections before its I/O context

Cause: the demo ended with heap corruption; valgrind shows connections closed after their io_context was gone. Change: the context is declared before the pools. Processes of a scenario end with it even when it crashes.

--- a/scenarios/child_process.cpp
+++ b/scenarios/child_process.cpp
@@ -5,9 +5,11 @@
 #include "scenarios/waiting.hpp"
 
 #include <boost/process.hpp>
+#include <boost/process/extend.hpp>
 
 #include <csignal>
 #include <fstream>
+#include <sys/prctl.h>
 
 namespace briarfold::scenarios {
 
@@ -49,8 +51,11 @@
 {
     try
     {
+        // A scenario that ends without destructors must leave no process behind.
+        const auto die_with_parent =
+            process::extend::on_exec_setup([](auto&) { prctl(PR_SET_PDEATHSIG, SIGKILL); });
         state_->child = process::child(
-            process::exe = program.string(), process::args = arguments,
+            process::exe = program.string(), process::args = arguments, die_with_parent,
             process::std_in<process::null, (process::std_out & process::std_err)> output.string());
     }
     catch (const process::process_error& failure)
--- a/scenarios/load_driver.cpp
+++ b/scenarios/load_driver.cpp
@@ -116,12 +116,13 @@
     std::optional<std::size_t> pick_router();
     void finish(const call_record& record, history::outcome_fields outcome, const http::response& answer);
 
+    /// Outlives the connections of the pools.
+    asio::io_context context{1};
     history::writer& history;
     std::string customer;
     std::mt19937_64 random;
     std::vector<load_key> keys;
     std::vector<router_pool> pools;
-    asio::io_context context{1};
     std::thread thread;
     std::atomic<bool> is_stopping{false};
 
