--- a/scenarios/process_scenarios.cpp
+++ b/scenarios/process_scenarios.cpp
@@ -90,7 +90,7 @@
 void run_unchecked_backend(scenario_context& context)
 {
     // The front of an unchecked server is its controller; both a pause and a loss must not give two owners.
-    auto& backend = context.draw_owner();
+    auto& backend = context.draw_owner("", context.system.spec().services.front().name);
     pause_router(context, context.system.controller_of(backend.id));
     kill_backend(context, backend);
 }
--- a/scenarios/scenario.hpp
+++ b/scenarios/scenario.hpp
@@ -44,9 +44,9 @@
     /// Any number below `count`.
     std::size_t draw(std::size_t count);
 
-    /// A backend server that owns keys of the load, drawn by the seed. Throws core::error when there is none
-    /// but `except`.
-    backend_handle& draw_owner(const std::string& except = "");
+    /// A backend server that owns keys of the load, drawn by the seed, of any service unless one is named.
+    /// Throws core::error when there is none but `except`.
+    backend_handle& draw_owner(const std::string& except = "", const std::string& service = "");
     /// Waits until `count` more requests were answered. Throws core::timeout_error.
     void wait_for_answers(std::int64_t count);
     /// Waits until the keys that `backend_server` owned at the call are answered by others.
--- a/scenarios/scenario_context.cpp
+++ b/scenarios/scenario_context.cpp
@@ -68,12 +68,12 @@
     std::cout << text << std::endl;
 }
 
-backend_handle& scenario_context::draw_owner(const std::string& except)
+backend_handle& scenario_context::draw_owner(const std::string& except, const std::string& service)
 {
     std::set<std::string> ids;
     for (const auto& [key, id] : load.owners())
     {
-        if (id != except)
+        if (id != except && (service.empty() || key.starts_with(service + "/")))
         {
             ids.insert(id);
         }
