--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 CLANG_FORMAT ?= clang-format-16
 SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.cpp' '*.hpp')
 
-.PHONY: packages configure build test unit format format-check lint clean
+.PHONY: bench-control packages configure build test unit format format-check lint clean
 
 packages:
 	@scripts/install-packages.sh
@@ -28,5 +28,10 @@
 lint: configure
 	@scripts/lint.sh $(BUILD)
 
+# Control cost of a router: bytes by kind of message, CPU and memory at several sizes.
+bench-control: configure
+	@cmake --build $(BUILD) -j $(JOBS) --target bench-control >/dev/null
+	@$(BUILD)/bin/bench-control
+
 clean:
 	@rm -rf $(BUILD)
