--- a/bench/control/main.cpp
+++ b/bench/control/main.cpp
@@ -83,6 +83,8 @@
         ++revision;
         rows.emplace_back(membership::row_key(info.instance_id), 1, revision, "op", membership::to_json(info));
     }
+    ++revision;
+    rows.emplace_back("service/fleetdesk", 1, revision, "op", nlohmann::json{{"name", "fleetdesk"}});
     for (int i = 0; i < servers; ++i)
     {
         const auto server = make_server(i, routers, shares[static_cast<std::size_t>(i)]);
@@ -177,6 +179,27 @@
     print_value("feed of 1100 changes a day, each one row", changes_per_day * row / seconds_per_day, "bytes/s");
 }
 
+/// Answers what a tick asked for, as in steady state.
+void answer(internal::machine& core, time_point now)
+{
+    for (const auto& item : core.take_actions())
+    {
+        if (const auto* heartbeat = std::get_if<internal::heartbeat_request>(&item))
+        {
+            core.on_voucher(heartbeat->to, heartbeat->seq, {});
+            core.on_heartbeat(make_router(1).instance_id, now);
+        }
+        if (const auto* grant = std::get_if<internal::grant_request>(&item))
+        {
+            auto reply = internal::parse_reply(renewal_answer);
+            reply.incarnation = core.rows().at(grant->server).server.incarnation;
+            reply.is_accepted = !grant->nonce.empty();
+            reply.slices_version = grant->nonce.empty() ? 2 : grant->slices_version;
+            core.on_reply(grant->server, grant->exchange, reply, now);
+        }
+    }
+}
+
 void print_cpu()
 {
     std::printf("-- CPU (times, machine dependent)\n");
@@ -201,7 +224,7 @@
         ticks.push_back({static_cast<double>(routers), cpu_us([&] {
                              now = now + duration{10};
                              core->tick(now);
-                             core->take_actions();
+                             answer(*core, now);
                          })});
         beats.push_back({static_cast<double>(routers), cpu_us([&] {
                              total += core->on_heartbeat(make_router(1).instance_id, now).size();
@@ -218,7 +241,7 @@
                                copy.apply(batch);
                            })});
     }
-    print_slope("tick of the protocol, 100 a second", "us", "router", ticks);
+    print_slope("tick with renewals and heartbeats, 100 a second", "us", "router", ticks);
     print_slope("heartbeat in the state machine", "us", "router", beats);
     print_slope("one changed row in the replica", "us", "router", changes);
     if (total == 0)
@@ -283,7 +306,7 @@
     }
     print_slope("map", "bytes", "slice", memory);
     print_slope("lookup, with hashing of a number", "us", "slice", lookups);
-    print_slope("map after a changed row", "us", "slice", rebuilds);
+    print_slope("map after changed slices of one row", "us", "slice", rebuilds);
     if (found == 0)
     {
         std::printf("no lookup found an owner\n");
--- a/src/ownership/internal/map_builder.cpp
+++ b/src/ownership/internal/map_builder.cpp
@@ -22,10 +22,12 @@
 };
 using entry_list = std::shared_ptr<const std::vector<entry>>;
 
-/// The servers of one service and their slices in order.
+/// The servers of one service and their slices in order. Positions stay the same for the life of the map;
+/// a server that left has a null pointer and no entries.
 struct service_index
 {
     std::vector<server_pointer> servers;
+    std::map<std::string, std::uint32_t> positions;
     entry_list entries = std::make_shared<const std::vector<entry>>();
 };
 
@@ -72,39 +74,48 @@
     void set(const std::string& id, server_pointer server) { servers_[id] = std::move(server); }
     void erase(const std::string& id) { servers_.erase(id); }
 
-    /// Replaces the server object in the index when its slices are the same. Returns false otherwise.
-    bool replace(const backend_server& former, const server_pointer& server)
+    /// Brings the index of `service` up to date for one server; `server` is null when it left the service.
+    /// Costs one pass over the entries of the service, without sorting them again.
+    void update(const std::string& service, const std::string& id, const server_pointer& server)
     {
-        auto& servers = services_[server->service].servers;
-        const auto position = std::ranges::find(servers, former.id, &backend_server::id);
-        if (position == servers.end() || former.slices != server->slices || former.service != server->service)
+        auto& index = services_[service];
+        const auto [known, is_new] =
+            index.positions.try_emplace(id, static_cast<std::uint32_t>(index.servers.size()));
+        const auto position = known->second;
+        if (is_new)
         {
-            return false;
+            index.servers.push_back(nullptr);
         }
-        *position = server;
-        return true;
-    }
-
-    /// Sorts the slices of the service again.
-    void rebuild(const std::string& service)
-    {
-        service_index index;
+        const auto former = std::exchange(index.servers[position], server);
+        if (former && server && former->slices == server->slices)
+        {
+            return;
+        }
+        std::vector<entry> added;
+        if (server)
+        {
+            std::ranges::transform(server->slices, std::back_inserter(added), [&](const slice& item) {
+                return entry{item.first, item.last, position};
+            });
+        }
+        std::ranges::sort(added, {}, &entry::first);
         auto entries = std::make_shared<std::vector<entry>>();
-        for (const auto& [id, server] : servers_)
+        entries->reserve(index.entries->size() + added.size());
+        auto next = added.begin();
+        for (const auto& held : *index.entries)
         {
-            if (server->service != service)
+            if (held.position == position)
             {
                 continue;
             }
-            const auto position = static_cast<std::uint32_t>(index.servers.size());
-            index.servers.push_back(server);
-            std::ranges::transform(server->slices, std::back_inserter(*entries), [&](const slice& item) {
-                return entry{item.first, item.last, position};
-            });
+            for (; next != added.end() && next->first < held.first; ++next)
+            {
+                entries->push_back(*next);
+            }
+            entries->push_back(held);
         }
-        std::ranges::sort(*entries, {}, &entry::first);
+        entries->insert(entries->end(), next, added.end());
         index.entries = std::move(entries);
-        services_[service] = std::move(index);
     }
 
 private:
@@ -121,12 +132,16 @@
     return current_;
 }
 
-bool map_builder::apply_row(slice_map& next, const platform::row& row, std::set<std::string>& touched)
+bool map_builder::apply_row(slice_map& next, const platform::row& row)
 {
     const bool is_server = row.key.starts_with(server_prefix);
     const bool is_service = row.key.starts_with(service_prefix);
+    if (!is_server && !is_service)
+    {
+        return false;
+    }
     auto& held = revisions_[row.key];
-    if ((!is_server && !is_service) || row.revision <= held)
+    if (row.revision <= held)
     {
         return false;
     }
@@ -138,19 +153,20 @@
     }
     const auto id = row.key.substr(server_prefix.size());
     const auto former = next.find(id);
-    if (row.value.is_null())
+    const auto server = row.value.is_null()
+                            ? nullptr
+                            : std::make_shared<const backend_server>(parse_backend_server(row.value));
+    if (former && (!server || former->service != server->service))
+    {
+        next.update(former->service, id, nullptr);
+    }
+    if (!server)
     {
         next.erase(id);
-        touched.insert(former ? former->service : "");
         return true;
     }
-    const auto server = std::make_shared<const backend_server>(parse_backend_server(row.value));
     next.set(id, server);
-    if (!former || !next.replace(*former, server))
-    {
-        touched.insert(server->service);
-        touched.insert(former ? former->service : server->service);
-    }
+    next.update(server->service, id, server);
     return true;
 }
 
@@ -158,13 +174,12 @@
 {
     const std::scoped_lock lock(mutex_);
     auto next = std::make_shared<slice_map>(*current_);
-    std::set<std::string> touched;
     bool is_changed = false;
     for (const auto& row : rows)
     {
         try
         {
-            is_changed = apply_row(*next, row, touched) || is_changed;
+            is_changed = apply_row(*next, row) || is_changed;
         }
         catch (const std::exception& failure)
         {
@@ -175,8 +190,6 @@
     {
         return false;
     }
-    touched.erase("");
-    std::ranges::for_each(touched, [&](const std::string& service) { next->rebuild(service); });
     next->set_revision(revision);
     current_ = std::move(next);
     return true;
--- a/src/ownership/internal/map_builder.hpp
+++ b/src/ownership/internal/map_builder.hpp
@@ -6,7 +6,6 @@
 
 #include <map>
 #include <mutex>
-#include <set>
 
 namespace briarfold::ownership::internal {
 
@@ -22,7 +21,7 @@
 
 private:
     class slice_map;
-    bool apply_row(slice_map& next, const platform::row& row, std::set<std::string>& touched);
+    bool apply_row(slice_map& next, const platform::row& row);
 
     mutable std::mutex mutex_;
     std::shared_ptr<const slice_map> current_;
