--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 CLANG_FORMAT ?= clang-format-16
 SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.cpp' '*.hpp')
 
-.PHONY: packages configure build test unit format format-check lint clean demo scenario scenarios model
+.PHONY: packages configure build test unit format format-check lint clean demo scenario scenarios model bench-control
 
 packages:
 	@scripts/install-packages.sh
@@ -45,6 +45,10 @@
 # Checks the protocol model and its broken variants with Spin.
 model: packages
 	@scripts/check-model.sh
+# Control cost of a router: bytes by kind of message, CPU and memory at several sizes.
+bench-control: configure
+	@cmake --build $(BUILD) -j $(JOBS) --target bench-control >/dev/null
+	@$(BUILD)/bin/bench-control
 
 clean:
 	@rm -rf $(BUILD)
