Add limits: token buckets, leased shares, coordinator and limiter

Cause: limits of a contract hold over all routers, and a fixed equal split refuses most of a skewed load. Ruled out: handing out the whole limit by demand (a shift would wait for leases to end); leases of 4 s (a new coordinator is cautious for as long).

--- /dev/null
+++ b/src/limits/internal/limiter.cpp
@@ -0,0 +1,212 @@
+#include "limits/limiter.hpp"
+
+#include "core/error.hpp"
+#include "membership/rendezvous.hpp"
+
+#include <ranges>
+
+namespace briarfold::limits {
+
+namespace {
+
+namespace asio = core::asio;
+
+constexpr const char* method = "shares";
+constexpr core::duration poll_interval{20};
+
+std::string role_of(const std::string& customer)
+{
+    return "limits/" + customer;
+}
+
+shared_limits limits_of(const contracts::contract_version& contract)
+{
+    return {contract.contract.requests_per_s(), static_cast<double>(contract.contract.burst()),
+            contract.contract.concurrency()};
+}
+
+} // namespace
+
+limiter::limiter(wire::ipeer_rpc& rpc, membership::imembership& membership, metrics::registry& metrics,
+                 limits_lookup lookup, std::function<core::time_point()> now)
+    : rpc_(rpc), membership_(membership), metrics_(metrics), lookup_(std::move(lookup)), now_(std::move(now)),
+      requests_sent_(
+          metrics.counter("briarfold_limit_share_requests_total", "Requests for shares of a limit.")),
+      requests_failed_(metrics.counter("briarfold_limit_share_failures_total",
+                                       "Requests for shares that the coordinator did not answer."))
+{
+    rpc_.register_method(
+        method, [this](std::string from, nlohmann::json parameters) -> asio::awaitable<nlohmann::json> {
+            co_return to_json(grant(from, parse_share_request(parameters)));
+        });
+}
+
+limiter::entry& limiter::find(const contracts::contract_version& contract, core::time_point now)
+{
+    const auto routers = membership_.live()->size();
+    const auto limits = limits_of(contract);
+    auto& found = customers_[contract.contract.customer()];
+    if (!found)
+    {
+        found = std::make_shared<entry>(contract.contract.customer(), limits, routers, now);
+    }
+    found->limit.set_limits(limits, routers, now);
+    return *found;
+}
+
+admission limiter::admit(const contracts::contract_version& contract)
+{
+    const auto now = now_();
+    const auto& customer = contract.contract.customer();
+    verdict outcome;
+    std::weak_ptr<entry> owner;
+    {
+        const std::scoped_lock lock(mutex_);
+        auto& item = find(contract, now);
+        outcome = item.limit.admit(now);
+        if (outcome.limit == limit_kind::none)
+        {
+            item.retries.add_request(contract.contract.retry_budget());
+        }
+        owner = customers_.at(customer);
+    }
+    if (outcome.limit != limit_kind::none)
+    {
+        metrics_
+            .counter("briarfold_limit_refusals_total", "Requests refused by the limits of a contract.",
+                     {{"customer", customer}, {"limit", to_string(outcome.limit)}})
+            .add();
+        return admission(outcome.limit, outcome.retry_after);
+    }
+    // A permit may outlive the limiter, in a request that is still in progress at the end.
+    return admission(permit(nullptr, [self = weak_from_this(), owner](void*) {
+        if (const auto alive = self.lock())
+        {
+            alive->release(owner);
+        }
+    }));
+}
+
+void limiter::release(const std::weak_ptr<entry>& owner)
+{
+    const std::scoped_lock lock(mutex_);
+    if (const auto item = owner.lock())
+    {
+        item->limit.release();
+    }
+}
+
+bool limiter::take_retry(const contracts::contract_version& contract)
+{
+    const std::scoped_lock lock(mutex_);
+    return find(contract, now_()).retries.take();
+}
+
+void limiter::keep_own_customers(const membership::live_routers& live)
+{
+    const std::scoped_lock lock(mutex_);
+    std::erase_if(coordinated_, [&](const auto& item) {
+        const auto order = membership::rendezvous_order(*live, role_of(item.first));
+        return order.empty() || order.front().instance_id != membership_.self().instance_id;
+    });
+}
+
+share_grant limiter::grant(const std::string& router, const share_request& request)
+{
+    const auto limits = lookup_(request.customer);
+    if (!limits)
+    {
+        throw core::error("grant share", router, "there is no contract for customer " + request.customer);
+    }
+    const auto now = now_();
+    const auto routers = membership_.live()->size();
+    const std::scoped_lock lock(mutex_);
+    auto& coordinator = coordinated_.try_emplace(request.customer, *limits, now).first->second;
+    coordinator.set_limits(*limits);
+    return coordinator.grant(router, request, routers, now);
+}
+
+std::vector<share_request> limiter::due_requests(core::time_point now)
+{
+    const std::scoped_lock lock(mutex_);
+    std::erase_if(customers_, [now](const auto& item) { return item.second->limit.is_idle(now); });
+    std::vector<share_request> due;
+    for (const auto& item : customers_ | std::views::values)
+    {
+        if (auto request = item->limit.next_request(now))
+        {
+            due.push_back(std::move(*request));
+        }
+    }
+    return due;
+}
+
+void limiter::finish(const std::string& customer, const std::optional<share_grant>& answer,
+                     core::time_point sent)
+{
+    const std::scoped_lock lock(mutex_);
+    const auto found = customers_.find(customer);
+    if (found == customers_.end())
+    {
+        return;
+    }
+    if (answer)
+    {
+        found->second->limit.apply(*answer, sent, now_());
+        return;
+    }
+    found->second->limit.fail(now_());
+}
+
+asio::awaitable<void> limiter::ask(share_request request)
+{
+    const auto self = shared_from_this();
+    const auto sent = now_();
+    std::optional<share_grant> answer;
+    try
+    {
+        const auto order = membership::rendezvous_order(*membership_.live(), role_of(request.customer));
+        requests_sent_.add();
+        if (order.empty() || order.front().instance_id == membership_.self().instance_id)
+        {
+            answer = grant(membership_.self().instance_id, request);
+        }
+        else
+        {
+            http::endpoint peer(order.front().ip, order.front().peer_port);
+            const auto result =
+                co_await rpc_.call(peer, method, to_json(request), share_timing::coordinator_timeout);
+            answer = parse_share_grant(result);
+        }
+    }
+    catch (const std::exception&)
+    {
+        requests_failed_.add();
+    }
+    finish(request.customer, answer, sent);
+}
+
+asio::awaitable<void> limiter::run()
+{
+    const auto self = shared_from_this();
+    const auto executor = co_await asio::this_coro::executor;
+    asio::steady_timer timer(executor);
+    membership_.on_change([owner = weak_from_this()](const membership::live_routers& live) {
+        if (const auto alive = owner.lock())
+        {
+            alive->keep_own_customers(live);
+        }
+    });
+    while (!is_stopping_)
+    {
+        for (const auto& request : due_requests(now_()))
+        {
+            asio::co_spawn(executor, ask(request), asio::detached);
+        }
+        timer.expires_after(std::chrono::milliseconds(poll_interval.ms));
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+} // namespace briarfold::limits
