--- a/src/ownership/internal/row_controller.cpp
+++ b/src/ownership/internal/row_controller.cpp
@@ -85,6 +85,10 @@
 
 std::vector<slice> row_controller::wanted_slices() const
 {
+    if (is_releasing_)
+    {
+        return {};
+    }
     return std::accumulate(
         moving_.begin(), moving_.end(), row_.server.slices,
         [](const std::vector<slice>& held, const moving_part& item) { return without(held, item.part); });
@@ -211,7 +215,8 @@
 void row_controller::schedule_after_reply(const exchange_state& done, const row_context& context)
 {
     const auto now = context.now;
-    const bool is_waiting_for_drain = !moving_.empty() && held_version_ >= 0 && held_slices_ == wanted_slices();
+    const bool is_waiting_for_drain =
+        !moving_.empty() && held_version_ >= 0 && held_slices_ == wanted_slices();
     if (is_waiting_for_drain)
     {
         next_exchange_ = now + drain_poll_interval;
@@ -248,8 +253,8 @@
     }
     const bool is_quick = failures_ <= quick_retries;
     next_grant_ = {};
-    next_exchange_ = std::max(context.now + retry_pause,
-                              failed.sent + (is_quick ? retry_interval : lost_poll_interval));
+    next_exchange_ =
+        std::max(context.now + retry_pause, failed.sent + (is_quick ? retry_interval : lost_poll_interval));
 }
 
 time_point row_controller::own_expiry() const
@@ -275,7 +280,7 @@
 {
     const auto& server = row_.server;
     const bool has_something = !server.slices.empty() || server.intent == intent::active;
-    if (!has_something || server.intent == intent::lost || server.intent == intent::joining)
+    if (!has_something || is_releasing_ || server.intent == intent::lost || server.intent == intent::joining)
     {
         return false;
     }
@@ -307,8 +312,8 @@
     const auto updated = recorded();
     const bool is_restarted = updated.incarnation != row_.server.incarnation;
     // The former incarnation may be frozen rather than gone, so its grants have to end first.
-    const bool may_restart = row_.server.incarnation.empty() ||
-                             (are_predecessors_cleared(now) && now > own_expiry());
+    const bool may_restart =
+        row_.server.incarnation.empty() || (are_predecessors_cleared(now) && now > own_expiry());
     if ((is_restarted && may_restart) || updated.intent != row_.server.intent)
     {
         return row_need::record;
@@ -367,13 +372,20 @@
     tick(context);
 }
 
+void row_controller::end_release(row_context& context)
+{
+    is_releasing_ = false;
+    update_unchecked(context.now);
+    renew_now();
+}
+
 void row_controller::update_unchecked(time_point now)
 {
     if (row_.server.checks_grants)
     {
         return;
     }
-    const bool is_withdrawn = !moving_.empty() || !is_reachable(now);
+    const bool is_withdrawn = is_releasing_ || !moving_.empty() || !is_reachable(now);
     if (!is_withdrawn)
     {
         withdrawn_at_.reset();
