--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 CLANG_FORMAT ?= clang-format-16
 SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.cpp' '*.hpp')
 
-.PHONY: packages configure build test unit format format-check lint clean demo scenario scenarios
+.PHONY: bench-limits packages configure build test unit format format-check lint clean demo scenario scenarios
 
 packages:
 	@scripts/install-packages.sh
@@ -19,6 +19,11 @@
 test: build
 	@ctest --test-dir $(BUILD) --output-on-failure -j $$(( $(JOBS) / 2 ))
 
+# Deterministic: overshoot, starvation and message cost of leased limits against a fixed split.
+bench-limits: configure
+	@cmake --build $(BUILD) -j $(JOBS) --target bench_limits
+	@$(BUILD)/bin/bench_limits $(SEED)
+
 format:
 	@$(CLANG_FORMAT) -i $(SOURCES)
 
--- a/src/admin/internal/admin_api.cpp
+++ b/src/admin/internal/admin_api.cpp
@@ -29,6 +29,24 @@
     return given.size() == token.size() && CRYPTO_memcmp(given.data(), token.data(), token.size()) == 0;
 }
 
+/// The registry may be read after the API has gone, so the hooks hold nothing of it.
+void add_gauges(const admin_inputs& inputs)
+{
+    auto& contracts = inputs.contracts;
+    inputs.metrics.computed_gauge(
+        "briarfold_contracts_revision", "Table revision up to which contracts are in force.", {},
+        [&contracts] { return static_cast<double>(contracts.current()->revision); });
+    inputs.metrics.computed_gauge(
+        "briarfold_contracts_unconfirmed_ms", "Time since the copy of the table was known to be current.", {},
+        [&contracts] { return static_cast<double>(contracts.unconfirmed_for().ms); });
+    inputs.metrics.computed_gauge(
+        "briarfold_contracts_rejected", "Contracts whose newest version this router cannot read.", {},
+        [&contracts] { return static_cast<double>(contracts.current()->rejected.size()); });
+    inputs.metrics.computed_gauge(
+        "briarfold_ready", "1 when the router takes traffic.", {},
+        [reasons = inputs.not_ready_reasons] { return reasons().empty() ? 1.0 : 0.0; });
+}
+
 nlohmann::json fields_json(const document::invalid_document& failure)
 {
     nlohmann::json details;
@@ -59,7 +77,10 @@
     std::vector<internal::route> routes;
 };
 
-admin_api::admin_api(admin_inputs inputs) : state_(std::make_unique<state>(std::move(inputs))) {}
+admin_api::admin_api(admin_inputs inputs) : state_(std::make_unique<state>(std::move(inputs)))
+{
+    add_gauges(state_->inputs);
+}
 
 admin_api::~admin_api() = default;
 
--- a/src/admin/tests/admin_tests.cpp
+++ b/src/admin/tests/admin_tests.cpp
@@ -17,8 +17,10 @@
     BOOST_TEST(send("GET", "/ready", nullptr, "").status == 200U);
     not_ready = {"no table"};
     BOOST_TEST(send("GET", "/ready", nullptr, "").status == 503U);
-    BOOST_TEST(send("GET", "/metrics").body.find("briarfold_admin_unauthorized_total 10") !=
-               std::string::npos);
+    const auto metrics = send("GET", "/metrics").body;
+    BOOST_TEST(metrics.find("briarfold_admin_unauthorized_total 10\n") != std::string::npos);
+    BOOST_TEST(metrics.find("briarfold_ready 0\n") != std::string::npos);
+    BOOST_TEST(metrics.find("briarfold_contracts_revision 1\n") != std::string::npos);
 }
 
 BOOST_FIXTURE_TEST_CASE(bad_requests_are_told_apart, fake_router)
--- a/src/limits/internal/limiter.cpp
+++ b/src/limits/internal/limiter.cpp
@@ -27,6 +27,28 @@
 
 } // namespace
 
+/// Gives the slot back. It may outlive the limiter, in a request that is still in progress at the end.
+class limiter::guard
+{
+public:
+    guard(std::weak_ptr<limiter> target, std::weak_ptr<entry> owner)
+        : target_(std::move(target)), owner_(std::move(owner))
+    {}
+    ~guard()
+    {
+        if (const auto alive = target_.lock())
+        {
+            alive->release(owner_);
+        }
+    }
+    guard(const guard&) = delete;
+    guard& operator=(const guard&) = delete;
+
+private:
+    std::weak_ptr<limiter> target_;
+    std::weak_ptr<entry> owner_;
+};
+
 limiter::limiter(wire::ipeer_rpc& rpc, membership::imembership& membership, metrics::registry& metrics,
                  limits_lookup lookup, std::function<core::time_point()> now)
     : rpc_(rpc), membership_(membership), metrics_(metrics), lookup_(std::move(lookup)), now_(std::move(now)),
@@ -78,13 +100,7 @@
             .add();
         return admission(outcome.limit, outcome.retry_after);
     }
-    // A permit may outlive the limiter, in a request that is still in progress at the end.
-    return admission(permit(nullptr, [self = weak_from_this(), owner](void*) {
-        if (const auto alive = self.lock())
-        {
-            alive->release(owner);
-        }
-    }));
+    return admission(std::make_shared<guard>(weak_from_this(), owner));
 }
 
 void limiter::release(const std::weak_ptr<entry>& owner)
--- a/src/limits/internal/share_coordinator.cpp
+++ b/src/limits/internal/share_coordinator.cpp
@@ -128,7 +128,8 @@
         rate = std::min(rate, std::max(request.held_rate, equal.rate));
         concurrency = std::min(concurrency, std::max(request.held_concurrency, equal.concurrency));
     }
-    own.rate = std::max(0.0, std::min(rate, rate_capacity - others.rate));
+    // A lease is never less than the quiet share, so that its end does not raise what all routers may use.
+    own.rate = std::max(0.0, std::min(std::max(rate, quiet.rate), rate_capacity - others.rate));
     own.concurrency =
         std::max<std::int64_t>(0, std::min(concurrency, concurrency_capacity - others.concurrency));
     const bool is_short = own.rate < request.rate || own.concurrency < request.concurrency;
--- a/src/limits/limiter.hpp
+++ b/src/limits/limiter.hpp
@@ -52,6 +52,7 @@
         retry_budget retries;
     };
 
+    class guard;
     using entry_pointer = std::shared_ptr<entry>;
 
     /// The caller holds the lock.
--- a/src/limits/share_coordinator.hpp
+++ b/src/limits/share_coordinator.hpp
@@ -10,7 +10,7 @@
 
 /// Shares go up to each router's demand (max-min fair), and half of what is left is split equally; the other
 /// half waits for sudden demand. Leases that have not expired plus the quiet shares of the other routers
-/// never exceed the limit, but for the minimum of one request at a time on each router without a lease.
+/// never exceed the rate. Leases never exceed the concurrency; a router without a lease may add one request.
 /// A new coordinator does not know the leases of its predecessor; for the length of one lease it grants no
 /// more than what a router holds or its equal share. Not thread-safe.
 class share_coordinator
