--- a/src/trace/tests/trace_tests.cpp
+++ b/src/trace/tests/trace_tests.cpp
@@ -1,3 +1,4 @@
+#include "trace/measuring_sink.hpp"
 #include "trace/otlp.hpp"
 #include "trace/span_recorder.hpp"
 #include "trace/traceparent.hpp"
@@ -95,3 +96,16 @@
     BOOST_TEST(dropped > 0U);
     BOOST_TEST(found + dropped == spans);
 }
+
+// Guards against latencies that are missing from the metrics, and spans that are lost on the way.
+BOOST_AUTO_TEST_CASE(hop_durations_are_measured)
+{
+    metrics::registry registry;
+    trace::span_recorder recorder("router-1", "");
+    trace::measuring_sink sink(registry, recorder);
+    sink.record(make_span("r-1"));
+    const auto text = registry.to_prometheus();
+    BOOST_TEST(text.find("briarfold_hop_duration_ms_sum{hop=\"front\",result=\"answered\"} 12\n") !=
+               std::string::npos);
+    BOOST_TEST(recorder.find("r-1").size() == 1U);
+}
