--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 CLANG_FORMAT ?= clang-format-16
 SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.cpp' '*.hpp')
 
-.PHONY: packages configure build test unit format format-check lint clean demo scenario scenarios model bench-control bench-limits
+.PHONY: bench-placement packages configure build test unit format format-check lint clean demo scenario scenarios model bench-control bench-limits
 
 packages:
 	@scripts/install-packages.sh
@@ -24,6 +24,11 @@
 	@cmake --build $(BUILD) -j $(JOBS) --target bench_limits
 	@$(BUILD)/bin/bench_limits $(SEED)
 
+# Imbalance, churn and unavailable time of the placement policy against two baselines; deterministic by seed.
+bench-placement: configure
+	@cmake --build $(BUILD) -j $(JOBS) --target bench-placement >/dev/null
+	@$(BUILD)/bin/bench-placement $(SEED)
+
 format:
 	@$(CLANG_FORMAT) -i $(SOURCES)
 
--- /dev/null
+++ b/bench/placement/workload.cpp
@@ -0,0 +1,102 @@
+#include "bench/placement/workload.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace briarfold::bench {
+
+namespace {
+
+/// Mean load of a slot; leaves room for the loss of a zone.
+constexpr double mean_slot_load = 0.5;
+/// All hot keys together carry this share of the load, none more than half a slot.
+constexpr double hot_share = 0.05;
+constexpr double most_hot_load = 0.5;
+constexpr double warm_up_per_period = 0.25;
+
+} // namespace
+
+ownership::slice slice_range(std::size_t index, std::size_t count)
+{
+    const std::uint64_t width = std::numeric_limits<std::uint64_t>::max() / count;
+    const std::uint64_t first = index * width;
+    return {first, index + 1 == count ? std::numeric_limits<std::uint64_t>::max() : first + width - 1};
+}
+
+workload::workload(workload_size size, std::uint64_t seed)
+    : size_(std::move(size)), random_(seed), base_load_(size_.targets * size_.slices_per_target),
+      warmth_(size_.targets, 1)
+{
+    // Slices differ by a log-normal factor: many keys each, some of them busier.
+    std::lognormal_distribution<double> spread(0, 0.5);
+    double sum = 0;
+    for (auto& load : base_load_)
+    {
+        load = spread(random_);
+        sum += load;
+    }
+    const double total = mean_slot_load * size_.slots * static_cast<double>(size_.targets);
+    std::ranges::transform(base_load_, base_load_.begin(), [&](double load) { return load / sum * total; });
+    draw_hot_keys();
+}
+
+void workload::draw_hot_keys()
+{
+    const double total = mean_slot_load * size_.slots * static_cast<double>(size_.targets) * hot_share;
+    const double load = std::min(most_hot_load, total / static_cast<double>(size_.hot_keys));
+    std::uniform_int_distribution<std::size_t> pick(0, base_load_.size() - 1);
+    hot_keys_.clear();
+    for (std::size_t i = 0; i < size_.hot_keys; ++i)
+    {
+        const auto slice = pick(random_);
+        hot_keys_.push_back({slice_range(slice, base_load_.size()).first + 1 + i, slice, load});
+    }
+}
+
+void workload::advance(std::size_t period, std::size_t periods)
+{
+    if (period % hot_change_periods == 0)
+    {
+        draw_hot_keys();
+    }
+    std::ranges::transform(warmth_, warmth_.begin(), [](double warmth) {
+        return warmth > 0 ? std::min(1.0, warmth + warm_up_per_period) : 0;
+    });
+    if (period == periods / 4)
+    {
+        warmth_[0] = 0;
+    }
+    if (period == periods / 2)
+    {
+        warmth_[0] = warm_up_per_period;
+    }
+    if (period == periods * 3 / 4)
+    {
+        for (std::size_t target = 0; target < warmth_.size(); target += size_.zones)
+        {
+            warmth_[target] = 0;
+        }
+    }
+}
+
+void workload::fill(placement::load_state& state) const
+{
+    state.targets.resize(size_.targets);
+    for (std::size_t target = 0; target < size_.targets; ++target)
+    {
+        state.targets[target] = {"target-" + std::to_string(target), warmth_[target], size_.slots};
+    }
+    state.slices.resize(base_load_.size());
+    for (std::size_t index = 0; index < base_load_.size(); ++index)
+    {
+        state.slices[index].range = slice_range(index, base_load_.size());
+        state.slices[index].load = base_load_[index];
+    }
+    state.hot_keys = hot_keys_;
+    for (const auto& key : hot_keys_)
+    {
+        state.slices[key.slice].load += key.load;
+    }
+}
+
+} // namespace briarfold::bench
--- /dev/null
+++ b/src/placement/placement_types.hpp
@@ -0,0 +1,61 @@
+/// Input of the placement policy: loads of backend servers and slices.
+#pragma once
+
+#include "ownership/ownership_types.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace briarfold::placement {
+
+/// Loads are slot-seconds a second.
+struct target_load
+{
+    std::string id;
+    /// Share of its full capacity that it may receive now, from 0 (leaving, lost) to 1 (warm).
+    double warmth = 1;
+    int slots = 1;
+};
+
+struct slice_load
+{
+    ownership::slice range;
+    /// Index of the owner among the targets.
+    std::size_t owner = 0;
+    double load = 0;
+};
+
+/// A single key with enough load to matter, inside the slice with that index.
+struct hot_key
+{
+    std::uint64_t hash = 0;
+    std::size_t slice = 0;
+    double load = 0;
+};
+
+struct load_state
+{
+    std::vector<target_load> targets;
+    std::vector<slice_load> slices;
+    std::vector<hot_key> hot_keys;
+};
+
+/// From the contracts of the service's customers, weighted by their load.
+struct policy_weights
+{
+    double unavailable = 1;
+    double churn = 1;
+};
+
+/// Moves `part` of slice `slice` to target `target`.
+struct planned_move
+{
+    std::size_t slice = 0;
+    ownership::slice part;
+    std::size_t target = 0;
+    double load = 0;
+
+    bool operator==(const planned_move&) const = default;
+};
+
+} // namespace briarfold::placement
