--- a/src/placement/internal/policy.cpp
+++ b/src/placement/internal/policy.cpp
@@ -26,7 +26,11 @@
         mean_ = slots > 0 ? std::accumulate(loads_.begin(), loads_.end(), 0.0) / slots : 0;
         for (std::size_t target = 0; target < loads_.size(); ++target)
         {
-            order_.emplace(relative(target), target);
+            // An empty target that may receive nothing is neither a source nor a receiver.
+            if (fair(target) > 0 || loads_[target] > 0)
+            {
+                order_.emplace(relative(target), target);
+            }
         }
     }
 
@@ -91,7 +95,8 @@
     for (const auto& key : state.hot_keys)
     {
         const auto& holder = state.slices[key.slice];
-        if (holder.range.first != holder.range.last)
+        // A target that must be emptied gives away whole slices; a key taken out would leave the rest behind.
+        if (holder.range.first != holder.range.last && state.targets[holder.owner].warmth > 0)
         {
             result[holder.owner].push_back({key.slice, {key.hash, key.hash}, key.load});
         }
@@ -136,15 +141,20 @@
     {
         const auto source = loads.most_loaded();
         const auto target = loads.least_loaded();
-        if (loads.relative(source) <= settings.trigger)
+        if (loads.relative(source) <= settings.trigger || loads.fair(target) <= 0)
         {
             break;
         }
-        const double excess = loads.load(source) - loads.fair(source);
-        const double room = loads.fair(target) * settings.goal - loads.load(target);
+        // A target that must be emptied gives away all it has, whatever the cost and the load of the
+        // receivers.
+        const bool must_empty = loads.fair(source) <= 0;
+        // Without a limit for sums: their rounding would leave the last slice behind.
+        constexpr double no_limit = std::numeric_limits<double>::infinity();
+        const double excess = must_empty ? no_limit : loads.load(source) - loads.fair(source);
+        const double room = must_empty ? no_limit : loads.fair(target) * settings.goal - loads.load(target);
         auto& list = candidates[source];
         const auto chosen = choose(list, excess, room);
-        if (!chosen || !pays(list[*chosen], weights, settings))
+        if (!chosen || (!must_empty && !pays(list[*chosen], weights, settings)))
         {
             // What is left on the source is too large for every receiver, such as one very hot key.
             loads.set_aside(source);
--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -71,6 +71,26 @@
     }
 }
 
+// Guards against slices that stay on a leaving server because every receiver is near its fair load.
+BOOST_AUTO_TEST_CASE(leaving_target_is_emptied_above_the_goal)
+{
+    auto state = make_state({{1, 1}, {1, 1}, {1, 1}, {1, 1}});
+    state.targets[3].warmth = 0;
+    BOOST_TEST(plan(state, {.churn = 1000}).size() == 2u);
+}
+
+// Guards against a slice that stays because its hot key was moved out of it.
+BOOST_AUTO_TEST_CASE(leaving_target_gives_away_whole_slices)
+{
+    auto state = make_state({{1, 1}, {1, 1}, {1, 1}});
+    state.targets[2].warmth = 0;
+    state.hot_keys = {{state.slices[4].range.first, 4, 2}};
+    const auto moves = plan(state, {});
+    BOOST_REQUIRE(moves.size() == 2u);
+    BOOST_TEST((moves[0].part == state.slices[moves[0].slice].range));
+    BOOST_TEST((moves[1].part == state.slices[moves[1].slice].range));
+}
+
 // Guards against a move that costs more than it gains within the horizon.
 BOOST_AUTO_TEST_CASE(expensive_churn_prevents_moves)
 {
