Reuse only open connections in the load, and start it under the contract

Ruled out: a loss in the router; the requests never arrived there. Change: a connection is used again only when is_reusable holds and it was idle for less than 20 s; the load starts when the contract is in force on every router.

--- a/scenarios/deployment.cpp
+++ b/scenarios/deployment.cpp
@@ -214,6 +214,12 @@
         const auto status = admin(routers_.front(), "PUT", "/v1/contracts/" + spec_.customer, body).status;
         return status == status_ok || status == status_conflict;
     });
+    for (const auto& router : routers_)
+    {
+        wait_until("the contract is in force on " + router.name, start_limit, [&] {
+            return admin(router, "GET", "/v1/contracts/" + spec_.customer).status == status_ok;
+        });
+    }
 }
 
 router_handle& deployment::router(const std::string& name)
--- a/scenarios/load_driver.cpp
+++ b/scenarios/load_driver.cpp
@@ -24,6 +24,8 @@
 /// How long the load balancer leaves out a router that refuses connections.
 constexpr core::duration router_pause{500};
 constexpr core::duration no_router_pause{50};
+/// Shorter than the 60 s after which a router closes an idle connection, so that no request meets the close.
+constexpr core::duration idle_limit{20000};
 constexpr int most_connect_tries = 20;
 constexpr unsigned status_ok = 200;
 
@@ -34,10 +36,16 @@
     core::duration interval;
 };
 
+struct idle_connection
+{
+    http::client_connection connection;
+    core::time_point since;
+};
+
 struct router_pool
 {
     http::endpoint address;
-    std::vector<http::client_connection> idle;
+    std::vector<idle_connection> idle;
     core::time_point out_until;
 };
 
@@ -68,6 +76,26 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
+void add_idle(router_pool& pool, http::client_connection connection)
+{
+    pool.idle.push_back({std::move(connection), core::clock::now()});
+}
+
+/// An open connection, if there is one. A connection that the router has closed already carries no request.
+std::optional<http::client_connection> take_idle(router_pool& pool)
+{
+    while (!pool.idle.empty())
+    {
+        auto item = std::move(pool.idle.back());
+        pool.idle.pop_back();
+        if (item.since + idle_limit >= core::clock::now() && item.connection.is_reusable())
+        {
+            return std::move(item.connection);
+        }
+    }
+    return std::nullopt;
+}
+
 history::outcome_fields read_outcome(const call_record& record, const http::response& answer)
 {
     history::outcome_fields outcome;
@@ -176,10 +204,9 @@
             continue;
         }
         auto& pool = pools[*chosen];
-        if (!pool.idle.empty())
+        if (auto idle = take_idle(pool))
         {
-            connection.emplace(std::move(pool.idle.back()));
-            pool.idle.pop_back();
+            connection.emplace(std::move(*idle));
             co_return chosen;
         }
         connection.emplace(executor, pool.address);
@@ -222,7 +249,7 @@
         outcome = read_outcome(record, answer);
         if (connection->is_open())
         {
-            pools[*pool].idle.push_back(std::move(*connection));
+            add_idle(pools[*pool], std::move(*connection));
         }
     }
     catch (const core::error& failure)
