--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 CLANG_FORMAT ?= clang-format-16
 SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.cpp' '*.hpp')
 
-.PHONY: packages configure build test unit format format-check lint clean demo scenario scenarios
+.PHONY: packages configure build test unit format format-check lint clean demo scenario scenarios model bench-control bench-limits
 
 packages:
 	@scripts/install-packages.sh
@@ -19,6 +19,11 @@
 test: build
 	@ctest --test-dir $(BUILD) --output-on-failure -j $$(( $(JOBS) / 2 ))
 
+# Deterministic: overshoot, starvation and message cost of leased limits against a fixed split.
+bench-limits: configure
+	@cmake --build $(BUILD) -j $(JOBS) --target bench_limits
+	@$(BUILD)/bin/bench_limits $(SEED)
+
 format:
 	@$(CLANG_FORMAT) -i $(SOURCES)
 
@@ -42,5 +47,13 @@
 scenarios: build
 	@$(BUILD)/bin/briarfold-scenario --list
 
+# Checks the protocol model and its broken variants with Spin.
+model: packages
+	@scripts/check-model.sh
+# Control cost of a router: bytes by kind of message, CPU and memory at several sizes.
+bench-control: configure
+	@cmake --build $(BUILD) -j $(JOBS) --target bench-control >/dev/null
+	@$(BUILD)/bin/bench-control
+
 clean:
 	@rm -rf $(BUILD)
--- a/apps/router/router_app.cpp
+++ b/apps/router/router_app.cpp
@@ -9,6 +9,7 @@
 #include "contracts/contract_store.hpp"
 #include "core/ids.hpp"
 #include "http/server.hpp"
+#include "limits/limiter.hpp"
 #include "membership/feed_order.hpp"
 #include "membership/heartbeat_service.hpp"
 #include "membership/registration.hpp"
@@ -70,6 +71,8 @@
     asio::awaitable<void> finish_requests();
     asio::awaitable<http::response> answer_caller(http::request message);
     routing::routing_hooks make_hooks();
+    std::optional<limits::shared_limits> find_limits(const std::string& customer) const;
+    routing::admission admit(const std::string& customer);
     admin::admin_inputs make_admin_inputs();
     std::vector<std::string> not_ready_reasons() const;
 
@@ -97,6 +100,7 @@
     ownership::ownership ownership;
     contracts::contract_registry contracts;
     contracts::contract_store contract_store;
+    std::shared_ptr<limits::limiter> limiter;
     terms_cache terms;
     routing::front front;
     routing::entry entry;
@@ -138,7 +142,10 @@
       members(self, rows), heartbeats(context.get_executor(), udp, members, rows, table),
       registration(self, table, rows),
       ownership(context.get_executor(), {members, heartbeats, rows, table, network, history}),
-      contracts(rows), contract_store(table, objects), terms(contracts),
+      contracts(rows), contract_store(table, objects),
+      limiter(std::make_shared<limits::limiter>(
+          network, members, metrics, [this](const std::string& customer) { return find_limits(customer); })),
+      terms(contracts),
       front(context.get_executor(), ownership, make_hooks(), counters),
       entry({ownership, members, front, network, counters}, make_hooks()), backend_servers(table),
       cluster(network, self, rows, contracts, spans),
@@ -160,10 +167,42 @@
 {
     routing::routing_hooks hooks;
     hooks.terms = [this](const std::string& customer) { return terms.find(customer); };
+    hooks.admit = [this](const std::string& customer, const std::string&) { return admit(customer); };
     observe_requests(hooks, spans);
     return hooks;
 }
 
+std::optional<limits::shared_limits> router_app::parts::find_limits(const std::string& customer) const
+{
+    const auto found = contracts.find(customer).contract;
+    if (!found)
+    {
+        return std::nullopt;
+    }
+    const auto& contract = found->contract;
+    return limits::shared_limits{contract.requests_per_s(), static_cast<double>(contract.burst()),
+                                 contract.concurrency()};
+}
+
+routing::admission router_app::parts::admit(const std::string& customer)
+{
+    routing::admission decision;
+    const auto found = contracts.find(customer).contract;
+    if (!found)
+    {
+        return decision;
+    }
+    const auto answer = limiter->admit(*found);
+    decision.is_admitted = static_cast<bool>(answer);
+    decision.permit = answer.held;
+    decision.retry_after = answer.retry_after;
+    if (!answer)
+    {
+        decision.reason = "limit of the contract: " + limits::to_string(answer.refused_by);
+    }
+    return decision;
+}
+
 admin::admin_inputs router_app::parts::make_admin_inputs()
 {
     return {values.admin_token,
@@ -245,6 +284,7 @@
     asio::co_spawn(executor, registration.run(), asio::detached);
     asio::co_spawn(executor, feed.run(), asio::detached);
     asio::co_spawn(executor, heartbeats.run(), asio::detached);
+    asio::co_spawn(executor, limiter->run(), asio::detached);
     is_started = true;
     spdlog::info("started: zone {}, http {}, peers {}, admin {}", self.zone, self.http_port, self.peer_port,
                  self.admin_port);
