--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 CLANG_FORMAT ?= clang-format-16
 SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.cpp' '*.hpp')
 
-.PHONY: packages configure build test unit format format-check lint clean demo scenario scenarios
+.PHONY: packages configure build test unit format format-check lint clean demo scenario scenarios bench-routing bench-admission bench-lookup load-plot
 
 packages:
 	@scripts/install-packages.sh
@@ -44,3 +44,22 @@
 
 clean:
 	@rm -rf $(BUILD)
+
+# Entry and front beside direct calls in one run: make bench-routing RATE=13800 SECONDS=8
+RATE ?= 13800
+SECONDS ?= 8
+bench-routing: build
+	@bench/routing/run.sh $(BUILD) $(RATE) $(SECONDS)
+
+# One front for each backend server against direct connections with slot leases.
+bench-admission: build
+	@echo "lease period 500 ms" && $(BUILD)/bin/bench-admission --lease-ms 500
+	@echo "lease period 100 ms" && $(BUILD)/bin/bench-admission --lease-ms 100
+
+bench-lookup: build
+	@$(BUILD)/bin/bench-lookup
+
+# Renders the series of a briarfold-load report: make load-plot REPORT=report.json
+REPORT ?= report.json
+load-plot:
+	@gnuplot -e "data='$(REPORT).tsv'; image='$(REPORT).png'" apps/load/series.gnuplot
--- a/src/ownership/tests/simulation.hpp
+++ b/src/ownership/tests/simulation.hpp
@@ -76,7 +76,10 @@
         std::int64_t at;
         std::int64_t order;
         std::function<void()> run;
-        bool operator>(const event& other) const { return std::tie(at, order) > std::tie(other.at, other.order); }
+        bool operator>(const event& other) const
+        {
+            return std::tie(at, order) > std::tie(other.at, other.order);
+        }
     };
 
     void at(std::int64_t when, std::function<void()> run);
--- a/src/ownership/tests/simulation_tests.cpp
+++ b/src/ownership/tests/simulation_tests.cpp
@@ -25,12 +25,12 @@
         }
     }
     auto one = rc::gen::build<fault>(
-        rc::gen::set(&fault::kind, rc::gen::elementOf(kinds)), rc::gen::set(&fault::target, rc::gen::inRange(0, 60)),
+        rc::gen::set(&fault::kind, rc::gen::elementOf(kinds)),
+        rc::gen::set(&fault::target, rc::gen::inRange(0, 60)),
         rc::gen::set(&fault::at, rc::gen::inRange<std::int64_t>(first_fault, last_fault)),
         rc::gen::set(&fault::duration, rc::gen::inRange<std::int64_t>(0, longest_fault)));
-    return rc::gen::mapcat(rc::gen::inRange(1, 14), [one](int count) {
-        return rc::gen::container<std::vector<fault>>(count, one);
-    });
+    return rc::gen::mapcat(rc::gen::inRange(1, 14),
+                           [one](int count) { return rc::gen::container<std::vector<fault>>(count, one); });
 }
 
 bool hold(const simulation_options& options, bool must_be_owned)
@@ -64,8 +64,8 @@
 
 } // namespace
 
-// Guards against any interleaving of delay, loss, pause, restart and partition that gives a key two owners, or
-// leaves keys without an owner after the faults have ended.
+// Guards against any interleaving of delay, loss, pause, restart and partition that gives a key two owners,
+// or leaves keys without an owner after the faults have ended.
 BOOST_AUTO_TEST_CASE(one_owner_at_a_time_under_random_faults)
 {
     BOOST_TEST(rc::check("one owner at a time, and owners again after the faults", [] {
--- a/src/routing/internal/backend_channel.cpp
+++ b/src/routing/internal/backend_channel.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.hpp"
 #include "core/key_hash.hpp"
+#include "ownership/timing.hpp"
 
 #include <algorithm>
 
@@ -18,8 +19,6 @@
 constexpr core::duration leaving_limit{2500};
 /// An exchange without an answer for this long is probed, so that silent connections are found within 1 s.
 constexpr core::duration first_quiet_limit{500};
-/// Longest deadline of work sent to a backend server that does not check orders.
-constexpr core::duration unchecked_deadline_limit{2000};
 constexpr core::duration retry_delay{5};
 constexpr core::duration shed_delay{20};
 /// Time for a cancel after the deadline, within the grace that the entry waits.
@@ -251,7 +250,7 @@
     if (!row_->checks_grants)
     {
         // A new owner waits until the longest deadline has passed.
-        deadline = std::min(deadline, core::clock::now() + unchecked_deadline_limit);
+        deadline = std::min(deadline, core::clock::now() + ownership::timing::unchecked_deadline_limit);
     }
     if (request->cancel)
     {
