--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 CLANG_FORMAT ?= clang-format-16
 SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.cpp' '*.hpp')
 
-.PHONY: bench-placement packages configure build test unit format format-check lint clean demo scenario scenarios model bench-control bench-limits
+.PHONY: bench-routing bench-admission bench-lookup load-plot bench-placement packages configure build test unit format format-check lint clean demo scenario scenarios model bench-control bench-limits
 
 packages:
 	@scripts/install-packages.sh
@@ -62,3 +62,22 @@
 
 clean:
 	@rm -rf $(BUILD)
+
+# Entry and front beside direct calls in one run: make bench-routing RATE=13800 BENCH_SECONDS=8
+RATE ?= 13800
+BENCH_SECONDS ?= 8
+bench-routing: build
+	@bench/routing/run.sh $(BUILD) $(RATE) $(BENCH_SECONDS)
+
+# One front for each backend server against direct connections with slot leases.
+bench-admission: build
+	@echo "lease period 500 ms" && $(BUILD)/bin/bench-admission --lease-ms 500
+	@echo "lease period 100 ms" && $(BUILD)/bin/bench-admission --lease-ms 100
+
+bench-lookup: build
+	@$(BUILD)/bin/bench-lookup
+
+# Renders the series of a briarfold-load report: make load-plot REPORT=report.json
+REPORT ?= report.json
+load-plot:
+	@gnuplot -e "data='$(REPORT).tsv'; image='$(REPORT).png'" apps/load/series.gnuplot
