--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 CLANG_FORMAT ?= clang-format-16
 SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.cpp' '*.hpp')
 
-.PHONY: bench-control packages configure build test unit format format-check lint clean
+.PHONY: packages configure build test unit format format-check lint clean demo scenario scenarios model bench-control bench-limits
 
 packages:
 	@scripts/install-packages.sh
@@ -19,6 +19,11 @@
 test: build
 	@ctest --test-dir $(BUILD) --output-on-failure -j $$(( $(JOBS) / 2 ))
 
+# Deterministic: overshoot, starvation and message cost of leased limits against a fixed split.
+bench-limits: configure
+	@cmake --build $(BUILD) -j $(JOBS) --target bench_limits
+	@$(BUILD)/bin/bench_limits $(SEED)
+
 format:
 	@$(CLANG_FORMAT) -i $(SOURCES)
 
@@ -28,6 +33,23 @@
 lint: configure
 	@scripts/lint.sh $(BUILD)
 
+# Starts platform stand-in, backend servers and routers, sends keyed requests and checks the histories.
+DEPLOYMENT ?=
+demo: build
+	@$(BUILD)/bin/briarfold-scenario demo $(if $(DEPLOYMENT),--deployment $(DEPLOYMENT))
+
+# One failure scenario: make scenario NAME=kill-backend SEED=7 LONG=1
+SEED ?= 1
+scenario: build
+	@$(BUILD)/bin/briarfold-scenario $(NAME) --seed $(SEED) $(if $(LONG),--long) \
+		$(if $(DEPLOYMENT),--deployment $(DEPLOYMENT))
+
+scenarios: build
+	@$(BUILD)/bin/briarfold-scenario --list
+
+# Checks the protocol model and its broken variants with Spin.
+model: packages
+	@scripts/check-model.sh
 # Control cost of a router: bytes by kind of message, CPU and memory at several sizes.
 bench-control: configure
 	@cmake --build $(BUILD) -j $(JOBS) --target bench-control >/dev/null
