--- a/src/ownership/internal/machine_writes.cpp
+++ b/src/ownership/internal/machine_writes.cpp
@@ -16,6 +16,8 @@
 /// An answer of a receiver counts for this long.
 constexpr duration probe_validity{1000};
 constexpr duration order_interval{1000};
+/// Limits how often a row changes hands when all backend servers of a service are down.
+constexpr duration unreachable_offer_interval{3000};
 
 bool is_retiring(const backend_server& server)
 {
@@ -194,6 +196,18 @@
     }
 }
 
+void machine::offer_unreachable(const backend_server& server, time_point now)
+{
+    // No receiver answers either, so the fault is probably on this router's side.
+    const auto candidates = receivers(rows_, server, [](const backend_server&) { return true; });
+    auto& next = next_order_[server.id];
+    if (!candidates.empty() && now >= next)
+    {
+        next = now + unreachable_offer_interval;
+        offer(server.id, false);
+    }
+}
+
 void machine::reassign(row_controller& controller, time_point now)
 {
     const auto& row = controller.row();
@@ -201,6 +215,7 @@
         rows_, row.server, [&](const backend_server& server) { return is_usable_receiver(server, now); });
     if (targets.empty() && !row.server.slices.empty())
     {
+        offer_unreachable(row.server, now);
         return;
     }
     auto changes = add_parts(rows_, distribute(row.server.slices, targets));
--- a/src/ownership/tests/simulation.cpp
+++ b/src/ownership/tests/simulation.cpp
@@ -19,9 +19,9 @@
 constexpr std::size_t sample_count = 24;
 constexpr std::int64_t check_step = 5;
 constexpr const char* fault_names[] = {
-    "pause router",    "isolate router",           "crash router", "freeze backend",
-    "restart backend", "replace backend",          "store outage", "lossy network",
-    "move slice",      "cut router from backends", "hand over",    "split pair"};
+    "pause router",    "isolate router", "crash router",  "freeze backend", "restart backend",
+    "replace backend", "store outage",   "lossy network", "move slice",     "cut router from backends",
+    "hand over",       "split pair",     "lose pair"};
 
 } // namespace
 
@@ -106,12 +106,12 @@
 {
     std::uniform_int_distribution<int> percent(0, 99);
     const bool is_lossy = now_ < table_->lossy_until;
-    if (percent(random_) < (is_lossy ? 30 : 1))
+    if (!options_.is_network_clean && percent(random_) < (is_lossy ? 30 : 1))
     {
         return std::nullopt;
     }
     // Late messages outlive timeouts and grants.
-    const int late_percent = is_lossy ? 10 : 1;
+    const int late_percent = options_.is_network_clean ? 0 : is_lossy ? 10 : 1;
     const bool is_late = percent(random_) < late_percent;
     std::uniform_int_distribution<std::int64_t> delay(is_late ? 200 : 0, is_late ? 3000 : 8);
     return now_ + delay(random_);
--- a/src/ownership/tests/simulation_actions.cpp
+++ b/src/ownership/tests/simulation_actions.cpp
@@ -204,11 +204,15 @@
     });
 }
 
+int simulation::controller_of(int server) const
+{
+    const auto row = table_->rows.find(internal::row_key("s" + std::to_string(server)));
+    return row == table_->rows.end() ? -1 : router_index(row->second.value.value("controller", ""));
+}
+
 void simulation::split_pair(process& target, std::int64_t until)
 {
-    const auto row = table_->rows.find(internal::row_key("s" + std::to_string(target.server)));
-    const int controller =
-        row == table_->rows.end() ? -1 : router_index(row->second.value.value("controller", ""));
+    const int controller = controller_of(target.server);
     if (controller >= 0)
     {
         routers_[controller]->isolated_until = std::max(routers_[controller]->isolated_until, until);
@@ -263,6 +267,13 @@
     case fault_kind::split_pair:
         split_pair(running, until);
         break;
+    case fault_kind::lose_pair:
+        running.is_ended = true;
+        if (const int controller = controller_of(server); controller >= 0)
+        {
+            routers_[controller]->is_crashed = true;
+        }
+        break;
     case fault_kind::move_slice:
     case fault_kind::hand_over:
     case fault_kind::count:
