--- a/src/limits/internal/limiter.cpp
+++ b/src/limits/internal/limiter.cpp
@@ -19,14 +19,14 @@
     return "limits/" + customer;
 }
 
-shared_limits limits_of(const contracts::contract_version& contract)
+} // namespace
+
+shared_limits shared_limits_of(const contracts::contract_version& contract)
 {
     return {contract.contract.requests_per_s(), static_cast<double>(contract.contract.burst()),
             contract.contract.concurrency()};
 }
 
-} // namespace
-
 /// Gives the slot back. It may outlive the limiter, in a request that is still in progress at the end.
 class limiter::guard
 {
@@ -66,7 +66,7 @@
 limiter::entry& limiter::find(const contracts::contract_version& contract, core::time_point now)
 {
     const auto routers = membership_.live()->size();
-    const auto limits = limits_of(contract);
+    const auto limits = shared_limits_of(contract);
     auto& found = customers_[contract.contract.customer()];
     if (!found)
     {
--- a/src/limits/limiter.hpp
+++ b/src/limits/limiter.hpp
@@ -19,6 +19,8 @@
 
 namespace briarfold::limits {
 
+shared_limits shared_limits_of(const contracts::contract_version& contract);
+
 /// The coordinator of a customer is the first router in rendezvous order for "limits/<customer>". This router
 /// answers the method `shares` for customers whose limits it can look up.
 class limiter : public ilimiter, public std::enable_shared_from_this<limiter>
--- a/src/metrics/tests/metrics_tests.cpp
+++ b/src/metrics/tests/metrics_tests.cpp
@@ -75,6 +75,7 @@
     constexpr int events = 10000;
     {
         std::vector<std::jthread> workers;
+        workers.reserve(threads);
         for (int i = 0; i < threads; ++i)
         {
             workers.emplace_back([&registry] {
