--- a/src/placement/policy.hpp
+++ b/src/placement/policy.hpp
@@ -19,6 +19,7 @@
     double pause_s = 0.05;
     /// Cost of moving one unit of load, in seconds of that load; covers lost caches of the new owner.
     double churn_cost_s = 1;
+    /// Moves off targets that must be emptied are not counted.
     std::size_t most_moves = 32;
 };
 
--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -79,6 +79,15 @@
     BOOST_TEST(plan(state, {.churn = 1000}).size() == 2u);
 }
 
+// Guards against keys without service after a loss because the budget of voluntary moves is used up.
+BOOST_AUTO_TEST_CASE(emptying_is_not_limited_by_the_budget)
+{
+    auto state = make_state({{1, 1, 1}, {1, 1, 1}, {1, 1, 1}});
+    state.targets[0].warmth = 0;
+    BOOST_TEST(plan(state, {}, {.most_moves = 1}).size() >= 3u);
+    BOOST_TEST(plan(make_state({{1, 1, 1, 1}, {1}, {1}}), {}, {.most_moves = 1}).size() == 1u);
+}
+
 // Guards against a slice that stays because its hot key was moved out of it.
 BOOST_AUTO_TEST_CASE(leaving_target_gives_away_whole_slices)
 {
