--- a/src/placement/internal/policy.cpp
+++ b/src/placement/internal/policy.cpp
@@ -95,6 +95,57 @@
     for (const auto& key : state.hot_keys)
     {
         const auto& holder = state.slices[key.slice];
+        // A target that must be emptied gives away whole slices; a key taken out would leave the rest behind.
+        if (holder.range.first != holder.range.last && state.targets[holder.owner].warmth > 0)
+        {
+            result[holder.owner].push_back({key.slice, {key.hash, key.hash}, key.load});
+        }
+    }
+    for (auto& list : result)
+    {
+        std::ranges::sort(list, std::ranges::greater{}, &candidate::load);
+    }
+    return result;
+}
+
+bool pays(const candidate& part, const policy_weights& weights, const policy_settings& settings)
+{
+    const double gain = part.load * settings.horizon_s;
+    const double cost =
+        part.load * (weights.unavailable * settings.pause_s + weights.churn * settings.churn_cost_s);
+    return part.load > 0 && gain > cost;
+}
+
+/// The largest part that fits both the excess of the source and the room of the receiver, so that few moves
+/// suffice.
+std::optional<std::size_t> choose(const std::vector<candidate>& list, double excess, double room)
+{
+    const double most = std::min(excess, room);
+    const auto found = std::ranges::find_if(list, [&](const candidate& part) { return part.load <= most; });
+    if (found == list.end() || found->load <= 0)
+    {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(found - list.begin());
+}
+
+} // namespace
+
+std::vector<planned_move> plan(const load_state& state, const policy_weights& weights,
+                               const policy_settings& settings)
+{
+    std::vector<planned_move> moves;
+    balance loads(state);
+    auto candidates = candidates_by_target(state);
+    std::size_t budget = settings.most_moves;
+    while (!loads.is_empty())
+    {
+        const auto source = loads.most_loaded();
+        const auto target = loads.least_loaded();
+        if (loads.relative(source) <= settings.trigger || loads.fair(target) <= 0)
+        {
+            break;
+        }
         // A target that must be emptied gives away all it has, whatever the cost, the budget and the load of
         // the receivers.
         const bool must_empty = loads.fair(source) <= 0;
