Follow the linter in cluster_view and traceparent

Cause: clang-tidy reported a copied parameter and a deduction that clang refuses. Change: a const reference; std::array in place of std::initializer_list. Before: two findings. After: trace_tests (5) and admin_tests (12) pass.

--- a/src/admin/cluster_view.hpp
+++ b/src/admin/cluster_view.hpp
@@ -21,7 +21,7 @@
 {
 public:
     /// Registers the methods `admin_report` and `admin_spans`. Everything passed must outlive it.
-    cluster_view(wire::ipeer_rpc& rpc, membership::router_info self, replica::ireplica& replica,
+    cluster_view(wire::ipeer_rpc& rpc, const membership::router_info& self, replica::ireplica& replica,
                  const contracts::icontracts& contracts, const trace::span_recorder& spans);
 
     router_report own_report(const std::vector<std::string>& customers) const;
--- a/src/admin/internal/cluster_view.cpp
+++ b/src/admin/internal/cluster_view.cpp
@@ -107,9 +107,10 @@
 
 } // namespace
 
-cluster_view::cluster_view(wire::ipeer_rpc& rpc, membership::router_info self, replica::ireplica& replica,
-                           const contracts::icontracts& contracts, const trace::span_recorder& spans)
-    : rpc_(rpc), self_(std::move(self)), replica_(replica), contracts_(contracts), spans_(spans)
+cluster_view::cluster_view(wire::ipeer_rpc& rpc, const membership::router_info& self,
+                           replica::ireplica& replica, const contracts::icontracts& contracts,
+                           const trace::span_recorder& spans)
+    : rpc_(rpc), self_(self), replica_(replica), contracts_(contracts), spans_(spans)
 {
     rpc_.register_method(
         report_method, [this](std::string, nlohmann::json parameters) -> asio::awaitable<nlohmann::json> {
--- a/src/trace/internal/traceparent.cpp
+++ b/src/trace/internal/traceparent.cpp
@@ -3,6 +3,7 @@
 #include "core/ids.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace briarfold::trace {
 
@@ -46,7 +47,7 @@
     const auto flags = header.substr(flags_start, 2);
     const bool has_valid_length = header.size() == length || (version != "00" && header[length] == '-');
     if (!has_valid_length || version == "ff" || is_zero(trace_id) || is_zero(span_id) ||
-        !std::ranges::all_of(std::initializer_list{version, trace_id, span_id, flags}, is_hex))
+        !std::ranges::all_of(std::array{version, trace_id, span_id, flags}, is_hex))
     {
         return std::nullopt;
     }
