Remove unused parameters and what the linter reports in the ownership modules

Change: no change of behaviour. Before and after: tests of ownership, platform, replica and membership pass.

--- a/apps/router/router_app.cpp
+++ b/apps/router/router_app.cpp
@@ -145,8 +145,7 @@
       contracts(rows), contract_store(table, objects),
       limiter(std::make_shared<limits::limiter>(
           network, members, metrics, [this](const std::string& customer) { return find_limits(customer); })),
-      terms(contracts),
-      front(context.get_executor(), ownership, make_hooks(), counters),
+      terms(contracts), front(context.get_executor(), ownership, make_hooks(), counters),
       entry({ownership, members, front, network, counters}, make_hooks()), backend_servers(table),
       cluster(network, self, rows, contracts, spans),
       feed(rows, membership::make_feed_order(members, table, network))
--- a/src/ownership/internal/driver.cpp
+++ b/src/ownership/internal/driver.cpp
@@ -21,7 +21,6 @@
 constexpr duration hand_over_limit{5000};
 constexpr duration move_limit{30000};
 constexpr duration poll_interval{10};
-constexpr duration call_timeout{1000};
 
 asio::awaitable<void> pause_for(duration span)
 {
@@ -251,7 +250,7 @@
     parts_.peers.register_method("hand_over", [self, reply](const std::string&, nlohmann::json parameters) {
         const std::string server = parameters.at("server");
         const bool is_taken =
-            self->with_machine([&](machine& m, time_point now) { return m.on_hand_over(server, now); });
+            self->with_machine([&](machine& m, time_point) { return m.on_hand_over(server); });
         return reply({{"taken", is_taken}});
     });
     parts_.peers.register_method(
--- a/src/ownership/internal/driver_actions.cpp
+++ b/src/ownership/internal/driver_actions.cpp
@@ -11,7 +11,6 @@
 namespace briarfold::ownership {
 
 namespace asio = core::asio;
-using core::clock;
 using core::duration;
 using core::time_point;
 using internal::machine;
@@ -179,6 +178,8 @@
     });
 }
 
+// A coroutine keeps its own copy of its arguments.
+// NOLINTNEXTLINE(performance-unnecessary-value-param)
 asio::awaitable<void> ownership::driver::fence(self_pointer self, internal::fence_request request)
 {
     const auto peer = self->peer_of(request.to);
--- a/src/ownership/internal/machine.hpp
+++ b/src/ownership/internal/machine.hpp
@@ -36,7 +36,7 @@
                          core::time_point now);
     void on_alive(const std::string& server, core::time_point now);
     /// Takes the row over. Returns false when it is unknown or already held.
-    bool on_hand_over(const std::string& server, core::time_point now);
+    bool on_hand_over(const std::string& server);
 
     /// Starts a move; its end is reported as move_end with `wish`. Returns false when it is refused.
     bool move(const slice_move& wanted, std::int64_t wish, core::time_point now);
@@ -72,15 +72,14 @@
     row_context context(core::time_point now) { return {now, vouchers_, next_exchange_, out_}; }
     void adopt(const known_row& row, core::time_point now);
     void drop_controller(const std::string& server);
-    void submit(pending_commit commit, core::time_point now);
+    void submit(pending_commit commit);
     bool is_busy(const std::string& server) const { return busy_.contains(row_key(server)); }
 
     void choose_witnesses(core::time_point now);
     void tick_controllers(core::time_point now);
     void serve_need(row_controller& controller, core::time_point now);
-    bool change_witnesses(row_controller& controller, core::time_point now);
-    void write_row(const row_controller& controller, backend_server changed, row_need need,
-                   core::time_point now);
+    bool change_witnesses(row_controller& controller);
+    void write_row(const row_controller& controller, backend_server changed, row_need need);
     void offer_unreachable(const backend_server& server, core::time_point now);
     void reassign(row_controller& controller, core::time_point now);
     void commit_move(row_controller& controller, core::time_point now);
@@ -93,7 +92,7 @@
     bool is_questionable(const std::string& controller, core::time_point now);
     bool is_takeover_due(const known_row& row, core::time_point now);
     std::size_t rank_for(const backend_server& server) const;
-    void take(const known_row& row, core::time_point now);
+    void take(const known_row& row);
     void tick_hand_overs(core::time_point now);
     void offer(const std::string& server, bool is_rebalancing);
     void tick_first_assignment(core::time_point now);
--- a/src/ownership/internal/machine_takeover.cpp
+++ b/src/ownership/internal/machine_takeover.cpp
@@ -51,7 +51,7 @@
             }
         }
     }
-    std::ranges::for_each(due, [&](const known_row& row) { take(row, now); });
+    std::ranges::for_each(due, [&](const known_row& row) { take(row); });
 }
 
 bool machine::is_questionable(const std::string& controller, time_point now)
@@ -106,7 +106,7 @@
     return staggered(since, absence_limit);
 }
 
-void machine::take(const known_row& row, time_point now)
+void machine::take(const known_row& row)
 {
     auto server = row.server;
     if (!server.controller.empty())
@@ -116,10 +116,10 @@
     server.epoch = (server.epoch / timing::epoch_step + 1) * timing::epoch_step;
     server.controller = self_.instance_id;
     server.witnesses = vouchers_.witnesses();
-    submit({make_commit(make_id_(), {{row, std::move(server)}}), "", row_need::none, false}, now);
+    submit({make_commit(make_id_(), {{row, std::move(server)}}), "", row_need::none, false});
 }
 
-bool machine::on_hand_over(const std::string& server, time_point now)
+bool machine::on_hand_over(const std::string& server)
 {
     const auto row = rows_.find(server);
     if (is_stopping_ || row == rows_.end() || is_busy(server) ||
@@ -127,7 +127,7 @@
     {
         return false;
     }
-    take(row->second, now);
+    take(row->second);
     return true;
 }
 
@@ -208,7 +208,7 @@
         auto request = make_commit(make_id_(), first_assignment(rows));
         const nlohmann::json value = {{"name", service}, {"key_space", "initialised"}};
         request.writes.emplace_back("service/" + service, 0, value);
-        submit({std::move(request), "", row_need::none, false}, now);
+        submit({std::move(request), "", row_need::none, false});
     }
 }
 
--- a/src/ownership/internal/machine_writes.cpp
+++ b/src/ownership/internal/machine_writes.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-void machine::submit(pending_commit commit, time_point)
+void machine::submit(pending_commit commit)
 {
     for (const auto& write : commit.request.writes)
     {
@@ -122,21 +122,21 @@
         commit_move(controller, now);
         return;
     case row_need::record:
-        write_row(controller, controller.recorded(), need, now);
+        write_row(controller, controller.recorded(), need);
         return;
     case row_need::clear_predecessors:
-        write_row(controller, server, need, now);
+        write_row(controller, server, need);
         return;
     case row_need::none:
         break;
     }
-    if (!change_witnesses(controller, now) && is_retiring(server))
+    if (!change_witnesses(controller) && is_retiring(server))
     {
         retire(controller, now);
     }
 }
 
-bool machine::change_witnesses(row_controller& controller, time_point now)
+bool machine::change_witnesses(row_controller& controller)
 {
     const auto& wanted = vouchers_.witnesses();
     if (wanted.empty() || std::ranges::is_permutation(wanted, controller.row().server.witnesses))
@@ -148,12 +148,11 @@
     changed.witnesses = wanted;
     pending_commit commit{make_commit(make_id_(), {{controller.row(), std::move(changed)}}),
                           controller.row().server.id, row_need::none, true};
-    submit(std::move(commit), now);
+    submit(std::move(commit));
     return true;
 }
 
-void machine::write_row(const row_controller& controller, backend_server changed, row_need need,
-                        time_point now)
+void machine::write_row(const row_controller& controller, backend_server changed, row_need need)
 {
     if (controller.is_cleared())
     {
@@ -161,7 +160,7 @@
     }
     pending_commit commit{make_commit(make_id_(), {{controller.row(), std::move(changed)}}),
                           controller.row().server.id, need, false};
-    submit(std::move(commit), now);
+    submit(std::move(commit));
 }
 
 bool machine::is_usable_receiver(const backend_server& server, time_point now) const
@@ -229,7 +228,7 @@
     }
     changes.insert(changes.begin(), {row, std::move(emptied)});
     controller.begin_release();
-    submit({make_commit(make_id_(), changes), row.server.id, row_need::reassign, false}, now);
+    submit({make_commit(make_id_(), changes), row.server.id, row_need::reassign, false});
 }
 
 void machine::commit_move(row_controller& controller, time_point now)
@@ -262,7 +261,7 @@
         source.predecessors.clear();
     }
     changes.insert(changes.begin(), {row, std::move(source)});
-    submit({make_commit(make_id_(), changes), row.server.id, row_need::commit_move, false}, now);
+    submit({make_commit(make_id_(), changes), row.server.id, row_need::commit_move, false});
 }
 
 void machine::retire(row_controller& controller, time_point now)
--- a/src/ownership/internal/row_controller.cpp
+++ b/src/ownership/internal/row_controller.cpp
@@ -127,7 +127,7 @@
     request.address = row_.server.address;
     request.checks_grants = row_.server.checks_grants;
     request.epoch = row_.server.epoch;
-    exchange_.emplace();
+    exchange_ = exchange_state();
     exchange_->id = request.exchange;
     exchange_->sent = context.now;
     if (row_.server.checks_grants && may_grant(context))
@@ -351,7 +351,6 @@
         return false;
     }
     moving_ = std::move(parts);
-    move_began_ = context.now;
     update_unchecked(context.now);
     renew_now();
     tick(context);
--- a/src/ownership/internal/row_controller.hpp
+++ b/src/ownership/internal/row_controller.hpp
@@ -120,7 +120,6 @@
     std::optional<std::vector<std::string>> pending_witnesses_;
     std::vector<moving_part> moving_;
     bool is_releasing_ = false;
-    core::time_point move_began_{};
 
     std::optional<exchange_state> exchange_;
     core::time_point next_exchange_{};
--- a/src/ownership/tests/simulation_actions.cpp
+++ b/src/ownership/tests/simulation_actions.cpp
@@ -168,7 +168,7 @@
     if (target >= 0 && arrival && are_linked(index, target))
     {
         on_router(target, *arrival, [this, target, request](router& node) {
-            node.core.on_hand_over(request.server, clock_of(node));
+            node.core.on_hand_over(request.server);
             run_actions(target);
         });
     }
@@ -300,7 +300,7 @@
             }
             else if (item.target % options_.routers == i)
             {
-                actor.core.on_hand_over(id, clock_of(actor));
+                actor.core.on_hand_over(id);
             }
             run_actions(i);
         });
