--- a/src/admin/internal/cluster_view.cpp
+++ b/src/admin/internal/cluster_view.cpp
@@ -59,7 +59,7 @@
 }
 
 /// Starts the workers and resumes the caller when the last one has ended.
-asio::awaitable<void> run_workers(wire::ipeer_rpc& rpc, std::shared_ptr<question> work,
+asio::awaitable<void> run_workers(wire::ipeer_rpc& rpc, const std::shared_ptr<question>& work,
                                   asio::any_io_executor executor)
 {
     return asio::async_initiate<decltype(asio::use_awaitable), void()>(
