--- a/src/routing/internal/front.cpp
+++ b/src/routing/internal/front.cpp
@@ -71,7 +71,7 @@
 std::shared_ptr<channel_request> front::state::make_request(wire::forward_request request,
                                                             std::shared_ptr<wire::cancellation> cancel) const
 {
-    const auto result = std::make_shared<channel_request>();
+    auto result = std::make_shared<channel_request>();
     result->deadline = core::clock::now() + request.deadline;
     if (const auto found = find_terms(hooks, request.customer); found.terms)
     {
--- a/src/routing/tests/fakes.hpp
+++ b/src/routing/tests/fakes.hpp
@@ -159,7 +159,7 @@
         : id_(std::move(id)), work_(std::move(work)),
           server_(std::make_unique<http::server>(
               executor, http::endpoint("127.0.0.1", 0),
-              [this](http::request message, http::endpoint) { return answer(std::move(message)); }))
+              [this](http::request message, const http::endpoint&) { return answer(std::move(message)); }))
     {}
 
     ownership::backend_server row() const
@@ -255,7 +255,7 @@
 struct router
 {
     router(const asio::any_io_executor& executor, fake_ownership& ownership, const std::string& id,
-           routing_hooks hooks = {})
+           const routing_hooks& hooks = {})
         : network(executor, {{"127.0.0.1", 0}, "token", id}), membership(make_info(id, network.port())),
           front_role(executor, ownership, hooks, counters),
           entry_role({ownership, membership, front_role, network, counters}, hooks)
--- a/src/routing/tests/front_tests.cpp
+++ b/src/routing/tests/front_tests.cpp
@@ -43,6 +43,7 @@
     });
     std::vector<std::future<http::response>> answers;
     constexpr int requests = 100;
+    answers.reserve(requests);
     for (int i = 0; i < requests; ++i)
     {
         answers.push_back(start(f.runner, f.target, make_request("POST", "r" + std::to_string(i))));
@@ -70,6 +71,7 @@
     });
     std::vector<std::future<http::response>> answers;
     constexpr int requests = 200;
+    answers.reserve(requests);
     for (int i = 0; i < requests; ++i)
     {
         answers.push_back(start(f.runner, f.target, make_request("POST", "r" + std::to_string(i))));
--- a/src/wire/internal/peer_network.cpp
+++ b/src/wire/internal/peer_network.cpp
@@ -30,7 +30,7 @@
 }
 
 /// Runs `job` on the pool and resumes the caller on its own executor.
-asio::awaitable<void> run_blocking(internal::blocking_pool& pool, std::function<void()> job)
+asio::awaitable<void> run_blocking(internal::blocking_pool& pool, const std::function<void()>& job)
 {
     const auto initiate = [&pool, job](auto handler) {
         const auto shared = std::make_shared<decltype(handler)>(std::move(handler));
@@ -95,7 +95,7 @@
 
 std::shared_ptr<internal::session_context> peer_network::state::make_context()
 {
-    const auto context = std::make_shared<internal::session_context>();
+    auto context = std::make_shared<internal::session_context>();
     context->token = settings.token;
     const auto weak = weak_from_this();
     context->forward = [weak]() -> std::shared_ptr<const forward_handler> {
@@ -195,7 +195,7 @@
     }
 }
 
-peer_network::peer_network(asio::any_io_executor executor, peer_settings settings)
+peer_network::peer_network(const asio::any_io_executor& executor, peer_settings settings)
     : state_(std::make_shared<state>(executor, std::move(settings)))
 {
     state_->listen();
--- a/src/wire/peer_network.hpp
+++ b/src/wire/peer_network.hpp
@@ -32,7 +32,7 @@
 {
 public:
     /// Listens at once; port 0 picks a free port. Throws core::connection_error when the address is in use.
-    peer_network(core::asio::any_io_executor executor, peer_settings settings);
+    peer_network(const core::asio::any_io_executor& executor, peer_settings settings);
     /// Closes all connections. Pending calls fail with link_error.
     ~peer_network() override;
 
