Take the fence request by move in the driver

Cause: clang-tidy reports the copied argument. Change: no change of behaviour. Before and after: the test of the driver passes. Conclusion: none.

--- a/src/ownership/internal/driver_actions.cpp
+++ b/src/ownership/internal/driver_actions.cpp
@@ -178,10 +178,9 @@
     });
 }
 
-// A coroutine keeps its own copy of its arguments.
-// NOLINTNEXTLINE(performance-unnecessary-value-param)
-asio::awaitable<void> ownership::driver::fence(self_pointer self, internal::fence_request request)
+asio::awaitable<void> ownership::driver::fence(self_pointer self, internal::fence_request wanted)
 {
+    const auto request = std::move(wanted);
     const auto peer = self->peer_of(request.to);
     if (!peer)
     {
