--- a/apps/router/router_app.cpp
+++ b/apps/router/router_app.cpp
@@ -19,6 +19,7 @@
 #include "replica/peer_source.hpp"
 #include "routing/entry.hpp"
 #include "routing/front.hpp"
+#include "trace/measuring_sink.hpp"
 #include "wire/peer_network.hpp"
 
 #include <spdlog/spdlog.h>
@@ -82,6 +83,7 @@
     history::writer history;
     trace::span_recorder spans;
     metrics::registry metrics;
+    trace::measuring_sink hops;
     routing::routing_counters counters;
     wire::peer_network network;
     membership::udp_channel udp;
@@ -113,7 +115,7 @@
     : values(std::move(settings_values)), instance_id(core::make_id(values.name_prefix)),
       context(thread_count(values.worker_threads)),
       history(values.history_file, instance_id, history::flush_policy::buffered),
-      spans(instance_id, values.trace_file),
+      spans(instance_id, values.trace_file), hops(metrics, spans),
       network(context.get_executor(), {{values.ip, values.peer_port}, values.router_token, instance_id}),
       udp(context.get_executor(), {values.ip, values.udp_port}),
       http_server(
@@ -167,7 +169,7 @@
     routing::routing_hooks hooks;
     hooks.terms = [this](const std::string& customer) { return terms.find(customer); };
     hooks.admit = [this](const std::string& customer, const std::string&) { return admit(customer); };
-    observe_requests(hooks, spans);
+    observe_requests(hooks, hops);
     return hooks;
 }
 
