--- a/src/ownership/internal/driver_actions.cpp
+++ b/src/ownership/internal/driver_actions.cpp
@@ -260,8 +260,9 @@
     asio::co_spawn(executor_, probe(shared_from_this(), std::move(probe_request)), asio::detached);
 }
 
-asio::awaitable<void> ownership::driver::probe(self_pointer self, internal::liveness_probe request)
+asio::awaitable<void> ownership::driver::probe(self_pointer self, internal::liveness_probe wanted)
 {
+    const auto request = std::move(wanted);
     const auto server = self->map()->find(request.server);
     const bool checks_grants = !server || server->checks_grants;
     if (co_await self->backends_.is_alive(request.address, checks_grants))
