--- a/apps/router/router_app.cpp
+++ b/apps/router/router_app.cpp
@@ -120,7 +120,8 @@
       udp(context.get_executor(), {values.ip, values.udp_port}),
       http_server(
           context.get_executor(), {values.ip, values.http_port},
-          [this](http::request message, http::endpoint) { return answer_caller(std::move(message)); }, {},
+          [this](http::request message, const http::endpoint&) { return answer_caller(std::move(message)); },
+          {},
           [this](unsigned status, const std::string& reason) {
               return is_started ? entry.answer_bad_input(status, reason) : http::response(status);
           }),
--- a/bench/control/main.cpp
+++ b/bench/control/main.cpp
@@ -109,6 +109,7 @@
     auto core = std::make_unique<internal::machine>(make_router(0),
                                                     [] { return std::string("op-0000000000000001"); });
     std::vector<membership::router_info> live;
+    live.reserve(routers);
     for (int i = 0; i < routers; ++i)
     {
         live.push_back(make_router(i));
@@ -173,7 +174,7 @@
     }
     print_slope("renewals, both directions", "bytes/s", "backend server", renewal_points);
 
-    const auto rows = make_rows(router_counts[0], 12 * servers_per_router * slices_per_server);
+    const auto rows = make_rows(router_counts[0], std::size_t{12} * servers_per_router * slices_per_server);
     const auto row = static_cast<double>(replica::to_json(rows.back()).dump().size());
     print_value("row of a backend server with 64 slices", row, "bytes");
     const nlohmann::json poll = {{"since", 1000000}, {"wait_ms", 1000}};
--- a/src/membership/tests/membership_tests.cpp
+++ b/src/membership/tests/membership_tests.cpp
@@ -148,6 +148,7 @@
 BOOST_AUTO_TEST_CASE(one_relay_in_each_zone_follows_the_store)
 {
     std::vector<router_info> routers;
+    routers.reserve(9);
     for (int i = 0; i < 9; ++i)
     {
         routers.push_back(make_router("r" + std::to_string(i), "z" + std::to_string(i % 3)));
--- a/src/ownership/internal/driver.hpp
+++ b/src/ownership/internal/driver.hpp
@@ -63,7 +63,7 @@
     void carry_out(internal::fence_request request);
     void carry_out(const internal::heartbeat_request& request);
     void carry_out(internal::row_push push);
-    void carry_out(internal::hand_over_request request);
+    void carry_out(const internal::hand_over_request& request);
     void carry_out(const internal::suspicion_report& report);
     void carry_out(internal::liveness_probe probe);
     void carry_out(internal::lifecycle_order order);
--- a/src/ownership/internal/driver_actions.cpp
+++ b/src/ownership/internal/driver_actions.cpp
@@ -224,7 +224,7 @@
                    asio::detached);
 }
 
-void ownership::driver::carry_out(internal::hand_over_request request)
+void ownership::driver::carry_out(const internal::hand_over_request& request)
 {
     nlohmann::json parameters;
     parameters["server"] = request.server;
--- a/src/ownership/tests/simulation_actions.cpp
+++ b/src/ownership/tests/simulation_actions.cpp
@@ -4,8 +4,6 @@
 
 namespace briarfold::ownership::tests {
 
-using core::duration;
-
 namespace {
 
 constexpr std::int64_t commit_retry = 300;
--- a/src/ownership/tests/simulation_tests.cpp
+++ b/src/ownership/tests/simulation_tests.cpp
@@ -113,7 +113,7 @@
             fault item;
             item.kind = kind;
             item.target = static_cast<int>(seed);
-            item.at = first_fault + seed * 37;
+            item.at = first_fault + std::int64_t{seed} * 37;
             item.duration = long_fault;
             auto options = with({item}, seed);
             options.is_network_clean = true;
--- a/src/ownership/tests/witness_tests.cpp
+++ b/src/ownership/tests/witness_tests.cpp
@@ -7,8 +7,6 @@
 using namespace briarfold;
 using namespace briarfold::ownership;
 using namespace briarfold::ownership::internal;
-using core::duration;
-using core::time_point;
 
 namespace {
 
--- a/src/replica/internal/peer_source.cpp
+++ b/src/replica/internal/peer_source.cpp
@@ -155,7 +155,7 @@
 {
     auto waiters = std::make_shared<change_waiters>();
     rows.on_change([waiters](const auto&, const auto&) { waiters->wake(); });
-    peers.register_method("changes", [waiters, &rows](std::string, nlohmann::json parameters) {
+    peers.register_method("changes", [waiters, &rows](const std::string&, nlohmann::json parameters) {
         return answer(waiters, rows, std::move(parameters));
     });
 }
--- a/src/replica/tests/replica_tests.cpp
+++ b/src/replica/tests/replica_tests.cpp
@@ -4,7 +4,6 @@
 
 using namespace briarfold;
 using platform::row;
-using platform::row_batch;
 
 namespace {
 
--- a/src/wire/tests/wire_tests.cpp
+++ b/src/wire/tests/wire_tests.cpp
@@ -129,6 +129,7 @@
     });
     std::vector<std::future<wire::forward_result>> results;
     constexpr int calls = 200;
+    results.reserve(calls);
     for (int i = 0; i < calls; ++i)
     {
         results.push_back(asio::co_spawn(
