Use the trace module in routing and one function for admin routes

Cause: routing parsed and made traceparent on its own beside src/trace, and three files repeated the route adder. Change: both use the shared piece.

--- a/src/admin/internal/backend_server_routes.cpp
+++ b/src/admin/internal/backend_server_routes.cpp
@@ -149,9 +149,7 @@
 void add_backend_server_routes(std::vector<route>& routes, admin_inputs& inputs)
 {
     const auto add = [&](const char* method, const char* pattern, auto function) {
-        routes.push_back({method, pattern, [&inputs, function](api_request request) {
-                              return function(inputs, std::move(request));
-                          }});
+        add_route(routes, inputs, method, pattern, function);
     };
     add("GET", "/v1/backend-servers", list_servers);
     add("GET", "/v1/backend-servers/*", show_server);
--- a/src/admin/internal/contract_routes.cpp
+++ b/src/admin/internal/contract_routes.cpp
@@ -219,9 +219,7 @@
 void add_contract_routes(std::vector<route>& routes, admin_inputs& inputs)
 {
     const auto add = [&](const char* method, const char* pattern, auto function) {
-        routes.push_back({method, pattern, [&inputs, function](api_request request) {
-                              return function(inputs, std::move(request));
-                          }});
+        add_route(routes, inputs, method, pattern, function);
     };
     add("GET", "/v1/contracts", list_contracts);
     add("GET", "/v1/contracts/*", show_contract);
--- a/src/admin/internal/status_routes.cpp
+++ b/src/admin/internal/status_routes.cpp
@@ -77,9 +77,7 @@
 void add_status_routes(std::vector<route>& routes, admin_inputs& inputs)
 {
     const auto add = [&](const char* method, const char* pattern, auto function) {
-        routes.push_back({method, pattern, [&inputs, function](api_request request) {
-                              return function(inputs, std::move(request));
-                          }});
+        add_route(routes, inputs, method, pattern, function);
     };
     add("GET", "/v1/status", show_status);
     add("GET", "/v1/settings", show_settings);
--- a/src/routing/internal/trace.hpp
+++ b/src/routing/internal/trace.hpp
@@ -1,4 +1,4 @@
-/// W3C trace context.
+/// The span of one hop of a request.
 #pragma once
 
 #include <string>
@@ -13,7 +13,7 @@
     std::string trace_id;
     std::string parent_span_id;
     std::string span_id;
-    std::string flags = "01";
+    bool is_sampled = true;
 
     /// The header value for the next hop.
     std::string to_header() const;
