--- a/bench/placement/main.cpp
+++ b/bench/placement/main.cpp
@@ -63,7 +63,8 @@
         state.slices.push_back({{key.hash, key.hash}, single->second, key.load});
     }
     state.hot_keys = inside;
-    // A key that cooled down rejoins its slice for free only in load; its move back is not counted as needed.
+    // A key that is no longer hot returns to its slice. It has no load of its own in this workload, so its
+    // return adds no churn.
     owners.single_keys = std::move(still_hot);
 }
 
