Use one coroutine for waiting in place of nine copies

Cause: the same wait stood in nine files. Ruled out: the stand-in for backend servers, whose copy returns at once for a span of zero, keeps its own. Change: core::pause_for; behaviour unchanged. Before and after: 30 of 30 tests pass; the linter's one finding (a using left over in backend_channel.cpp) is mended, routing tests were run again after that.

--- a/apps/router/router_app.cpp
+++ b/apps/router/router_app.cpp
@@ -8,6 +8,7 @@
 #include "contracts/contract_registry.hpp"
 #include "contracts/contract_store.hpp"
 #include "core/ids.hpp"
+#include "core/pause.hpp"
 #include "http/server.hpp"
 #include "limits/limiter.hpp"
 #include "membership/feed_order.hpp"
@@ -49,12 +50,6 @@
     return self;
 }
 
-asio::awaitable<void> pause_for(core::duration span)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, std::chrono::milliseconds(span.ms));
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 int thread_count(int configured)
 {
     return configured > 0 ? configured : std::max(1, static_cast<int>(std::thread::hardware_concurrency()));
@@ -133,7 +128,7 @@
                    [this](http::request message, http::endpoint caller) -> asio::awaitable<http::response> {
                        while (!is_started)
                        {
-                           co_await pause_for(drain_poll);
+                           co_await core::pause_for(drain_poll);
                        }
                        co_return co_await admin_api->handle(std::move(message), std::move(caller));
                    }),
@@ -276,7 +271,7 @@
             co_await catch_up_from_routers();
             co_return;
         }
-        co_await pause_for(load_retry_pause);
+        co_await core::pause_for(load_retry_pause);
     }
 }
 
@@ -340,7 +335,7 @@
     const auto limit = core::clock::now() + drain_limit;
     while (entry.in_flight() + front.in_flight() + http_server.in_flight() > 0 && core::clock::now() < limit)
     {
-        co_await pause_for(drain_poll);
+        co_await core::pause_for(drain_poll);
     }
 }
 
@@ -356,7 +351,7 @@
         co_await ownership.hand_over_all();
         registration.stop();
         co_await registration.remove();
-        co_await pause_for(front_grace);
+        co_await core::pause_for(front_grace);
         http_server.begin_stop();
         entry.begin_stop();
         front.begin_stop();
--- a/scenarios/load_driver.cpp
+++ b/scenarios/load_driver.cpp
@@ -4,6 +4,7 @@
 #include "core/error.hpp"
 #include "core/ids.hpp"
 #include "core/key_hash.hpp"
+#include "core/pause.hpp"
 #include "http/client_connection.hpp"
 
 #include <atomic>
@@ -70,12 +71,6 @@
     return message;
 }
 
-asio::awaitable<void> sleep(core::duration span)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, std::chrono::milliseconds(span.ms));
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 void add_idle(router_pool& pool, http::client_connection connection)
 {
     pool.idle.push_back({std::move(connection), core::clock::now()});
@@ -164,12 +159,12 @@
 {
     const auto executor = co_await asio::this_coro::executor;
     const auto first = static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(target.interval.ms));
-    co_await sleep(core::duration{first});
+    co_await core::pause_for(core::duration{first});
     while (!is_stopping)
     {
         // The load is open: a request that waits does not hold up the next one on its key.
         asio::co_spawn(executor, send(target), asio::detached);
-        co_await sleep(target.interval);
+        co_await core::pause_for(target.interval);
     }
 }
 
@@ -200,7 +195,7 @@
         const auto chosen = pick_router();
         if (!chosen)
         {
-            co_await sleep(no_router_pause);
+            co_await core::pause_for(no_router_pause);
             continue;
         }
         auto& pool = pools[*chosen];
--- a/src/membership/internal/registration.cpp
+++ b/src/membership/internal/registration.cpp
@@ -2,6 +2,7 @@
 
 #include "core/clock.hpp"
 #include "core/ids.hpp"
+#include "core/pause.hpp"
 #include "membership/membership.hpp"
 
 #include <spdlog/spdlog.h>
@@ -15,12 +16,6 @@
 constexpr core::duration write_timeout{1000};
 constexpr core::duration check_interval{200};
 
-asio::awaitable<void> pause_for(core::duration span)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, std::chrono::milliseconds(span.ms));
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 std::vector<platform::row_write> one_write(std::string key, std::int64_t version, nlohmann::json value)
 {
     std::vector<platform::row_write> writes;
@@ -69,7 +64,7 @@
         {
             co_await write();
         }
-        co_await pause_for(check_interval);
+        co_await core::pause_for(check_interval);
     }
 }
 
--- a/src/ownership/internal/driver.cpp
+++ b/src/ownership/internal/driver.cpp
@@ -1,6 +1,7 @@
 #include "ownership/internal/driver.hpp"
 
 #include "core/ids.hpp"
+#include "core/pause.hpp"
 #include "replica/peer_source.hpp"
 
 #include <spdlog/spdlog.h>
@@ -22,12 +23,6 @@
 constexpr duration move_limit{30000};
 constexpr duration poll_interval{10};
 
-asio::awaitable<void> pause_for(duration span)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, std::chrono::milliseconds(span.ms));
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 nlohmann::json to_json(const slice_move& wish)
 {
     return {{"part", to_string(wish.part)}, {"source", wish.source}, {"target", wish.target}};
@@ -155,7 +150,7 @@
     const auto deadline = clock::now() + move_limit;
     while (is_open && !result && clock::now() < deadline && !is_stopping_)
     {
-        co_await pause_for(poll_interval);
+        co_await core::pause_for(poll_interval);
         const std::scoped_lock lock(hooks_mutex_);
         result = wishes_[number];
     }
@@ -175,7 +170,7 @@
         {
             break;
         }
-        co_await pause_for(poll_interval);
+        co_await core::pause_for(poll_interval);
     }
 }
 
--- a/src/ownership/internal/driver_actions.cpp
+++ b/src/ownership/internal/driver_actions.cpp
@@ -1,5 +1,6 @@
 // The part of the driver that carries out the machine's actions.
 #include "core/ids.hpp"
+#include "core/pause.hpp"
 #include "ownership/internal/driver.hpp"
 #include "ownership/timing.hpp"
 #include "replica/peer_source.hpp"
@@ -22,12 +23,6 @@
 constexpr duration fence_timeout{250};
 constexpr duration call_timeout{500};
 
-asio::awaitable<void> pause_for(duration span)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, std::chrono::milliseconds(span.ms));
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 nlohmann::json to_json(const internal::fence_request& request)
 {
     return {{"to", request.to},
@@ -114,7 +109,7 @@
         }
         if (!result)
         {
-            co_await pause_for(commit_pause);
+            co_await core::pause_for(commit_pause);
         }
     }
     if (!result)
--- a/src/platform/internal/http_table_store.cpp
+++ b/src/platform/internal/http_table_store.cpp
@@ -1,5 +1,6 @@
 #include "platform/http_table_store.hpp"
 
+#include "core/pause.hpp"
 #include "platform/connection_pool.hpp"
 #include "platform/internal/platform_json.hpp"
 
@@ -26,12 +27,6 @@
     return store_error(step, http::to_string(pool.peer()), what);
 }
 
-asio::awaitable<void> pause_for(core::duration span)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, std::chrono::milliseconds(span.ms));
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 /// Body of a 200 or 404 answer; throws store_error for everything else.
 asio::awaitable<http::response> get(const std::shared_ptr<connection_pool>& pool, const char* step,
                                     std::string target, core::duration timeout)
@@ -145,7 +140,7 @@
             {
                 co_return *found;
             }
-            co_await pause_for(retry_pause);
+            co_await core::pause_for(retry_pause);
         }
     }
     throw make_error("table transaction", *pool_, "outcome unknown: " + reason);
--- a/src/replica/internal/feed.cpp
+++ b/src/replica/internal/feed.cpp
@@ -1,5 +1,7 @@
 #include "replica/feed.hpp"
 
+#include "core/pause.hpp"
+
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -18,12 +20,6 @@
 /// round.
 constexpr core::duration failure_pause{5000};
 
-asio::awaitable<void> pause_for(core::duration span)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, std::chrono::milliseconds(span.ms));
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 } // namespace
 
 asio::awaitable<feed_answer> store_source::changes(std::int64_t since, core::duration wait)
@@ -93,7 +89,7 @@
         }
         if (!is_fed)
         {
-            co_await pause_for(retry_pause);
+            co_await core::pause_for(retry_pause);
         }
     }
 }
--- a/src/routing/internal/backend_channel.cpp
+++ b/src/routing/internal/backend_channel.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.hpp"
 #include "core/key_hash.hpp"
+#include "core/pause.hpp"
 #include "ownership/timing.hpp"
 
 #include <algorithm>
@@ -11,7 +12,6 @@
 namespace {
 
 namespace asio = core::asio;
-using boost::system::error_code;
 using namespace core::literals;
 using kind = attempt_result::kind;
 
@@ -62,13 +62,6 @@
     return result;
 }
 
-asio::awaitable<void> sleep(core::duration span)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, std::chrono::milliseconds(span.ms));
-    error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 } // namespace
 
 backend_channel::backend_channel(const asio::any_io_executor& executor, ownership::iownership& ownership,
@@ -219,7 +212,7 @@
         is_unproven = is_unproven || is_lost;
         if ((is_shed || (is_lost && request->forward.is_idempotent)) && may_retry(*request))
         {
-            co_await sleep(is_shed ? shed_delay : retry_delay);
+            co_await core::pause_for(is_shed ? shed_delay : retry_delay);
             continue;
         }
         if (is_unproven)
@@ -300,7 +293,7 @@
         {
             break;
         }
-        co_await sleep(overdue_poll);
+        co_await core::pause_for(overdue_poll);
     }
     release(*request, started);
 }
--- a/standins/platform/platform_service.cpp
+++ b/standins/platform/platform_service.cpp
@@ -1,6 +1,7 @@
 #include "standins/platform/platform_service.hpp"
 
 #include "core/error.hpp"
+#include "core/pause.hpp"
 
 #include <algorithm>
 
@@ -38,12 +39,6 @@
     return list;
 }
 
-asio::awaitable<void> sleep(core::duration span)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, std::chrono::milliseconds(span.ms));
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 bool is_table_or_object(const target& where)
 {
     return where.path.starts_with("/table/") || where.path.starts_with("/objects/") ||
@@ -80,11 +75,11 @@
 {
     if (is_faulty() && mode_ == fault_mode::slow)
     {
-        co_await sleep(delay_);
+        co_await core::pause_for(delay_);
     }
     while (is_faulty() && mode_ == fault_mode::hang)
     {
-        co_await sleep(hang_check_interval);
+        co_await core::pause_for(hang_check_interval);
     }
     co_return !(is_faulty() && mode_ == fault_mode::down);
 }
@@ -104,7 +99,7 @@
     if (result.status == status_ok && answers_to_lose_ > 0)
     {
         --answers_to_lose_;
-        co_await sleep(lost_answer_delay);
+        co_await core::pause_for(lost_answer_delay);
     }
     co_return result;
 }
