--- /dev/null
+++ b/apps/edge/main.cpp
@@ -0,0 +1,202 @@
+/// The edge router: takes requests from callers and serves them from backend servers.
+#include "core/asio.hpp"
+#include "edge/router_node.hpp"
+#include "platform/protocol_adapter.hpp"
+#include "platform/row_table.hpp"
+#include "settings/edge_settings.hpp"
+
+#include <boost/program_options.hpp>
+#include <spdlog/sinks/base_sink.h>
+#include <spdlog/spdlog.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <sys/stat.h>
+
+namespace {
+
+namespace asio = briarfold::core::asio;
+namespace options = boost::program_options;
+using briarfold::settings::edge_settings;
+
+constexpr int exit_usage = 2;
+constexpr const char* settings_variable = "BRIARFOLD_NODE_FILE";
+/// The settings file may change without a signal.
+constexpr std::chrono::milliseconds settings_check{2000};
+
+/// Brings messages of the libraries into the decision log.
+class event_sink : public spdlog::sinks::base_sink<std::mutex>
+{
+public:
+    explicit event_sink(briarfold::edge::event_log& log) : log_(log) {}
+
+private:
+    void sink_it_(const spdlog::details::log_msg& message) override
+    {
+        const auto level = spdlog::level::to_string_view(message.level);
+        log_.write("message", {{"level", std::string(level.data(), level.size())},
+                               {"text", std::string(message.payload.data(), message.payload.size())}});
+    }
+    void flush_() override {}
+
+    briarfold::edge::event_log& log_;
+};
+
+briarfold::edge::store_tables make_tables(const asio::any_io_executor& executor, const edge_settings& settings)
+{
+    using briarfold::platform::row_table;
+    const auto pool = std::make_shared<briarfold::store::connection_pool>(executor, settings.store);
+    briarfold::edge::store_tables tables;
+    tables.own = std::make_shared<row_table>(pool, "briarfold");
+    tables.config = std::make_shared<row_table>(pool, "op");
+    tables.registry = std::make_shared<row_table>(pool, "servers");
+    return tables;
+}
+
+edge_settings load(const std::string& path)
+{
+    return briarfold::settings::load_edge_settings(path, briarfold::platform::make_bound_names());
+}
+
+std::int64_t modified_at(const std::string& path)
+{
+    struct stat state
+    {};
+    return ::stat(path.c_str(), &state) == 0 ? state.st_mtim.tv_sec * 1000 + state.st_mtim.tv_nsec / 1000000 : 0;
+}
+
+class application
+{
+public:
+    application(std::string path, const edge_settings& settings)
+        : path_(std::move(path)), context_(1), signals_(context_, SIGTERM, SIGINT, SIGHUP), check_timer_(context_),
+          log_({settings.name}, briarfold::edge::make_descriptor_sink(STDOUT_FILENO)),
+          modified_at_(modified_at(path_))
+    {
+        const auto logger = std::make_shared<spdlog::logger>("", std::make_shared<event_sink>(log_));
+        spdlog::set_default_logger(logger);
+        log_.write("started", {{"settings", briarfold::settings::to_json(settings)}});
+        node_.emplace(context_, settings, briarfold::platform::make_protocol(),
+                      make_tables(context_.get_executor(), settings), log_);
+        await_signal();
+        await_check();
+    }
+
+    void run()
+    {
+        context_.run();
+        log_.flush();
+    }
+
+private:
+    void await_signal()
+    {
+        signals_.async_wait([this](const boost::system::error_code& code, int number) {
+            if (code)
+            {
+                return;
+            }
+            if (number == SIGHUP)
+            {
+                reload("signal");
+            }
+            else
+            {
+                node_->stop([this] { context_.stop(); });
+            }
+            await_signal();
+        });
+    }
+
+    void await_check()
+    {
+        check_timer_.expires_after(settings_check);
+        check_timer_.async_wait([this](const boost::system::error_code& code) {
+            if (code)
+            {
+                return;
+            }
+            if (modified_at(path_) != modified_at_)
+            {
+                reload("changed file");
+            }
+            await_check();
+        });
+    }
+
+    void reload(const char* reason)
+    {
+        modified_at_ = modified_at(path_);
+        try
+        {
+            log_.write("reload", {{"reason", reason}});
+            node_->reload(load(path_));
+        }
+        catch (const std::exception& failure)
+        {
+            log_.write("settings refused", {{"reason", failure.what()}});
+        }
+    }
+
+    std::string path_;
+    asio::io_context context_;
+    asio::signal_set signals_;
+    asio::steady_timer check_timer_;
+    briarfold::edge::event_log log_;
+    std::int64_t modified_at_;
+    std::optional<briarfold::edge::router_node> node_;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    options::options_description all("Edge router of briarfold.\n\nUsage: briarfold-edge [--config FILE] [options]\n"
+                                     "Example: briarfold-edge --check --config edge.toml\n\nOptions");
+    all.add_options()("config", options::value<std::string>(),
+                      "settings file (TOML); default: the file named by BRIARFOLD_NODE_FILE")(
+        "check", "check the settings file and exit")("print-settings", "print the effective settings as JSON and exit")(
+        "help", "show this help");
+    try
+    {
+        options::variables_map values;
+        options::store(options::parse_command_line(argc, argv, all), values);
+        if (values.contains("help"))
+        {
+            std::cout << all << '\n';
+            return 0;
+        }
+        const char* const named = std::getenv(settings_variable);
+        const auto path = values.contains("config") ? values["config"].as<std::string>()
+                                                     : std::string(named == nullptr ? "" : named);
+        if (path.empty())
+        {
+            std::cerr << "no settings file: give --config or set " << settings_variable << '\n';
+            return exit_usage;
+        }
+        const auto settings = load(path);
+        if (values.contains("print-settings"))
+        {
+            std::cout << briarfold::settings::to_json(settings).dump(2) << '\n';
+        }
+        if (values.contains("check") || values.contains("print-settings"))
+        {
+            return 0;
+        }
+        std::signal(SIGPIPE, SIG_IGN);
+        application app(path, settings);
+        app.run();
+        return 0;
+    }
+    catch (const options::error& failure)
+    {
+        std::cerr << failure.what() << "\n\n" << all << '\n';
+        return exit_usage;
+    }
+    catch (const std::exception& failure)
+    {
+        std::cerr << failure.what() << '\n';
+        return 1;
+    }
+}
--- a/apps/router/router_app.cpp
+++ b/apps/router/router_app.cpp
@@ -15,8 +15,8 @@
 #include "membership/heartbeat_service.hpp"
 #include "membership/registration.hpp"
 #include "ownership/ownership.hpp"
-#include "platform/http_object_store.hpp"
-#include "platform/http_table_store.hpp"
+#include "store/http_object_store.hpp"
+#include "store/http_table_store.hpp"
 #include "replica/peer_source.hpp"
 #include "routing/entry.hpp"
 #include "routing/front.hpp"
@@ -88,8 +88,8 @@
     std::atomic<bool> is_started{false};
     std::atomic<bool> is_stopping{false};
     http::server http_server;
-    platform::http_table_store table;
-    platform::http_object_store objects;
+    store::http_table_store table;
+    store::http_object_store objects;
     replica::replica rows;
     std::unique_ptr<admin::admin_api> admin_api;
     http::server admin_server;
@@ -152,7 +152,7 @@
       feed(rows, membership::make_feed_order(members, table, network))
 {
     admin_api = std::make_unique<admin::admin_api>(make_admin_inputs());
-    network.on_forward([this](wire::forward_request request, std::shared_ptr<wire::cancellation> cancel) {
+    network.on_forward([this](wire::forward_request request, std::shared_ptr<core::cancellation> cancel) {
         return front.serve(std::move(request), std::move(cancel));
     });
     replica::serve_changes(network, rows);
--- a/bench/control/main.cpp
+++ b/bench/control/main.cpp
@@ -66,9 +66,9 @@
     return server;
 }
 
-std::vector<platform::row> make_rows(int routers, std::size_t slices)
+std::vector<store::row> make_rows(int routers, std::size_t slices)
 {
-    std::vector<platform::row> rows;
+    std::vector<store::row> rows;
     const int servers = routers * servers_per_router;
     const auto parts = internal::split_space(slices);
     std::vector<std::vector<ownership::slice>> shares(static_cast<std::size_t>(servers));
@@ -95,15 +95,15 @@
     return rows;
 }
 
-platform::row_batch make_batch(const std::vector<platform::row>& rows)
+store::row_batch make_batch(const std::vector<store::row>& rows)
 {
-    platform::row_batch batch;
+    store::row_batch batch;
     batch.rows = rows;
     batch.revision = rows.back().revision;
     return batch;
 }
 
-std::unique_ptr<internal::machine> make_machine(int routers, const std::vector<platform::row>& rows,
+std::unique_ptr<internal::machine> make_machine(int routers, const std::vector<store::row>& rows,
                                                 time_point now)
 {
     auto core = std::make_unique<internal::machine>(make_router(0),
@@ -115,7 +115,7 @@
         live.push_back(make_router(i));
     }
     core->on_live(live, now);
-    std::ranges::for_each(rows, [&](const platform::row& row) { core->on_row(row, now); });
+    std::ranges::for_each(rows, [&](const store::row& row) { core->on_row(row, now); });
     return core;
 }
 
@@ -247,7 +247,7 @@
         changes.push_back({static_cast<double>(routers), cpu_us([&] {
                                ++changed.revision;
                                ++changed.version;
-                               platform::row_batch batch;
+                               store::row_batch batch;
                                batch.revision = changed.revision;
                                batch.rows.push_back(changed);
                                copy.apply(batch);
--- a/bench/lookup/main.cpp
+++ b/bench/lookup/main.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t slices_per_server = 64;
 constexpr std::size_t lookups = 2000000;
 
-std::vector<platform::row> make_rows(std::size_t slices)
+std::vector<store::row> make_rows(std::size_t slices)
 {
     const auto servers = std::max<std::size_t>(slices / slices_per_server, 1);
     std::vector<ownership::backend_server> values(servers);
@@ -26,7 +26,7 @@
         const auto last = i + 1 == slices ? UINT64_MAX : width * (i + 1) - 1;
         values[i % servers].slices.push_back({width * i, last});
     }
-    std::vector<platform::row> rows;
+    std::vector<store::row> rows;
     for (std::size_t i = 0; i < servers; ++i)
     {
         auto& server = values[i];
--- a/bench/routing/main.cpp
+++ b/bench/routing/main.cpp
@@ -87,7 +87,7 @@
     bench::static_membership membership(self, make_live(settings, self));
     routing::front front(executor, ownership, {}, counters);
     routing::entry entry(routing::entry_parts(ownership, membership, front, network, counters), {});
-    network.on_forward([&](wire::forward_request request, std::shared_ptr<wire::cancellation> cancel) {
+    network.on_forward([&](wire::forward_request request, std::shared_ptr<core::cancellation> cancel) {
         return front.serve(std::move(request), std::move(cancel));
     });
     http::server server(executor, http::endpoint("127.0.0.1", 0),
--- a/src/admin/backend_server_admin.hpp
+++ b/src/admin/backend_server_admin.hpp
@@ -4,7 +4,7 @@
 #include "core/asio.hpp"
 #include "core/clock.hpp"
 #include "ownership/ownership_types.hpp"
-#include "platform/itable_store.hpp"
+#include "store/itable_store.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -64,7 +64,7 @@
 class backend_server_admin
 {
 public:
-    explicit backend_server_admin(platform::itable_store& table) : table_(table) {}
+    explicit backend_server_admin(store::itable_store& table) : table_(table) {}
 
     /// Creates the row, or takes up a stopped backend server again. Joining twice with the same fields is one
     /// join.
@@ -89,7 +89,7 @@
     core::asio::awaitable<action_result> set_intent(std::string id, ownership::intent wanted,
                                                     operator_action action, core::duration timeout);
 
-    platform::itable_store& table_;
+    store::itable_store& table_;
 };
 
 } // namespace briarfold::admin
--- a/src/admin/internal/admin_api.cpp
+++ b/src/admin/internal/admin_api.cpp
@@ -139,7 +139,7 @@
     {
         failed = internal::error_response(bad_request, failure.what(), fields_json(failure));
     }
-    catch (const platform::store_error& failure)
+    catch (const store::store_error& failure)
     {
         failed = internal::error_response(unavailable, failure.what());
     }
--- a/src/admin/internal/backend_server_admin.cpp
+++ b/src/admin/internal/backend_server_admin.cpp
@@ -208,7 +208,7 @@
             record["operation_id"] = action.operation_id;
             record["author"] = action.author;
             record["time_ms"] = core::clock::wall().ms;
-            std::vector<platform::row_write> writes;
+            std::vector<store::row_write> writes;
             writes.emplace_back(row_key(id), current.version, value);
             writes.emplace_back(action_key(id), current.actions_version, prepend(record, current.actions));
             const auto result = co_await table_.commit(action.operation_id, writes, left);
@@ -218,7 +218,7 @@
             }
             reason = "the row kept changing";
         }
-        catch (const platform::store_error& failure)
+        catch (const store::store_error& failure)
         {
             reason = failure.what();
         }
--- a/src/admin/internal/cluster_view.cpp
+++ b/src/admin/internal/cluster_view.cpp
@@ -20,7 +20,7 @@
 /// Calls in progress at a time; bounds memory and connections at 630 routers.
 constexpr std::size_t parallel_calls = 32;
 
-membership::router_info parse_router(const platform::row& row)
+membership::router_info parse_router(const store::row& row)
 {
     membership::router_info result;
     result.instance_id = row.key.substr(router_prefix.size());
--- a/src/admin/tests/cluster_view_tests.cpp
+++ b/src/admin/tests/cluster_view_tests.cpp
@@ -60,7 +60,7 @@
 
     void add_rows(int count)
     {
-        platform::row_batch batch;
+        store::row_batch batch;
         batch.revision = 1;
         for (const int i : std::views::iota(0, count))
         {
--- a/src/admin/tests/fake_router.hpp
+++ b/src/admin/tests/fake_router.hpp
@@ -16,7 +16,7 @@
 class table_map : public ownership::iownership_map
 {
 public:
-    explicit table_map(const platform::row_batch& batch) : revision_(batch.revision)
+    explicit table_map(const store::row_batch& batch) : revision_(batch.revision)
     {
         for (const auto& row : batch.rows)
         {
--- a/src/contracts/contract_registry.hpp
+++ b/src/contracts/contract_registry.hpp
@@ -27,11 +27,11 @@
     void on_applied(applied_hook hook) override;
 
 private:
-    void update(const replica::snapshot& rows, const std::vector<platform::row>& changes);
+    void update(const replica::snapshot& rows, const std::vector<store::row>& changes);
     /// Calls the hooks for pending versions.
     void deliver();
     /// Puts `row` into the table as in force, rejected or deleted. Returns the version that came into force.
-    static contract_pointer apply(contract_table& table, const platform::row& row);
+    static contract_pointer apply(contract_table& table, const store::row& row);
 
     replica::ireplica& replica_;
     std::function<core::time_point()> now_;
--- a/src/contracts/contract_store.hpp
+++ b/src/contracts/contract_store.hpp
@@ -4,8 +4,8 @@
 #include "contracts/edit_types.hpp"
 #include "core/asio.hpp"
 #include "core/clock.hpp"
-#include "platform/iobject_store.hpp"
-#include "platform/itable_store.hpp"
+#include "store/iobject_store.hpp"
+#include "store/itable_store.hpp"
 
 #include <string>
 
@@ -22,7 +22,7 @@
 class contract_store
 {
 public:
-    contract_store(platform::itable_store& table, platform::iobject_store& objects)
+    contract_store(store::itable_store& table, store::iobject_store& objects)
         : table_(table), objects_(objects)
     {}
 
@@ -31,12 +31,12 @@
     /// core::error for a reused operation id.
     core::asio::awaitable<edit_result> apply(edit wish, core::duration timeout);
 
-    /// Throws platform::store_error when the table does not answer.
+    /// Throws store::store_error when the table does not answer.
     core::asio::awaitable<version_history> history(std::string customer, core::duration timeout);
 
     /// Moves old log rows of the customer to the object store when there are more than log_rows_most.
     /// Returns how many were moved. Two routers may trim at once: one transaction wins. Throws
-    /// platform::store_error.
+    /// store::store_error.
     core::asio::awaitable<std::size_t> trim(std::string customer, core::duration timeout);
 
 private:
@@ -45,8 +45,8 @@
                                                                      core::duration timeout);
     core::asio::awaitable<version_history> read_snapshot(std::string customer, core::duration timeout);
 
-    platform::itable_store& table_;
-    platform::iobject_store& objects_;
+    store::itable_store& table_;
+    store::iobject_store& objects_;
 };
 
 } // namespace briarfold::contracts
--- a/src/contracts/contract_version.hpp
+++ b/src/contracts/contract_version.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "contracts/contract.hpp"
-#include "platform/platform_types.hpp"
+#include "store/store_types.hpp"
 
 #include <memory>
 
@@ -51,8 +51,8 @@
 };
 
 /// Reads author and time of a contract row without checking its document.
-version_info read_info(const platform::row& row);
+version_info read_info(const store::row& row);
 /// Throws core::error or document::invalid_document.
-contract_version parse_row(const platform::row& row);
+contract_version parse_row(const store::row& row);
 
 } // namespace briarfold::contracts
--- a/src/contracts/internal/contract_registry.cpp
+++ b/src/contracts/internal/contract_registry.cpp
@@ -26,9 +26,9 @@
     : replica_(replica), now_(std::move(now)), current_(std::make_shared<contract_table>())
 {
     replica_.on_change([this](const std::shared_ptr<const replica::snapshot>& rows,
-                              const std::vector<platform::row>& changes) { update(*rows, changes); });
+                              const std::vector<store::row>& changes) { update(*rows, changes); });
     const auto rows = replica_.current();
-    std::vector<platform::row> present;
+    std::vector<store::row> present;
     for (const auto& row : rows->rows | std::views::values)
     {
         present.push_back(*row);
@@ -36,7 +36,7 @@
     update(*rows, present);
 }
 
-contract_pointer contract_registry::apply(contract_table& table, const platform::row& row)
+contract_pointer contract_registry::apply(contract_table& table, const store::row& row)
 {
     const auto customer = customer_of(row.key);
     if (row.value.is_null())
@@ -59,7 +59,7 @@
     }
 }
 
-void contract_registry::update(const replica::snapshot& rows, const std::vector<platform::row>& changes)
+void contract_registry::update(const replica::snapshot& rows, const std::vector<store::row>& changes)
 {
     {
         const std::scoped_lock lock(mutex_);
--- a/src/contracts/internal/contract_store.cpp
+++ b/src/contracts/internal/contract_store.cpp
@@ -45,10 +45,10 @@
     return log;
 }
 
-std::vector<platform::row_write> make_writes(const edit& wish, const std::string& customer,
+std::vector<store::row_write> make_writes(const edit& wish, const std::string& customer,
                                              const nlohmann::json& value)
 {
-    std::vector<platform::row_write> writes;
+    std::vector<store::row_write> writes;
     writes.emplace_back(contract_key(customer), wish.expected_version, value);
     writes.emplace_back(log_key(customer, wish.expected_version + 1), 0, make_log_value(wish, value));
     return writes;
@@ -84,7 +84,7 @@
             revision};
 }
 
-edit_result refused(const platform::row& winner)
+edit_result refused(const store::row& winner)
 {
     return {edit_status::conflict, read_info(winner), winner.revision,
             winner.version == 0 ? "the contract does not exist" : "another version is in the way"};
@@ -148,7 +148,7 @@
             const auto other = co_await find_committed(wish, checked.customer(), left);
             co_return other.value_or(refused(result.conflicts.front()));
         }
-        catch (const platform::store_error& failure)
+        catch (const store::store_error& failure)
         {
             reason = failure.what();
         }
@@ -181,7 +181,7 @@
         result = committed(wish, wish.expected_version + 1, log->value, log->revision);
         co_return result;
     }
-    result = refused(row.value_or(platform::row(contract_key(customer), 0, 0, "", nullptr)));
+    result = refused(row.value_or(store::row(contract_key(customer), 0, 0, "", nullptr)));
     co_return result;
 }
 
@@ -212,12 +212,12 @@
     {
         result = co_await read_snapshot(customer, timeout);
     }
-    catch (const platform::store_error&)
+    catch (const store::store_error&)
     {
         result.is_complete = false;
     }
     std::ranges::transform(log.rows, std::back_inserter(result.entries),
-                           [](const platform::row& row) { return to_entry(row.value); });
+                           [](const store::row& row) { return to_entry(row.value); });
     sort_unique(result.entries);
     co_return result;
 }
@@ -237,7 +237,7 @@
         co_return 0;
     }
     const auto count = log.rows.size() - log_rows_kept;
-    std::vector<platform::row_write> writes;
+    std::vector<store::row_write> writes;
     for (const auto& row : log.rows | std::views::take(count))
     {
         older.entries.push_back(to_entry(row.value));
--- a/src/contracts/internal/contract_version.cpp
+++ b/src/contracts/internal/contract_version.cpp
@@ -32,7 +32,7 @@
             {"operation_id", value.operation_id}};
 }
 
-version_info read_info(const platform::row& row)
+version_info read_info(const store::row& row)
 {
     if (!row.value.is_object())
     {
@@ -42,7 +42,7 @@
             row.operation_id};
 }
 
-contract_version parse_row(const platform::row& row)
+contract_version parse_row(const store::row& row)
 {
     if (!row.value.is_object() || !row.value.contains("document"))
     {
--- a/src/contracts/tests/contract_store_tests.cpp
+++ b/src/contracts/tests/contract_store_tests.cpp
@@ -141,6 +141,6 @@
     {
         apply(i, "ada", "op-" + std::to_string(i));
     }
-    BOOST_CHECK_THROW(run(store.trim("reception", 1000_ms)), platform::store_error);
+    BOOST_CHECK_THROW(run(store.trim("reception", 1000_ms)), store::store_error);
     BOOST_TEST(table.all("contract-log/").rows.size() == contracts::log_rows_most + 1);
 }
--- a/src/contracts/tests/contract_tests.cpp
+++ b/src/contracts/tests/contract_tests.cpp
@@ -20,7 +20,7 @@
             {"concurrency", 4},        {"slot_share", 0.5}};
 }
 
-platform::row make_row(std::int64_t version, nlohmann::json document)
+store::row make_row(std::int64_t version, nlohmann::json document)
 {
     return {"contract/reception",
             version,
@@ -29,7 +29,7 @@
             {{"document", std::move(document)}, {"author", "ada"}, {"time_ms", 5}}};
 }
 
-platform::row_batch batch_of(platform::row row)
+store::row_batch batch_of(store::row row)
 {
     return {row.revision, {std::move(row)}, false};
 }
--- a/src/contracts/tests/memory_replica.hpp
+++ b/src/contracts/tests/memory_replica.hpp
@@ -14,13 +14,13 @@
 public:
     std::shared_ptr<const replica::snapshot> current() const override { return current_; }
 
-    void apply(const platform::row_batch& batch) override
+    void apply(const store::row_batch& batch) override
     {
         auto next = std::make_shared<replica::snapshot>(*current_);
         next->revision = std::max(next->revision, batch.revision);
         for (const auto& row : batch.rows)
         {
-            next->rows[row.key] = std::make_shared<const platform::row>(row);
+            next->rows[row.key] = std::make_shared<const store::row>(row);
         }
         current_ = next;
         std::ranges::for_each(hooks_, [&](const auto& hook) { hook(current_, batch.rows); });
--- a/src/contracts/tests/memory_store.hpp
+++ b/src/contracts/tests/memory_store.hpp
@@ -1,8 +1,8 @@
 /// A table service and an object store in memory, with faults, for tests.
 #pragma once
 
-#include "platform/iobject_store.hpp"
-#include "platform/itable_store.hpp"
+#include "store/iobject_store.hpp"
+#include "store/itable_store.hpp"
 
 #include <algorithm>
 #include <map>
@@ -10,7 +10,7 @@
 
 namespace briarfold::contracts::tests {
 
-class memory_table : public platform::itable_store
+class memory_table : public store::itable_store
 {
 public:
     /// The next commits take effect, but their answer is lost.
@@ -20,8 +20,8 @@
     /// Called before each commit, without the lock.
     std::function<void()> before_commit;
 
-    core::asio::awaitable<platform::commit_result>
-    commit(std::string operation_id, std::vector<platform::row_write> writes, core::duration) override
+    core::asio::awaitable<store::commit_result>
+    commit(std::string operation_id, std::vector<store::row_write> writes, core::duration) override
     {
         if (before_commit)
         {
@@ -30,11 +30,11 @@
         co_return commit_now(operation_id, writes);
     }
 
-    core::asio::awaitable<std::optional<platform::row>> read(std::string key, core::duration) override
+    core::asio::awaitable<std::optional<store::row>> read(std::string key, core::duration) override
     {
         check();
         const std::scoped_lock lock(mutex_);
-        std::optional<platform::row> found;
+        std::optional<store::row> found;
         if (rows_.contains(key))
         {
             found = rows_.at(key);
@@ -42,22 +42,22 @@
         co_return found;
     }
 
-    core::asio::awaitable<platform::row_batch> read_prefix(std::string prefix, core::duration) override
+    core::asio::awaitable<store::row_batch> read_prefix(std::string prefix, core::duration) override
     {
         check();
         co_return all(prefix);
     }
 
-    core::asio::awaitable<platform::row_batch> changes(std::int64_t, core::duration) override
+    core::asio::awaitable<store::row_batch> changes(std::int64_t, core::duration) override
     {
         check();
         co_return all("");
     }
 
-    platform::row_batch all(const std::string& prefix) const
+    store::row_batch all(const std::string& prefix) const
     {
         const std::scoped_lock lock(mutex_);
-        platform::row_batch batch;
+        store::row_batch batch;
         batch.revision = revision_;
         for (const auto& [key, row] : rows_)
         {
@@ -69,18 +69,18 @@
         return batch;
     }
 
-    platform::commit_result commit_now(const std::string& operation_id,
-                                       const std::vector<platform::row_write>& writes)
+    store::commit_result commit_now(const std::string& operation_id,
+                                       const std::vector<store::row_write>& writes)
     {
         check();
         const std::scoped_lock lock(mutex_);
-        platform::commit_result result;
+        store::commit_result result;
         for (const auto& write : writes)
         {
             const auto version = rows_.contains(write.key) ? rows_.at(write.key).version : 0;
             if (version != write.expected_version)
             {
-                result.conflicts.push_back(version == 0 ? platform::row(write.key, 0, 0, "", nullptr)
+                result.conflicts.push_back(version == 0 ? store::row(write.key, 0, 0, "", nullptr)
                                                         : rows_.at(write.key));
             }
         }
@@ -102,7 +102,7 @@
         if (lost_answers > 0)
         {
             --lost_answers;
-            throw platform::store_error("table transaction", "memory", "answer lost");
+            throw store::store_error("table transaction", "memory", "answer lost");
         }
         return result;
     }
@@ -112,16 +112,16 @@
     {
         if (is_down)
         {
-            throw platform::store_error("table", "memory", "down");
+            throw store::store_error("table", "memory", "down");
         }
     }
 
     mutable std::mutex mutex_;
-    std::map<std::string, platform::row> rows_;
+    std::map<std::string, store::row> rows_;
     std::int64_t revision_ = 0;
 };
 
-class memory_objects : public platform::iobject_store
+class memory_objects : public store::iobject_store
 {
 public:
     bool is_down = false;
@@ -149,7 +149,7 @@
     {
         if (is_down)
         {
-            throw platform::store_error("object", "memory", "down");
+            throw store::store_error("object", "memory", "down");
         }
     }
 
--- a/src/wire/cancellation.hpp
+++ b/src/core/cancellation.hpp
@@ -4,7 +4,7 @@
 #include <functional>
 #include <mutex>
 
-namespace briarfold::wire {
+namespace briarfold::core {
 
 /// Thread-safe. Shared by the party that waits and the party that works.
 class cancellation
@@ -22,4 +22,4 @@
     std::function<void()> hook_;
 };
 
-} // namespace briarfold::wire
+} // namespace briarfold::core
--- a/src/wire/internal/cancellation.cpp
+++ b/src/core/internal/cancellation.cpp
@@ -1,8 +1,8 @@
-#include "wire/cancellation.hpp"
+#include "core/cancellation.hpp"
 
 #include <utility>
 
-namespace briarfold::wire {
+namespace briarfold::core {
 
 void cancellation::cancel()
 {
@@ -43,4 +43,4 @@
     }
 }
 
-} // namespace briarfold::wire
+} // namespace briarfold::core
--- /dev/null
+++ b/src/dispatch/work_estimate.hpp
@@ -0,0 +1,29 @@
+/// Expected work of requests, learned from answers.
+#pragma once
+
+#include "core/clock.hpp"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace briarfold::dispatch {
+
+/// Mean work of each route on an average backend server, and the speed of each backend server relative to that
+/// average. Not thread-safe.
+class work_estimate
+{
+public:
+    void record(std::string_view route, std::string_view backend_server, double work_ms);
+    /// On an average backend server, in milliseconds.
+    double mean_ms(std::string_view route) const;
+    /// Time that the backend server takes relative to the average; 2 is twice as slow.
+    double slowness(std::string_view backend_server) const;
+    void forget(std::string_view backend_server);
+
+private:
+    std::map<std::string, double, std::less<>> mean_ms_;
+    std::map<std::string, double, std::less<>> slowness_;
+};
+
+} // namespace briarfold::dispatch
--- /dev/null
+++ b/src/edge/internal/front.cpp
@@ -0,0 +1,249 @@
+#include "edge/internal/front_state.hpp"
+
+#include <algorithm>
+
+namespace briarfold::edge {
+
+namespace asio = core::asio;
+using core::clock;
+
+wire::forward_result make_result(wire::outcome outcome, unsigned status, std::string reason,
+                                 std::string not_run_reason)
+{
+    wire::forward_result result;
+    result.outcome = outcome;
+    result.status = status;
+    result.step = "front";
+    result.reason = std::move(reason);
+    result.not_run_reason = std::move(not_run_reason);
+    return result;
+}
+
+front::front(asio::any_io_executor executor, settings::edge_settings settings, const protocol& hooks, event_log& log,
+             metrics::registry& metrics, front_hooks surroundings)
+    : state_(std::make_shared<state>(std::move(executor), std::move(settings), hooks, log, metrics,
+                                     std::move(surroundings)))
+{}
+
+front::~front() = default;
+
+void front::apply(const directory::snapshot& known, const routes::routing_config& config)
+{
+    state_->apply(known, config);
+}
+
+asio::awaitable<wire::forward_result> front::serve(wire::forward_request request,
+                                                   std::shared_ptr<core::cancellation> departure)
+{
+    const auto state = state_;
+    co_return co_await state->serve(std::move(request), std::move(departure));
+}
+
+void front::tick()
+{
+    state_->tick();
+}
+
+std::size_t front::in_flight() const
+{
+    return state_->running;
+}
+
+std::size_t front::queued() const
+{
+    std::size_t count = 0;
+    for (const auto& [name, pool] : state_->pools)
+    {
+        count += pool->waiting.size();
+    }
+    return count;
+}
+
+std::size_t front::servers() const
+{
+    return state_->servers.size();
+}
+
+void front::fill_report(leader::router_report& report)
+{
+    const auto now = clock::now();
+    for (const auto& [id, server] : state_->servers)
+    {
+        if (server->unreachable_since)
+        {
+            report.unreachable.push_back(id);
+        }
+        const double slow = state_->estimate.slowness(id);
+        if (server->is_keyed())
+        {
+            report.slowness[id] = slow;
+            for (const auto& item : server->grants->freed(now))
+            {
+                report.freed.push_back({id, item.range, item.handover});
+            }
+        }
+    }
+    for (const auto& [service, keys] : state_->offered)
+    {
+        auto& list = report.work[service];
+        for (const auto& [key, work] : keys)
+        {
+            list.push_back({key, work});
+        }
+    }
+    state_->offered.clear();
+}
+
+front::state::state(asio::any_io_executor base, settings::edge_settings values, const protocol& names,
+                    event_log& lines, metrics::registry& registry, front_hooks outside)
+    : executor(std::move(base)), settings(std::move(values)), hooks(names), log(lines), metrics(registry),
+      surroundings(std::move(outside))
+{}
+
+void front::state::apply(const directory::snapshot& known, const routes::routing_config& config)
+{
+    all_servers = std::max<std::size_t>(known.entries.size(), 1);
+    std::vector<std::string> gone;
+    for (const auto& [id, server] : servers)
+    {
+        const auto entry = known.entries.find(id);
+        if (entry == known.entries.end() || entry->second.front != settings.name)
+        {
+            gone.push_back(id);
+        }
+    }
+    std::ranges::for_each(gone, [this](const std::string& id) { remove_server(id); });
+    for (const auto& [id, entry] : known.entries)
+    {
+        if (entry.front != settings.name)
+        {
+            continue;
+        }
+        const auto present = servers.find(id);
+        if (present != servers.end())
+        {
+            update_server(*present->second, entry);
+            continue;
+        }
+        const auto service = std::ranges::find(config.services, entry.server.service, &routes::service::name);
+        if (service != config.services.end())
+        {
+            add_server(entry, service->has_key_ownership);
+        }
+    }
+    const auto all = pools;
+    for (const auto& [name, pool] : all)
+    {
+        return_moved(pool);
+        pump(pool);
+    }
+    std::erase_if(pools, [](const auto& item) { return item.second->servers.empty(); });
+}
+
+void front::state::add_server(const directory::entry& entry, bool is_keyed)
+{
+    const auto server = std::make_shared<fronted_server>(entry);
+    const auto& name = is_keyed ? entry.server.id : entry.server.service;
+    auto& pool = pools[name];
+    if (!pool)
+    {
+        pool = std::make_shared<work_pool>();
+        pool->name = name;
+        pool->service = entry.server.service;
+    }
+    pool->servers.push_back(server);
+    server->pool = pool;
+    server->link = std::make_shared<backend_link>(executor, entry.server.address, hooks);
+    server->control = std::make_shared<backend_link>(executor, entry.server.address, hooks);
+    if (is_keyed)
+    {
+        server->grants.emplace(entry, clock::now());
+    }
+    servers[entry.server.id] = server;
+    log.write("front taken", {{"backend_server", entry.server.id},
+                              {"service", entry.server.service},
+                              {"keys", keyspace::size(entry.keys)},
+                              {"foreign_hold_ms", entry.foreign_hold.ms},
+                              {"token_base", entry.token_base}});
+    if (server->grants)
+    {
+        surroundings.confirm_soon();
+        run_grants(server);
+    }
+}
+
+void front::state::update_server(fronted_server& server, const directory::entry& entry)
+{
+    if (server.entry.revision == entry.revision && server.entry.token_base == entry.token_base)
+    {
+        return;
+    }
+    const bool is_new_life = server.entry.server.born_ms != entry.server.born_ms ||
+                             server.entry.server.address != entry.server.address;
+    server.entry = entry;
+    server.limit.set_slots(entry.server.slots);
+    if (is_new_life)
+    {
+        server.link->close_idle();
+        server.control->close_idle();
+        server.link = std::make_shared<backend_link>(executor, entry.server.address, hooks);
+        server.control = std::make_shared<backend_link>(executor, entry.server.address, hooks);
+        server.limit = dispatch::slot_limit(entry.server.slots);
+        server.unreachable_since.reset();
+        estimate.forget(entry.server.id);
+        surroundings.confirm_soon();
+    }
+    if (server.grants)
+    {
+        server.grants->update(entry, clock::now());
+        run_grants(servers.at(entry.server.id));
+    }
+}
+
+void front::state::remove_server(const std::string& id)
+{
+    const auto position = servers.find(id);
+    const auto server = position->second;
+    servers.erase(position);
+    server->is_removed = true;
+    std::erase(server->pool->servers, server);
+    server->link->close_idle();
+    server->control->close_idle();
+    log.write("front given up", {{"backend_server", id}, {"running", server->running.size()}});
+}
+
+void front::state::return_moved(const std::shared_ptr<work_pool>& pool)
+{
+    const auto is_moved = [&](const dispatch::waiting_request& waiting) {
+        if (pool->servers.empty())
+        {
+            return true;
+        }
+        const auto& server = pool->servers.front();
+        return server->is_keyed() && !server->grants->is_wanted(waiting.key);
+    };
+    auto moved = pool->queue.extract(is_moved);
+    std::ranges::copy_if(pool->parked, std::back_inserter(moved), is_moved);
+    std::erase_if(pool->parked, is_moved);
+    for (const auto& waiting : moved)
+    {
+        constexpr unsigned status_unavailable = 503;
+        end_waiting(*pool, waiting,
+                    make_result(wire::outcome::refused_not_run, status_unavailable, "keys moved", "moved"));
+    }
+}
+
+void front::state::end_waiting(work_pool& pool, const dispatch::waiting_request& waiting, wire::forward_result result)
+{
+    const auto position = pool.waiting.find(waiting.id);
+    if (position == pool.waiting.end())
+    {
+        return;
+    }
+    const auto item = position->second;
+    pool.waiting.erase(position);
+    item->ended = std::move(result);
+    item->wake.cancel();
+}
+
+} // namespace briarfold::edge
--- /dev/null
+++ b/src/edge/internal/front_grants.cpp
@@ -0,0 +1,242 @@
+#include "core/error.hpp"
+#include "edge/internal/front_state.hpp"
+
+#include <algorithm>
+
+namespace briarfold::edge {
+
+namespace {
+
+namespace asio = core::asio;
+using core::clock;
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_superseded = 409;
+/// A backend server answers a grant within a few milliseconds; a lost answer is noticed soon enough for three tries
+/// within one grant.
+constexpr core::duration grant_timeout{500};
+/// Work may run for up to about 2 s before a release is answered.
+constexpr core::duration release_timeout{3000};
+constexpr core::duration probe_interval{700};
+constexpr core::duration probe_timeout{300};
+
+} // namespace
+
+void front::state::tick()
+{
+    const auto now = clock::now();
+    const auto all = pools;
+    for (const auto& [name, pool] : all)
+    {
+        auto expired = pool->queue.expire(now);
+        std::erase_if(pool->parked, [&](const auto& waiting) {
+            const bool is_late = static_cast<double>((waiting.give_up - now).ms) < waiting.work_ms / 2;
+            if (is_late)
+            {
+                expired.push_back(waiting);
+            }
+            return is_late;
+        });
+        for (const auto& waiting : expired)
+        {
+            end_waiting(*pool, waiting,
+                        make_result(wire::outcome::refused_not_run, status_unavailable,
+                                    "no slot was free in time", "expired"));
+        }
+        pump(pool);
+    }
+    const auto present = servers;
+    for (const auto& [id, server] : present)
+    {
+        if (server->grants)
+        {
+            run_grants(server);
+        }
+        if (server->unreachable_since && now - server->last_probe >= probe_interval)
+        {
+            server->last_probe = now;
+            asio::co_spawn(executor, probe(server), asio::detached);
+        }
+    }
+}
+
+void front::state::run_grants(const std::shared_ptr<fronted_server>& server)
+{
+    const auto now = clock::now();
+    const auto authority = surroundings.authority();
+    // A new connection may lead to a new life of the backend server, which knows no tokens, so the assignment must
+    // have been confirmed since it was opened.
+    const bool has_authority =
+        now - authority < grants::authority && server->control->connected_at() < authority;
+    const bool is_due = server->grants->next_due(now) <= now;
+    if (is_due && !server->is_granting && !server->control->has_idle())
+    {
+        server->is_granting = true;
+        asio::co_spawn(
+            executor, [self = shared_from_this(), server] { return self->open_control(server); }, asio::detached);
+    }
+    const auto length = surroundings.needs_long_hold()
+                            ? std::min(grants::long_hold, settings.longest_hold)
+                            : std::min(grants::hold, settings.longest_hold);
+    while (!server->is_removed)
+    {
+        const auto call = server->grants->next_call(now, has_authority && !server->is_granting, length);
+        if (!call)
+        {
+            return;
+        }
+        server->is_granting = server->is_granting || call->kind == grants::call_kind::grant;
+        asio::co_spawn(
+            executor,
+            [self = shared_from_this(), server, item = *call] { return self->make_call(server, item); },
+            asio::detached);
+    }
+}
+
+asio::awaitable<void> front::state::open_control(std::shared_ptr<fronted_server> server)
+{
+    const auto self = shared_from_this();
+    const auto link = server->control;
+    const bool is_open = co_await link->open();
+    server->is_granting = false;
+    if (server->is_removed || link != server->control)
+    {
+        co_return;
+    }
+    if (is_open)
+    {
+        surroundings.confirm_soon();
+        co_return;
+    }
+    server->grants->pause(clock::now());
+    note_contact(*server, false, "connect");
+}
+
+asio::awaitable<void> front::state::make_call(std::shared_ptr<fronted_server> server, grants::grant_call call)
+{
+    const auto self = shared_from_this();
+    const bool is_grant = call.kind == grants::call_kind::grant;
+    const auto link = server->control;
+    const auto timeout = is_grant ? grant_timeout : release_timeout;
+    call.sent = clock::now();
+    auto result = co_await link->exchange(hooks.make_grant_request(call), "", timeout, nullptr, !is_grant);
+    const auto now = clock::now();
+    if (is_grant)
+    {
+        server->is_granting = false;
+    }
+    if (link != server->control || server->is_removed)
+    {
+        co_return;
+    }
+    const bool is_answered = result.outcome == exchange_outcome::answered;
+    const char* outcome = "lost";
+    if (is_answered && result.answer.status == status_ok)
+    {
+        outcome = "accepted";
+        if (is_grant)
+        {
+            server->grants->on_granted(call, now);
+        }
+        else
+        {
+            server->grants->on_released(call, hooks.read_handover(result.answer), now);
+            surroundings.report_soon();
+        }
+    }
+    else if (is_answered && is_grant && result.answer.status == status_superseded)
+    {
+        outcome = "superseded";
+        server->grants->on_superseded(call, now);
+        surroundings.confirm_soon();
+    }
+    else if (result.outcome != exchange_outcome::not_sent)
+    {
+        server->grants->on_lost(call, now);
+    }
+    else
+    {
+        server->grants->on_not_sent(call, now);
+    }
+    note_contact(*server, is_answered, result.reason);
+    const auto line = [&]() -> nlohmann::json {
+        return {{"backend_server", server->entry.server.id},
+                {"call", is_grant ? "grant" : "release"},
+                {"first", call.range.first},
+                {"last", call.range.last},
+                {"token", call.token},
+                {"hold_ms", call.hold.ms},
+                {"outcome", outcome},
+                {"status", is_answered ? result.answer.status : 0},
+                {"elapsed_ms", result.elapsed.ms},
+                {"reason", result.reason}};
+    };
+    if (is_grant && is_answered && result.answer.status == status_ok)
+    {
+        log.write_sampled("grant", line);
+    }
+    else
+    {
+        log.write("grant", line());
+    }
+    auto& parked = server->pool->parked;
+    std::erase_if(parked, [&](const dispatch::waiting_request& waiting) {
+        const bool is_ready = server->grants->may_send(waiting.key, now);
+        if (is_ready)
+        {
+            server->pool->queue.put_back(waiting);
+        }
+        return is_ready;
+    });
+    pump(server->pool);
+    if (is_answered)
+    {
+        run_grants(server);
+    }
+}
+
+asio::awaitable<void> front::state::probe(std::shared_ptr<fronted_server> server)
+{
+    const auto self = shared_from_this();
+    http::client_connection connection(executor, server->entry.server.address);
+    bool is_reached = true;
+    try
+    {
+        co_await connection.connect(probe_timeout);
+    }
+    catch (const core::error&)
+    {
+        // The failure is already known and logged; only the return is news.
+        is_reached = false;
+    }
+    connection.close();
+    if (is_reached && !server->is_removed)
+    {
+        note_contact(*server, true, "probe");
+    }
+}
+
+void front::state::note_contact(fronted_server& server, bool is_reached, const std::string& reason)
+{
+    constexpr int failures_of_unreachable = 2;
+    if (is_reached)
+    {
+        if (std::exchange(server.unreachable_since, std::nullopt))
+        {
+            log.write("backend server reached", {{"backend_server", server.entry.server.id}, {"by", reason}});
+            surroundings.report_soon();
+        }
+        return;
+    }
+    server.limit.on_failure(clock::now());
+    if (!server.unreachable_since && server.limit.failures() >= failures_of_unreachable)
+    {
+        server.unreachable_since = clock::now();
+        server.link->close_idle();
+        log.write("backend server unreachable", {{"backend_server", server.entry.server.id}, {"reason", reason}});
+        surroundings.report_soon();
+    }
+}
+
+} // namespace briarfold::edge
--- /dev/null
+++ b/src/edge/internal/front_requests.cpp
@@ -0,0 +1,417 @@
+#include "edge/internal/front_state.hpp"
+
+#include <algorithm>
+
+namespace briarfold::edge {
+
+namespace {
+
+namespace asio = core::asio;
+using core::clock;
+
+constexpr unsigned status_not_found_limit = 500;
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_gateway_timeout = 504;
+/// Time after the end of a request's time in which the backend server's own answer to it may still arrive.
+constexpr core::duration answer_grace{120};
+/// Sends of one request, the first included.
+constexpr int most_sends = 4;
+
+std::chrono::milliseconds to_chrono(core::duration span)
+{
+    return std::chrono::milliseconds(std::max<std::int64_t>(span.ms, 1));
+}
+
+bool is_success(unsigned status)
+{
+    constexpr unsigned first_success = 200;
+    constexpr unsigned first_redirect = 300;
+    return status >= first_success && status < first_redirect;
+}
+
+} // namespace
+
+double front::state::slack_share() const
+{
+    return static_cast<double>(servers.size()) / static_cast<double>(std::max(all_servers, servers.size()));
+}
+
+std::shared_ptr<work_pool> front::state::find_pool(const wire::forward_request& request)
+{
+    const auto server = servers.find(request.backend_server);
+    if (server != servers.end() && server->second->is_keyed())
+    {
+        return server->second->pool;
+    }
+    const auto pool = pools.find(request.service);
+    return pool == pools.end() ? nullptr : pool->second;
+}
+
+dispatch::slot_state front::state::slots_of(const work_pool& pool, core::time_point now) const
+{
+    dispatch::slot_state slots;
+    for (const auto& server : pool.servers)
+    {
+        slots.slots += server->limit.slots(now);
+        slots.running += static_cast<int>(server->running.size());
+        for (const auto& item : server->running)
+        {
+            const auto elapsed = static_cast<double>((now - item->sent).ms);
+            // Work that takes longer than expected has, on average, a good part still before it.
+            slots.remaining_ms += std::max(item->expected_ms - elapsed, item->expected_ms / 4);
+        }
+    }
+    return slots;
+}
+
+asio::awaitable<wire::forward_result> front::state::serve(wire::forward_request request,
+                                                          std::shared_ptr<core::cancellation> departure)
+{
+    const auto self = shared_from_this();
+    const auto now = clock::now();
+    const auto pool = find_pool(request);
+    if (!pool)
+    {
+        co_return make_result(wire::outcome::refused_not_run, status_unavailable, "another router is the front",
+                              "moved");
+    }
+    const auto item = std::make_shared<job>(executor);
+    item->id = ++next_id;
+    item->arrived = now;
+    item->request = std::move(request);
+    auto& waiting = item->waiting;
+    waiting.id = item->id;
+    waiting.priority = item->request.priority;
+    waiting.arrived = now;
+    waiting.objective_end = now + item->request.objective;
+    waiting.give_up = now + item->request.deadline;
+    const auto& first = pool->servers.front();
+    const double slow = first->is_keyed() ? estimate.slowness(first->entry.server.id) : 1.0;
+    waiting.work_ms = estimate.mean_ms(item->request.route) * slow;
+    if (!item->request.key.empty())
+    {
+        waiting.key = static_cast<std::uint32_t>(std::stoul(item->request.key));
+        if (first->is_keyed() && !first->grants->is_wanted(waiting.key))
+        {
+            co_return make_result(wire::outcome::refused_not_run, status_unavailable, "keys are moving", "moved");
+        }
+        offered[pool->service][waiting.key] += estimate.mean_ms(item->request.route);
+    }
+    const dispatch::budget_settings budget{settings.repeat_ratio, settings.repeat_window, settings.repeat_slack};
+    budgets.try_emplace(pool->service, budget).first->second.count_request(now);
+    if (auto refusal = admit(item, *pool))
+    {
+        log_result(*item, *refusal);
+        co_return std::move(*refusal);
+    }
+    if (departure)
+    {
+        departure->set_hook([self, weak = std::weak_ptr(item), pool] {
+            const auto left = weak.lock();
+            if (!left)
+            {
+                return;
+            }
+            if (left->server == nullptr)
+            {
+                pool->queue.remove(left->id);
+                std::erase_if(pool->parked, [&](const auto& parked) { return parked.id == left->id; });
+                self->end_waiting(*pool, left->waiting,
+                                  make_result(wire::outcome::refused_not_run, status_unavailable,
+                                              "the caller left", "cancelled"));
+            }
+            else if (left->request.is_idempotent)
+            {
+                left->handle->cancel();
+            }
+        });
+    }
+    pump(pool);
+    auto result = co_await run(item, pool);
+    if (departure)
+    {
+        departure->set_hook({});
+    }
+    log_result(*item, result);
+    co_return result;
+}
+
+std::optional<wire::forward_result> front::state::admit(const std::shared_ptr<job>& item, work_pool& pool)
+{
+    const auto now = clock::now();
+    const auto offer = pool.queue.offer(item->waiting, slots_of(pool, now), now);
+    if (offer.is_accepted)
+    {
+        pool.waiting.emplace(item->id, item);
+        return std::nullopt;
+    }
+    auto refusal = make_result(wire::outcome::refused_not_run, status_unavailable,
+                               "forecast wait " + std::to_string(offer.forecast.ms) + " ms", "overload");
+    refusal.retry_after = offer.retry_after;
+    return refusal;
+}
+
+std::shared_ptr<fronted_server> front::state::choose_server(const work_pool& pool, const job* item,
+                                                            core::time_point now)
+{
+    std::shared_ptr<fronted_server> best;
+    double best_cost = 0;
+    for (const auto& server : pool.servers)
+    {
+        const int slots = server->limit.slots(now);
+        const bool is_usable = server->entry.is_listed && !server->entry.server.is_draining;
+        if (static_cast<int>(server->running.size()) >= slots || (!server->is_keyed() && !is_usable))
+        {
+            continue;
+        }
+        // A backend server that failed this request is the last choice for it.
+        constexpr double tried_cost = 100;
+        const double cost = estimate.slowness(server->entry.server.id) +
+                            (item != nullptr && item->tried.contains(server->entry.server.id) ? tried_cost : 0);
+        if (!best || cost < best_cost)
+        {
+            best = server;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+void front::state::pump(const std::shared_ptr<work_pool>& pool)
+{
+    while (pool->queue.size() > 0)
+    {
+        const auto now = clock::now();
+        if (!choose_server(*pool, nullptr, now))
+        {
+            return;
+        }
+        const auto next = pool->queue.take(now);
+        const auto position = pool->waiting.find(next->id);
+        if (position == pool->waiting.end())
+        {
+            continue;
+        }
+        const auto item = position->second;
+        const auto server = choose_server(*pool, item.get(), now);
+        if (server->is_keyed() && !server->grants->may_send(next->key, now))
+        {
+            pool->parked.push_back(*next);
+            continue;
+        }
+        pool->waiting.erase(position);
+        start(item, server);
+    }
+}
+
+void front::state::start(const std::shared_ptr<job>& item, const std::shared_ptr<fronted_server>& server)
+{
+    item->server = server;
+    item->sent = clock::now();
+    item->expected_ms = estimate.mean_ms(item->request.route) * estimate.slowness(server->entry.server.id);
+    item->tried.insert(server->entry.server.id);
+    ++item->sends;
+    ++running;
+    server->running.insert(item);
+    item->wake.cancel();
+}
+
+void front::state::finish(const std::shared_ptr<job>& item)
+{
+    const auto server = std::exchange(item->server, nullptr);
+    server->running.erase(item);
+    --running;
+    pump(server->pool);
+}
+
+asio::awaitable<wire::forward_result> front::state::run(std::shared_ptr<job> item, std::shared_ptr<work_pool> pool)
+{
+    const auto self = shared_from_this();
+    while (true)
+    {
+        if (!item->server && !item->ended)
+        {
+            boost::system::error_code ignored;
+            const auto left = item->waiting.give_up - clock::now() + answer_grace;
+            item->wake.expires_after(to_chrono(left));
+            co_await item->wake.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+        if (item->ended)
+        {
+            co_return std::move(*item->ended);
+        }
+        if (!item->server)
+        {
+            pool->queue.remove(item->id);
+            pool->waiting.erase(item->id);
+            co_return make_result(wire::outcome::refused_not_run, status_unavailable, "no slot was free in time",
+                                  "expired");
+        }
+        const auto server = item->server;
+        const auto left = item->waiting.give_up - clock::now();
+        http::request message(item->request.method, item->request.target, item->request.headers,
+                              item->request.body);
+        message = hooks.to_backend(std::move(message), left, server->entry.server.id);
+        auto outcome = co_await server->link->exchange(std::move(message), item->request.request_id,
+                                                       left + answer_grace, item->handle);
+        auto result = judge(*item, outcome);
+        finish(item);
+        if (result)
+        {
+            co_return std::move(*result);
+        }
+        requeue(item, pool);
+    }
+}
+
+void front::state::requeue(const std::shared_ptr<job>& item, const std::shared_ptr<work_pool>& pool)
+{
+    const bool has_moved = pool->servers.empty() || (pool->servers.front()->is_keyed() &&
+                                                     !pool->servers.front()->grants->is_wanted(item->waiting.key));
+    if (has_moved)
+    {
+        item->ended = item->was_cut
+                          ? make_result(wire::outcome::unknown, status_bad_gateway, "keys moved during a retry", "")
+                          : make_result(wire::outcome::refused_not_run, status_unavailable, "keys moved", "moved");
+        return;
+    }
+    pool->waiting.emplace(item->id, item);
+    pool->queue.put_back(item->waiting);
+    pump(pool);
+}
+
+bool front::state::may_repeat(job& item, core::time_point now)
+{
+    const bool has_time =
+        static_cast<double>((item.waiting.give_up - now).ms) > item.expected_ms && item.sends < most_sends;
+    const auto budget = budgets.find(item.request.service);
+    return has_time && budget != budgets.end() && budget->second.take(slack_share(), now);
+}
+
+std::optional<wire::forward_result> front::state::judge(job& item, exchange_result& outcome)
+{
+    auto& server = *item.server;
+    const bool is_answer = outcome.outcome == exchange_outcome::answered;
+    if (is_answer && outcome.head.is_not_run)
+    {
+        return judge_not_run(item, outcome);
+    }
+    // Bytes that a backend server did not sign are not its answer.
+    if (is_answer && (outcome.head.is_signed || !is_success(outcome.answer.status)))
+    {
+        server.limit.on_answer();
+        note_contact(server, true, "answer");
+        if (is_success(outcome.answer.status))
+        {
+            estimate.record(item.request.route, server.entry.server.id, static_cast<double>(outcome.elapsed.ms));
+        }
+        const bool is_server_failure = outcome.answer.status >= status_not_found_limit;
+        if (is_server_failure && item.request.is_idempotent && may_repeat(item, clock::now()))
+        {
+            item.was_cut = true;
+            return std::nullopt;
+        }
+        wire::forward_result result;
+        result.outcome = wire::outcome::answered;
+        result.status = outcome.answer.status;
+        result.headers = std::move(outcome.answer.headers);
+        result.body = std::move(outcome.answer.body);
+        result.peer = server.entry.server.id;
+        return result;
+    }
+    return judge_broken(item, outcome);
+}
+
+std::optional<wire::forward_result> front::state::judge_not_run(job& item, exchange_result& outcome)
+{
+    auto& server = *item.server;
+    const auto now = clock::now();
+    const auto id = server.entry.server.id;
+    log.write("not run", {{"request", item.request.request_id},
+                          {"backend_server", id},
+                          {"status", outcome.answer.status},
+                          {"running", server.running.size()},
+                          {"key", item.request.key}});
+    if (!outcome.head.is_misdirected)
+    {
+        server.limit.on_rejection();
+    }
+    if (may_repeat(item, now))
+    {
+        return std::nullopt;
+    }
+    if (item.was_cut)
+    {
+        return make_result(wire::outcome::unknown, status_bad_gateway, "rejected after a lost answer", "");
+    }
+    auto result = make_result(wire::outcome::refused_not_run, status_unavailable, "backend server rejected", "shed");
+    result.peer = id;
+    return result;
+}
+
+std::optional<wire::forward_result> front::state::judge_broken(job& item, exchange_result& outcome)
+{
+    auto& server = *item.server;
+    const auto now = clock::now();
+    const bool was_sent = outcome.outcome != exchange_outcome::not_sent;
+    log.write("exchange failed", {{"request", item.request.request_id},
+                                  {"backend_server", server.entry.server.id},
+                                  {"sent", was_sent},
+                                  {"reason", outcome.reason},
+                                  {"elapsed_ms", outcome.elapsed.ms},
+                                  {"sends", item.sends}});
+    if (outcome.outcome == exchange_outcome::cancelled)
+    {
+        return make_result(wire::outcome::unknown, status_bad_gateway, "the caller left", "cancelled");
+    }
+    const bool is_out_of_time = now >= item.waiting.give_up;
+    if (!is_out_of_time)
+    {
+        server.limit.on_failure(now);
+    }
+    item.was_cut = item.was_cut || was_sent;
+    const bool may_send_again = !was_sent || item.request.is_idempotent;
+    // A request that never left its connection has not arrived, so it does not count against the budget.
+    const bool is_allowed = was_sent ? may_repeat(item, now)
+                                     : item.sends < most_sends && now + core::duration{50} < item.waiting.give_up;
+    if (!is_out_of_time && may_send_again && is_allowed)
+    {
+        return std::nullopt;
+    }
+    if (!item.was_cut)
+    {
+        return make_result(wire::outcome::refused_not_run, status_unavailable, outcome.reason, "unreachable");
+    }
+    return make_result(wire::outcome::unknown, is_out_of_time ? status_gateway_timeout : status_bad_gateway,
+                       outcome.reason, "");
+}
+
+void front::state::log_result(const job& item, const wire::forward_result& result)
+{
+    const auto now = clock::now();
+    const auto line = [&]() -> nlohmann::json {
+        return {{"request", item.request.request_id},
+                {"route", item.request.route},
+                {"key", item.request.key},
+                {"backend_server", item.request.backend_server},
+                {"status", result.status},
+                {"reason", result.reason},
+                {"not_run_reason", result.not_run_reason},
+                {"retry_after_ms", result.retry_after.ms},
+                {"deadline_ms", item.request.deadline.ms},
+                {"work_ms", static_cast<int>(item.waiting.work_ms)},
+                {"elapsed_ms", (now - item.arrived).ms},
+                {"sends", item.sends}};
+    };
+    if (result.outcome == wire::outcome::answered && is_success(result.status))
+    {
+        log.write_sampled("served", line);
+    }
+    else
+    {
+        log.write("refused", line());
+    }
+}
+
+} // namespace briarfold::edge
--- /dev/null
+++ b/src/edge/internal/leader_service.cpp
@@ -0,0 +1,533 @@
+#include "edge/internal/leader_service.hpp"
+
+#include "core/pause.hpp"
+
+#include <algorithm>
+
+namespace briarfold::edge::internal {
+
+namespace {
+
+namespace asio = core::asio;
+using core::clock;
+using nlohmann::json;
+using namespace core::literals;
+
+constexpr core::duration tick_interval{50};
+constexpr core::duration store_timeout{1000};
+/// A read of changes that waits longer would notice a silent store too late for a change of leader.
+constexpr core::duration feed_wait{1500};
+/// Changes of the registry are gathered, since each answer wakes all routers.
+constexpr core::duration gather{120};
+constexpr core::duration retry_pause{200};
+/// The leadership is checked when no write confirmed it for this time.
+constexpr core::duration leadership_check{4000};
+constexpr core::duration push_timeout{700};
+/// Without the store the leadership counts as undisputed for this time, or while every router follows it.
+constexpr core::duration storeless_leadership{10000};
+constexpr core::duration vanish_doubt{2200};
+
+} // namespace
+
+json leadership_value(const directory::router& self)
+{
+    return {{"router", directory::to_json(self)}};
+}
+
+leader_service::leader_service(asio::any_io_executor executor, directory::router self, const protocol& hooks,
+                               store_tables tables, store_health& health, event_log& log,
+                               leader_surroundings surroundings, std::int64_t term, json config)
+    : executor_(std::move(executor)), self_(std::move(self)), hooks_(hooks), tables_(std::move(tables)),
+      health_(health), log_(log), surroundings_(std::move(surroundings)), term_(term), row_version_(term),
+      config_(std::move(config)), confirmed_at_(clock::now())
+{}
+
+asio::awaitable<void> leader_service::start(directory::snapshot former)
+{
+    const auto self = shared_from_this();
+    leader::leader_settings settings;
+    state_.emplace(settings, self_, term_, clock::now(),
+                   [this](const char* decision, const std::string& subject, json grounds) {
+                       grounds["subject"] = subject;
+                       grounds["term"] = term_;
+                       log_.write(decision, std::move(grounds));
+                   });
+    while (is_current())
+    {
+        try
+        {
+            const auto rows = co_await tables_.own->read_prefix(assignment_prefix, store_timeout);
+            const auto now = clock::now();
+            health_.on_success(now);
+            for (const auto& row : rows.rows)
+            {
+                const auto service = row.key.substr(std::string(assignment_prefix).size());
+                service_versions_[service] = row.version;
+                state_->load_row({service, row.value.dump()}, row.version, now);
+            }
+            for (const auto& [name, router] : former.routers)
+            {
+                state_->load_router(router, now);
+                followers_[name] = {};
+            }
+            const auto config_revision = co_await read_config();
+            const auto registry_revision = co_await read_registry();
+            is_started_ = true;
+            asio::co_spawn(executor_, [self] { return self->run_ticks(); }, asio::detached);
+            asio::co_spawn(
+                executor_, [self, config_revision] { return self->follow_config(config_revision); }, asio::detached);
+            asio::co_spawn(
+                executor_, [self, registry_revision] { return self->follow_registry(registry_revision); },
+                asio::detached);
+            co_return;
+        }
+        catch (const core::error& failure)
+        {
+            health_.on_failure(clock::now());
+            log_.write("store failed", {{"step", "start of the leader"}, {"reason", failure.what()}});
+        }
+        co_await core::pause_for(retry_pause);
+    }
+}
+
+void leader_service::stop()
+{
+    is_stopped_ = true;
+}
+
+core::time_point leader_service::confirmed_at() const
+{
+    const auto now = clock::now();
+    if (now - confirmed_at_ < storeless_leadership)
+    {
+        return now;
+    }
+    const auto& routers = state_->current().routers;
+    const bool all_follow = std::ranges::all_of(
+        routers, [&](const auto& item) { return state_->is_alive(item.first, now); });
+    return all_follow && health_.is_failing() ? now : confirmed_at_ + storeless_leadership;
+}
+
+void leader_service::apply_config(const json& document)
+{
+    try
+    {
+        const auto config = hooks_.read_config(document);
+        if (config.version <= config_version_)
+        {
+            return;
+        }
+        config_ = document;
+        config_version_ = config.version;
+        std::set<std::string> keyed;
+        for (const auto& service : config.services)
+        {
+            if (service.has_key_ownership)
+            {
+                keyed.insert(service.name);
+            }
+        }
+        state_->set_keyed_services(std::move(keyed));
+        log_.write("configuration read", {{"version", config.version}, {"routes", config.routes.size()}});
+    }
+    catch (const std::exception& failure)
+    {
+        log_.write("configuration refused", {{"reason", failure.what()}, {"in_force", config_version_}});
+    }
+}
+
+asio::awaitable<std::int64_t> leader_service::read_config()
+{
+    const auto rows = co_await tables_.config->read_prefix(tables_.config_key, store_timeout);
+    for (const auto& row : rows.rows)
+    {
+        if (row.key == tables_.config_key)
+        {
+            apply_config(row.value);
+        }
+    }
+    if (config_version_ == 0 && !config_.is_null())
+    {
+        apply_config(json(config_));
+    }
+    co_return rows.revision;
+}
+
+void leader_service::apply_registration(const store::row& row)
+{
+    const auto now = clock::now();
+    const auto server = row.value.is_null() ? std::nullopt : hooks_.read_registration(row.key, row.value);
+    if (server)
+    {
+        registered_.insert(row.key);
+        state_->on_registered(*server, now);
+    }
+    else if (registered_.erase(row.key) > 0)
+    {
+        state_->on_unregistered(row.key, !health_.was_failing(vanish_doubt, now) && row.value.is_null(), now);
+    }
+    else if (!row.value.is_null())
+    {
+        log_.write("registration ignored", {{"backend_server", row.key}});
+    }
+}
+
+asio::awaitable<std::int64_t> leader_service::read_registry()
+{
+    const auto rows = co_await tables_.registry->read_prefix("", store_timeout);
+    health_.on_success(clock::now());
+    auto missing = registered_;
+    for (const auto& row : rows.rows)
+    {
+        missing.erase(row.key);
+        apply_registration(row);
+    }
+    for (const auto& id : missing)
+    {
+        registered_.erase(id);
+        state_->on_unregistered(id, !health_.was_failing(vanish_doubt, clock::now()), clock::now());
+    }
+    co_return rows.revision;
+}
+
+asio::awaitable<void> leader_service::follow_registry(std::int64_t revision)
+{
+    const auto self = shared_from_this();
+    while (is_current())
+    {
+        core::duration pause = gather;
+        try
+        {
+            auto batch = co_await tables_.registry->changes(revision, feed_wait);
+            if (!is_current())
+            {
+                co_return;
+            }
+            health_.on_success(clock::now());
+            if (batch.is_truncated)
+            {
+                revision = co_await read_registry();
+            }
+            else
+            {
+                revision = batch.revision;
+                std::ranges::for_each(batch.rows, [this](const auto& row) { apply_registration(row); });
+            }
+            if (batch.rows.empty() && !batch.is_truncated)
+            {
+                pause = {};
+            }
+            after_change();
+        }
+        catch (const core::error& failure)
+        {
+            if (!health_.is_failing())
+            {
+                log_.write("store lost", {{"step", "registry"}, {"reason", failure.what()}});
+            }
+            health_.on_failure(clock::now());
+            pause = retry_pause;
+        }
+        if (pause.ms > 0)
+        {
+            co_await core::pause_for(pause);
+        }
+    }
+}
+
+asio::awaitable<void> leader_service::follow_config(std::int64_t revision)
+{
+    const auto self = shared_from_this();
+    while (is_current())
+    {
+        bool has_failed = false;
+        try
+        {
+            const auto batch = co_await tables_.config->changes(revision, feed_wait);
+            if (!is_current())
+            {
+                co_return;
+            }
+            health_.on_success(clock::now());
+            if (batch.is_truncated)
+            {
+                revision = co_await read_config();
+            }
+            else
+            {
+                revision = batch.revision;
+                for (const auto& row : batch.rows)
+                {
+                    if (row.key == tables_.config_key && !row.value.is_null())
+                    {
+                        apply_config(row.value);
+                    }
+                }
+            }
+            after_change();
+        }
+        catch (const core::error& failure)
+        {
+            if (!health_.is_failing())
+            {
+                log_.write("store lost", {{"step", "configuration"}, {"reason", failure.what()}});
+            }
+            health_.on_failure(clock::now());
+            has_failed = true;
+        }
+        if (has_failed)
+        {
+            co_await core::pause_for(retry_pause);
+        }
+    }
+}
+
+void leader_service::after_change()
+{
+    if (!is_started_ || !is_current())
+    {
+        return;
+    }
+    state_->tick(clock::now());
+    if (!is_writing_)
+    {
+        auto rows = state_->take_write();
+        if (!rows.empty())
+        {
+            is_writing_ = true;
+            asio::co_spawn(
+                executor_,
+                [self = shared_from_this(), rows = std::move(rows)] { return self->write_rows(rows); },
+                asio::detached);
+        }
+    }
+    const auto& current = state_->current();
+    const bool is_changed = current.revision != published_revision_ || config_version_ != published_config_;
+    if (is_changed)
+    {
+        published_revision_ = current.revision;
+        published_config_ = config_version_;
+        surroundings_.on_local_change(current, config_);
+    }
+    for (auto& [name, known] : followers_)
+    {
+        const bool is_behind = known.revision < current.revision || known.config < config_version_;
+        if (is_behind && !known.is_pushing && current.routers.contains(name))
+        {
+            known.is_pushing = true;
+            asio::co_spawn(
+                executor_, [self = shared_from_this(), name = name] { return self->push(name); }, asio::detached);
+        }
+    }
+}
+
+json leader_service::make_update(std::int64_t term, std::int64_t revision, std::int64_t config) const
+{
+    json message = {{"kind", "update"}, {"term", term_}, {"leader", directory::to_json(self_)}};
+    message["directory"] = directory::to_json(state_->update_for(term, revision, clock::now()));
+    if (config < config_version_)
+    {
+        message["config"] = config_;
+    }
+    return message;
+}
+
+asio::awaitable<void> leader_service::push(std::string name)
+{
+    const auto self = shared_from_this();
+    const auto router = state_->current().routers.find(name);
+    const auto known = followers_[name];
+    if (router != state_->current().routers.end() && known.revision >= 0)
+    {
+        const auto sent_revision = state_->current().revision;
+        const auto sent_config = config_version_;
+        const auto peer = router->second.peer;
+        auto message = make_update(known.revision > 0 ? term_ : 0, known.revision, known.config).dump();
+        try
+        {
+            const auto text = co_await surroundings_.send(peer, std::move(message), push_timeout);
+            const auto reply = json::parse(text);
+            if (reply.value("term", std::int64_t{0}) > term_)
+            {
+                surroundings_.on_deposed("a router follows a later leader");
+            }
+            else
+            {
+                auto& record = followers_[name];
+                record.revision = reply.value("revision", std::int64_t{-1});
+                record.config = std::max(record.config, sent_config);
+            }
+        }
+        catch (const std::exception& failure)
+        {
+            // The router asks for what it missed with its next report.
+            log_.write("push failed", {{"router", name}, {"revision", sent_revision}, {"reason", failure.what()}});
+            followers_[name].revision = -1;
+        }
+    }
+    followers_[name].is_pushing = false;
+}
+
+json leader_service::answer(const json& message)
+{
+    const auto report = leader::report_from_json(message.at("report"));
+    const auto now = clock::now();
+    state_->on_report(report, now);
+    after_change();
+    const auto term = message.at("term").get<std::int64_t>();
+    const auto revision = message.at("revision").get<std::int64_t>();
+    const auto config = message.at("config").get<std::int64_t>();
+    auto& known = followers_[report.router.name];
+    const bool is_behind =
+        term != term_ || revision < state_->current().revision || config < config_version_;
+    json reply = {{"kind", "update"}, {"term", term_}, {"leader", directory::to_json(self_)}};
+    if (is_behind)
+    {
+        reply = make_update(term, revision, config);
+    }
+    known.revision = state_->current().revision;
+    known.config = config_version_;
+    reply["confirmed_age"] = (now - confirmed_at()).ms;
+    reply["store_failing"] = health_.failing_for(now).ms;
+    return reply;
+}
+
+void leader_service::on_own_report(const leader::router_report& report)
+{
+    state_->on_report(report, clock::now());
+    after_change();
+}
+
+asio::awaitable<void> leader_service::run_ticks()
+{
+    const auto self = shared_from_this();
+    while (is_current())
+    {
+        choose_deputy();
+        after_change();
+        if (clock::now() - confirmed_at_ > leadership_check && !is_writing_)
+        {
+            co_await check_leadership();
+        }
+        co_await core::pause_for(tick_interval);
+    }
+}
+
+void leader_service::choose_deputy()
+{
+    const auto now = clock::now();
+    const auto& current = state_->current();
+    const auto is_fit = [&](const directory::router& item) {
+        return item.name != self_.name && !item.is_stopping && state_->is_alive(item.name, now);
+    };
+    const auto present = current.routers.find(current.deputy);
+    if (present != current.routers.end() && is_fit(present->second))
+    {
+        return;
+    }
+    const directory::router* best = nullptr;
+    for (const auto& [name, item] : current.routers)
+    {
+        const bool is_elsewhere = item.zone != self_.zone;
+        if (is_fit(item) && (best == nullptr || (is_elsewhere && best->zone == self_.zone)))
+        {
+            best = &item;
+        }
+    }
+    state_->set_deputy(best == nullptr ? "" : best->name);
+}
+
+asio::awaitable<void> leader_service::check_leadership()
+{
+    try
+    {
+        const auto row = co_await tables_.own->read(leadership_key, store_timeout);
+        const auto now = clock::now();
+        health_.on_success(now);
+        if (!row || row->version != row_version_)
+        {
+            surroundings_.on_deposed("the leadership row changed");
+            co_return;
+        }
+        confirmed_at_ = now;
+    }
+    catch (const core::error& failure)
+    {
+        if (!health_.is_failing())
+        {
+            log_.write("store lost", {{"step", "leadership"}, {"reason", failure.what()}});
+        }
+        health_.on_failure(clock::now());
+    }
+}
+
+asio::awaitable<void> leader_service::write_rows(std::vector<leader::assignment_row> rows)
+{
+    const auto self = shared_from_this();
+    bool may_be_done = false;
+    while (is_current())
+    {
+        std::vector<store::row_write> writes;
+        writes.emplace_back(leadership_key, row_version_, leadership_value(self_));
+        for (const auto& row : rows)
+        {
+            writes.emplace_back(assignment_prefix + row.service, service_versions_[row.service],
+                                json::parse(row.text));
+        }
+        store::commit_result result;
+        bool is_answered = false;
+        try
+        {
+            result = co_await tables_.own->commit("", writes, store_timeout);
+            is_answered = true;
+        }
+        catch (const core::error& failure)
+        {
+            log_.write("write without answer", {{"rows", rows.size()}, {"reason", failure.what()}});
+            health_.on_failure(clock::now());
+            may_be_done = true;
+        }
+        if (!is_current())
+        {
+            co_return;
+        }
+        const auto now = clock::now();
+        if (is_answered)
+        {
+            health_.on_success(now);
+        }
+        if (is_answered && !result.is_committed && may_be_done)
+        {
+            // An earlier try may be the reason for the conflict; then the rows hold exactly what it wrote.
+            const auto committed = std::ranges::all_of(writes, [&](const store::row_write& write) {
+                return std::ranges::any_of(result.conflicts, [&](const store::row& row) {
+                    return row.key == write.key && row.value == write.value;
+                });
+            });
+            result.is_committed = committed;
+            result.revision = committed ? result.conflicts.front().version : 0;
+        }
+        if (is_answered && result.is_committed)
+        {
+            row_version_ = result.revision;
+            confirmed_at_ = now;
+            for (const auto& row : rows)
+            {
+                service_versions_[row.service] = result.revision;
+            }
+            is_writing_ = false;
+            state_->on_written(result.revision, now);
+            log_.write("assignments written", {{"rows", rows.size()}, {"version", result.revision}});
+            after_change();
+            co_return;
+        }
+        if (is_answered)
+        {
+            surroundings_.on_deposed("a write of assignments met another leader");
+            co_return;
+        }
+        co_await core::pause_for(retry_pause);
+    }
+}
+
+} // namespace briarfold::edge::internal
--- /dev/null
+++ b/src/edge/internal/member.cpp
@@ -0,0 +1,540 @@
+#include "edge/internal/member_state.hpp"
+
+#include "core/ids.hpp"
+#include "core/key_hash.hpp"
+#include "core/pause.hpp"
+
+#include <algorithm>
+
+namespace briarfold::edge {
+
+namespace {
+
+namespace asio = core::asio;
+using core::clock;
+using nlohmann::json;
+
+constexpr core::duration store_timeout{1000};
+constexpr core::duration retry_pause{150};
+/// Three reports fit into the time after which the leader takes a router for lost.
+constexpr core::duration report_interval{350};
+constexpr core::duration report_timeout{450};
+/// Requested reports are gathered for this time.
+constexpr core::duration report_gather{4};
+/// The leader counts as lost after this time without an answer, or at once when it refuses connections twice.
+constexpr core::duration leader_silence{1100};
+constexpr int refusals_of_lost_leader = 3;
+/// Routers try to become the leader one after the other, in an order that differs for each term.
+constexpr core::duration election_step{60};
+constexpr core::duration contact_limit{2200};
+constexpr core::duration deputy_wait{1500};
+/// A leader that cannot read the store for this time is replaced by one that can.
+constexpr core::duration store_patience{300};
+/// From then on no router may be able to take over, so grants last longer.
+constexpr core::duration long_hold_after{800};
+
+} // namespace
+
+member::member(asio::any_io_executor executor, settings::edge_settings settings, const protocol& hooks,
+               store_tables tables, event_log& log, member_hooks surroundings)
+    : state_(std::make_shared<state>(std::move(executor), std::move(settings), hooks, std::move(tables), log,
+                                     std::move(surroundings)))
+{}
+
+member::~member() = default;
+
+void member::start()
+{
+    asio::co_spawn(
+        state_->executor, [self = state_] { return self->run(); }, asio::detached);
+}
+
+void member::begin_stop()
+{
+    state_->is_stopping = true;
+    state_->self.is_stopping = true;
+    report_soon();
+    if (state_->leading && state_->network)
+    {
+        const auto deputy = state_->known.routers.find(state_->known.deputy);
+        if (deputy != state_->known.routers.end())
+        {
+            asio::co_spawn(
+                state_->executor,
+                [self = state_, peer = deputy->second.peer]() -> asio::awaitable<void> {
+                    const json message = {{"kind", "take over"}, {"term", self->known.term}};
+                    try
+                    {
+                        co_await self->network->send_message(peer, message.dump(), report_timeout);
+                    }
+                    catch (const core::error& failure)
+                    {
+                        self->log.write("handover failed", {{"reason", failure.what()}});
+                    }
+                },
+                asio::detached);
+        }
+    }
+}
+
+void member::report_soon()
+{
+    state_->is_report_wanted = true;
+    state_->report_timer.cancel();
+}
+
+void member::confirm_soon()
+{
+    report_soon();
+}
+
+core::time_point member::authority() const
+{
+    return state_->leading ? state_->leading->confirmed_at() : state_->authority_at;
+}
+
+bool member::is_store_failing() const
+{
+    const auto now = clock::now();
+    const auto failing = state_->leading ? state_->health.failing_for(now) : state_->leader_store_failing;
+    const bool is_leaderless = !state_->leading && now - state_->last_contact > long_hold_after;
+    return failing > long_hold_after || is_leaderless;
+}
+
+bool member::is_leader() const
+{
+    return state_->leading != nullptr;
+}
+
+bool member::is_connected() const
+{
+    return state_->known.term > 0 &&
+           (state_->leading || clock::now() - state_->last_contact < contact_limit);
+}
+
+const directory::snapshot& member::directory() const
+{
+    return state_->known;
+}
+
+member::state::state(asio::any_io_executor base, settings::edge_settings values, const protocol& names,
+                     store_tables rows, event_log& lines, member_hooks outside)
+    : executor(std::move(base)), settings(std::move(values)), hooks(names), tables(std::move(rows)), log(lines),
+      surroundings(std::move(outside)), report_timer(executor)
+{
+    self.name = settings.name;
+    self.incarnation = core::make_id("run");
+    self.zone = settings.zone;
+    self.peer = settings.peer;
+    self.cpu = settings.cpu;
+}
+
+asio::awaitable<std::string> member::state::learn_secret()
+{
+    while (true)
+    {
+        try
+        {
+            const auto rows = co_await tables.own->read_prefix("", store_timeout);
+            health.on_success(clock::now());
+            for (const auto& row : rows.rows)
+            {
+                if (row.key == internal::leadership_key)
+                {
+                    leader = directory::router_from_json(row.value.at("router"));
+                    known.term = 0;
+                }
+            }
+            const auto secret = std::ranges::find(rows.rows, internal::secret_key, &store::row::key);
+            if (secret != rows.rows.end())
+            {
+                co_return secret->value.at("secret").get<std::string>();
+            }
+            const auto value = core::make_id("secret") + core::make_id("");
+            std::vector<store::row_write> writes;
+            writes.emplace_back(internal::secret_key, 0, json{{"secret", value}});
+            const auto result = co_await tables.own->commit("", std::move(writes), store_timeout);
+            if (result.is_committed)
+            {
+                co_return value;
+            }
+        }
+        catch (const std::exception& failure)
+        {
+            if (!health.is_failing())
+            {
+                log.write("store lost", {{"step", "join"}, {"reason", failure.what()}});
+            }
+            health.on_failure(clock::now());
+        }
+        co_await core::pause_for(retry_pause);
+    }
+}
+
+asio::awaitable<void> member::state::run()
+{
+    const auto self_reference = shared_from_this();
+    const auto secret = co_await learn_secret();
+    wire::peer_settings peers(settings.peer, secret, settings.name);
+    // A small share of a processor may be used up for most of a second.
+    peers.pong_limit = core::duration{900};
+    network = std::make_shared<wire::peer_network>(executor, std::move(peers));
+    network->on_message([weak = weak_from_this()](std::string from, std::string text) -> asio::awaitable<std::string> {
+        const auto state = weak.lock();
+        if (!state)
+        {
+            co_return "{}";
+        }
+        co_return co_await state->on_message(std::move(from), std::move(text));
+    });
+    surroundings.on_network(network);
+    last_contact = clock::now() - leader_silence;
+    while (true)
+    {
+        is_report_wanted = false;
+        co_await report();
+        const auto now = clock::now();
+        const bool is_lost = !leading && (now - last_contact > leader_silence + election_delay() ||
+                                          failed_reports >= refusals_of_lost_leader || leader.name.empty());
+        if (is_lost && !is_stopping)
+        {
+            co_await core::pause_for(election_delay());
+            const bool is_found = clock::now() - last_contact < report_interval && !leader.name.empty();
+            if (!is_found && !leading)
+            {
+                co_await elect("the leader is lost");
+            }
+        }
+        const bool is_deputy = known.deputy == settings.name;
+        if (is_deputy && !is_watching && !leading)
+        {
+            is_watching = true;
+            asio::co_spawn(
+                executor, [self_reference] { return self_reference->watch_as_deputy(); }, asio::detached);
+        }
+        boost::system::error_code ignored;
+        const auto wait = is_report_wanted ? report_gather : report_interval;
+        report_timer.expires_after(std::chrono::milliseconds(wait.ms));
+        co_await report_timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+core::duration member::state::election_delay() const
+{
+    constexpr std::uint64_t most_steps = 12;
+    const auto rank = core::text_hash(settings.name + std::to_string(known.term)) % most_steps;
+    const bool is_deputy = known.deputy == settings.name;
+    return is_deputy ? core::duration{0} : election_step * static_cast<std::int64_t>(rank + 1);
+}
+
+leader::router_report member::state::make_report()
+{
+    leader::router_report result;
+    result.router = self;
+    surroundings.fill_report(result);
+    return result;
+}
+
+asio::awaitable<void> member::state::report()
+{
+    if (leading)
+    {
+        if (leading->is_started())
+        {
+            leading->on_own_report(make_report());
+        }
+        co_return;
+    }
+    if (leader.name.empty() || leader.name == settings.name)
+    {
+        failed_reports = refusals_of_lost_leader;
+        co_return;
+    }
+    const json message = {{"kind", "report"},
+                          {"term", known.term},
+                          {"revision", known.revision},
+                          {"config", known_config_version},
+                          {"report", leader::to_json(make_report())}};
+    const auto sent = clock::now();
+    const auto asked = leader;
+    try
+    {
+        const auto text = co_await network->send_message(asked.peer, message.dump(), report_timeout);
+        const auto reply = json::parse(text);
+        if (reply.value("kind", "") == "update")
+        {
+            apply_update(reply);
+            failed_reports = 0;
+            last_contact = clock::now();
+            leader_store_failing.ms = reply.value("store_failing", std::int64_t{0});
+            const core::duration age{reply.value("confirmed_age", std::int64_t{0})};
+            authority_at = std::max(authority_at, sent - age);
+        }
+        else if (reply.contains("leader"))
+        {
+            const auto named = directory::router_from_json(reply.at("leader"));
+            failed_reports += named.name == leader.name ? 1 : 0;
+            leader = named;
+        }
+        else
+        {
+            ++failed_reports;
+        }
+    }
+    catch (const core::timeout_error& failure)
+    {
+        log.write("report unanswered", {{"leader", asked.name}, {"reason", failure.what()}});
+    }
+    catch (const std::exception& failure)
+    {
+        ++failed_reports;
+        log.write("report failed", {{"leader", asked.name}, {"reason", failure.what()}, {"failures", failed_reports}});
+    }
+}
+
+void member::state::apply_update(const json& message)
+{
+    const auto term = message.at("term").get<std::int64_t>();
+    if (term < known.term)
+    {
+        return;
+    }
+    leader = directory::router_from_json(message.at("leader"));
+    if (leading && term > leading->term())
+    {
+        step_down("a later leader sent an update");
+    }
+    if (message.contains("config"))
+    {
+        config = message.at("config");
+        try
+        {
+            auto parsed = hooks.read_config(config);
+            const auto version = parsed.version;
+            if (surroundings.on_config(std::move(parsed)))
+            {
+                known_config_version = version;
+                log.write("configuration in force", {{"version", version}, {"from", leader.name}});
+            }
+        }
+        catch (const std::exception& failure)
+        {
+            log.write("configuration refused", {{"reason", failure.what()}});
+        }
+    }
+    if (message.contains("directory"))
+    {
+        const auto change = directory::update_from_json(message.at("directory"));
+        const bool is_new_term = term != known.term;
+        if (directory::apply(known, change))
+        {
+            if (is_new_term)
+            {
+                log.write("leader followed", {{"leader", leader.name}, {"term", term}});
+            }
+            surroundings.on_directory(known);
+        }
+    }
+}
+
+asio::awaitable<std::string> member::state::on_message(std::string from, std::string text)
+{
+    const auto message = json::parse(text);
+    const auto kind = message.at("kind").get<std::string>();
+    if (kind == "report" && leading && leading->is_started())
+    {
+        const auto term = message.at("term").get<std::int64_t>();
+        if (term > leading->term())
+        {
+            step_down("a router follows a later leader");
+            co_return json{{"kind", "none"}}.dump();
+        }
+        co_return leading->answer(message).dump();
+    }
+    if (kind == "report")
+    {
+        json reply = {{"kind", "elsewhere"}};
+        if (!leader.name.empty() && leader.name != settings.name)
+        {
+            reply["leader"] = directory::to_json(leader);
+        }
+        co_return reply.dump();
+    }
+    if (kind == "update")
+    {
+        apply_update(message);
+        if (message.at("term").get<std::int64_t>() == known.term)
+        {
+            failed_reports = 0;
+            last_contact = clock::now();
+        }
+        co_return json{{"kind", "known"}, {"term", known.term}, {"revision", known.revision}}.dump();
+    }
+    if (kind == "take over" && !leading && message.at("term").get<std::int64_t>() == known.term)
+    {
+        asio::co_spawn(
+            executor, [self = shared_from_this()] { return self->elect("the leader stops"); }, asio::detached);
+    }
+    co_return json{{"kind", "none"}, {"from", from}}.dump();
+}
+
+asio::awaitable<void> member::state::elect(const char* reason)
+{
+    const auto self_reference = shared_from_this();
+    if (is_electing || leading)
+    {
+        co_return;
+    }
+    is_electing = true;
+    try
+    {
+        const auto row = co_await tables.own->read(internal::leadership_key, store_timeout);
+        health.on_success(clock::now());
+        std::optional<directory::router> holder;
+        if (row)
+        {
+            holder = directory::router_from_json(row->value.at("router"));
+        }
+        const bool is_news = holder && holder->name != leader.name && holder->name != settings.name;
+        if (is_news)
+        {
+            leader = *holder;
+            failed_reports = 0;
+            last_contact = clock::now();
+            log.write("leader found", {{"leader", leader.name}, {"version", row->version}});
+        }
+        else
+        {
+            std::vector<store::row_write> writes;
+            writes.emplace_back(internal::leadership_key, row ? row->version : 0, internal::leadership_value(self));
+            const auto result = co_await tables.own->commit("", std::move(writes), store_timeout);
+            if (result.is_committed && !is_stopping)
+            {
+                log.write("leadership taken", {{"term", result.revision}, {"reason", reason}, {"former", leader.name}});
+                become_leader(result.revision);
+            }
+            else
+            {
+                log.write("leadership not taken", {{"reason", "another router was faster"}});
+                if (!result.conflicts.empty() && result.conflicts.front().value.contains("router"))
+                {
+                    leader = directory::router_from_json(result.conflicts.front().value.at("router"));
+                    failed_reports = 0;
+                    last_contact = clock::now();
+                }
+            }
+        }
+    }
+    catch (const std::exception& failure)
+    {
+        if (!health.is_failing())
+        {
+            log.write("store lost", {{"step", "election"}, {"reason", failure.what()}});
+        }
+        health.on_failure(clock::now());
+    }
+    is_electing = false;
+}
+
+void member::state::become_leader(std::int64_t term)
+{
+    leader = self;
+    failed_reports = 0;
+    internal::leader_surroundings outside;
+    outside.on_local_change = [weak = weak_from_this()](const directory::snapshot& current, const json& document) {
+        const auto state = weak.lock();
+        if (!state || !state->leading)
+        {
+            return;
+        }
+        if (!document.is_null() && document != state->config)
+        {
+            state->config = document;
+            auto parsed = state->hooks.read_config(document);
+            state->known_config_version = parsed.version;
+            state->surroundings.on_config(std::move(parsed));
+        }
+        auto next = current;
+        for (auto& [id, entry] : next.entries)
+        {
+            entry.foreign_hold = state->leading->foreign_hold(id);
+        }
+        state->known = std::move(next);
+        state->surroundings.on_directory(state->known);
+    };
+    outside.send = [weak = weak_from_this()](http::endpoint peer, std::string text,
+                                             core::duration timeout) -> asio::awaitable<std::string> {
+        const auto state = weak.lock();
+        if (!state)
+        {
+            throw core::connection_error("send", http::to_string(peer), "stopping");
+        }
+        const auto link = state->network;
+        co_return co_await link->send_message(std::move(peer), std::move(text), timeout);
+    };
+    outside.on_deposed = [weak = weak_from_this()](const char* why) {
+        if (const auto state = weak.lock())
+        {
+            state->step_down(why);
+        }
+    };
+    leading = std::make_shared<internal::leader_service>(executor, self, hooks, tables, health, log,
+                                                         std::move(outside), term, config);
+    asio::co_spawn(
+        executor, [service = leading, former = known] { return service->start(former); }, asio::detached);
+}
+
+void member::state::step_down(const char* reason)
+{
+    if (!leading)
+    {
+        return;
+    }
+    log.write("leadership given up", {{"term", leading->term()}, {"reason", reason}});
+    leading->stop();
+    leading = nullptr;
+    if (leader.name == settings.name)
+    {
+        leader = {};
+    }
+    last_contact = clock::now();
+    failed_reports = 0;
+}
+
+asio::awaitable<void> member::state::watch_as_deputy()
+{
+    const auto self_reference = shared_from_this();
+    std::int64_t revision = 0;
+    while (known.deputy == settings.name && !leading && !is_stopping)
+    {
+        bool has_failed = false;
+        try
+        {
+            if (revision == 0)
+            {
+                revision = (co_await tables.config->read_prefix(tables.config_key, store_timeout)).revision;
+            }
+            const auto batch = co_await tables.config->changes(revision, deputy_wait);
+            health.on_success(clock::now());
+            revision = batch.is_truncated ? 0 : batch.revision;
+        }
+        catch (const core::error&)
+        {
+            // Whether the store serves this router is all that the deputy needs to know.
+            health.on_failure(clock::now());
+            has_failed = true;
+        }
+        if (has_failed)
+        {
+            co_await core::pause_for(retry_pause);
+            continue;
+        }
+        if (leader_store_failing > store_patience)
+        {
+            co_await elect("the leader cannot read the store");
+        }
+    }
+    is_watching = false;
+}
+
+} // namespace briarfold::edge
--- /dev/null
+++ b/src/edge/internal/member_state.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "edge/internal/leader_service.hpp"
+#include "edge/internal/store_health.hpp"
+#include "edge/member.hpp"
+
+namespace briarfold::edge {
+
+struct member::state : std::enable_shared_from_this<member::state>
+{
+    state(core::asio::any_io_executor base, settings::edge_settings values, const protocol& names, store_tables rows,
+          event_log& lines, member_hooks outside);
+
+    core::asio::awaitable<void> run();
+    /// Reads or creates the secret that all routers share.
+    core::asio::awaitable<std::string> learn_secret();
+    core::asio::awaitable<void> learn_leader();
+    core::asio::awaitable<void> report();
+    core::asio::awaitable<void> elect(const char* reason);
+    core::asio::awaitable<void> watch_as_deputy();
+    core::asio::awaitable<std::string> on_message(std::string from, std::string text);
+    void become_leader(std::int64_t term);
+    void step_down(const char* reason);
+    void apply_update(const nlohmann::json& message);
+    leader::router_report make_report();
+    core::duration election_delay() const;
+    std::int64_t config_version() const { return known_config_version; }
+
+    core::asio::any_io_executor executor;
+    settings::edge_settings settings;
+    const protocol& hooks;
+    store_tables tables;
+    event_log& log;
+    member_hooks surroundings;
+    directory::router self;
+    core::asio::steady_timer report_timer;
+    std::shared_ptr<wire::peer_network> network;
+    std::shared_ptr<internal::leader_service> leading;
+    internal::store_health health;
+    directory::snapshot known;
+    directory::router leader;
+    nlohmann::json config;
+    std::int64_t known_config_version = 0;
+    core::time_point authority_at;
+    core::time_point last_contact;
+    core::duration leader_store_failing;
+    bool is_stopping = false;
+    bool is_electing = false;
+    bool is_watching = false;
+    bool is_report_wanted = false;
+    int failed_reports = 0;
+};
+
+} // namespace briarfold::edge
--- /dev/null
+++ b/src/edge/internal/router_node.cpp
@@ -0,0 +1,308 @@
+#include "edge/router_node.hpp"
+
+#include "core/pause.hpp"
+#include "edge/entry.hpp"
+#include "edge/front.hpp"
+#include "http/server.hpp"
+#include "metrics/registry.hpp"
+
+#include <algorithm>
+
+namespace briarfold::edge {
+
+namespace {
+
+namespace asio = core::asio;
+using core::clock;
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_unavailable = 503;
+/// Queued requests are looked after this often; without any, grants need less.
+constexpr core::duration busy_tick{20};
+constexpr core::duration idle_tick{60};
+constexpr core::duration flush_interval{250};
+/// The balancer notices a router that is not ready within two questions, one a second.
+constexpr core::duration drain_least{2600};
+/// Left of the grace time when remaining requests are cut off.
+constexpr core::duration grace_margin{500};
+
+} // namespace
+
+struct router_node::state : std::enable_shared_from_this<router_node::state>
+{
+    state(asio::io_context& context, settings::edge_settings values, protocol names, store_tables tables,
+          event_log& lines);
+
+    void start();
+    asio::awaitable<void> run_ticks();
+    asio::awaitable<void> run_flushes();
+    asio::awaitable<void> drain(std::function<void()> on_done);
+    asio::awaitable<http::response> serve_readiness(http::request message);
+    asio::awaitable<http::response> serve_metrics(http::request message);
+    bool is_ready() const;
+    void apply_limits();
+    member_hooks make_member_hooks();
+    front_hooks make_front_hooks();
+    entry_hooks make_entry_hooks();
+
+    asio::any_io_executor executor;
+    settings::edge_settings settings;
+    protocol hooks;
+    event_log& log;
+    metrics::registry metrics;
+    std::shared_ptr<wire::peer_network> network;
+    edge::member member;
+    edge::front front;
+    edge::entry entry;
+    std::optional<http::server> frontend;
+    std::optional<http::server> readiness;
+    std::optional<http::server> metrics_server;
+    std::optional<core::time_point> stopping_since;
+    bool was_ready = false;
+};
+
+router_node::state::state(asio::io_context& context, settings::edge_settings values, protocol names,
+                          store_tables tables, event_log& lines)
+    : executor(context.get_executor()), settings(std::move(values)), hooks(std::move(names)), log(lines),
+      member(executor, settings, hooks, std::move(tables), log, make_member_hooks()),
+      front(executor, settings, hooks, log, metrics, make_front_hooks()),
+      entry(executor, settings.name, settings.zone, hooks, log, metrics, make_entry_hooks())
+{}
+
+member_hooks router_node::state::make_member_hooks()
+{
+    member_hooks result;
+    result.on_directory = [this](const directory::snapshot& known) {
+        front.apply(known, entry.routes().config());
+        entry.apply(known);
+    };
+    result.on_config = [this](routes::routing_config config) {
+        if (!entry.apply(std::move(config)))
+        {
+            return false;
+        }
+        apply_limits();
+        // Which services own keys may have changed.
+        front.apply(member.directory(), entry.routes().config());
+        return true;
+    };
+    result.fill_report = [this](leader::router_report& report) { front.fill_report(report); };
+    result.on_network = [this](std::shared_ptr<wire::peer_network> created) {
+        network = std::move(created);
+        network->on_forward([weak = weak_from_this()](wire::forward_request request,
+                                                      std::shared_ptr<core::cancellation> departure)
+                                -> asio::awaitable<wire::forward_result> {
+            const auto self = weak.lock();
+            if (!self)
+            {
+                co_return wire::forward_result();
+            }
+            co_return co_await self->front.serve(std::move(request), std::move(departure));
+        });
+    };
+    return result;
+}
+
+front_hooks router_node::state::make_front_hooks()
+{
+    front_hooks result;
+    result.authority = [this] { return member.authority(); };
+    result.needs_long_hold = [this] { return member.is_store_failing(); };
+    result.report_soon = [this] { member.report_soon(); };
+    result.confirm_soon = [this] { member.confirm_soon(); };
+    return result;
+}
+
+entry_hooks router_node::state::make_entry_hooks()
+{
+    entry_hooks result;
+    result.serve_here = [this](wire::forward_request request, std::shared_ptr<core::cancellation> departure) {
+        return front.serve(std::move(request), std::move(departure));
+    };
+    result.serve_there = [this](http::endpoint peer, wire::forward_request request,
+                                std::shared_ptr<core::cancellation> departure) {
+        return network->forward(std::move(peer), std::move(request), std::move(departure));
+    };
+    return result;
+}
+
+void router_node::state::apply_limits()
+{
+    if (!frontend)
+    {
+        return;
+    }
+    const auto& input = entry.routes().config().limits;
+    http::server_limits limits;
+    limits.head_bytes = input.head_bytes;
+    limits.body_bytes = input.body_bytes;
+    limits.idle = input.idle_timeout;
+    frontend->set_limits(limits);
+}
+
+void router_node::state::start()
+{
+    const auto weak = weak_from_this();
+    frontend.emplace(executor, settings.frontend,
+                     http::watched_handler([weak](http::request message, http::endpoint,
+                                                  std::shared_ptr<core::cancellation> departure)
+                                               -> asio::awaitable<http::response> {
+                         const auto self = weak.lock();
+                         if (!self)
+                         {
+                             co_return http::response(status_unavailable);
+                         }
+                         co_return co_await self->entry.handle(std::move(message), std::move(departure));
+                     }));
+    readiness.emplace(executor, settings.readiness,
+                      http::handler([weak](http::request message, http::endpoint) -> asio::awaitable<http::response> {
+                          const auto self = weak.lock();
+                          if (!self)
+                          {
+                              co_return http::response(status_unavailable);
+                          }
+                          co_return co_await self->serve_readiness(std::move(message));
+                      }));
+    metrics_server.emplace(
+        executor, settings.metrics,
+        http::handler([weak](http::request message, http::endpoint) -> asio::awaitable<http::response> {
+            const auto self = weak.lock();
+            if (!self)
+            {
+                co_return http::response(status_unavailable);
+            }
+            co_return co_await self->serve_metrics(std::move(message));
+        }));
+    metrics.computed_gauge("briarfold_edge_queued_requests", "Requests that wait for a slot.", {},
+                           [this] { return static_cast<double>(front.queued()); });
+    metrics.computed_gauge("briarfold_edge_running_requests", "Requests at backend servers.", {},
+                           [this] { return static_cast<double>(front.in_flight()); });
+    metrics.computed_gauge("briarfold_edge_backend_servers", "Backend servers whose front this router is.", {},
+                           [this] { return static_cast<double>(front.servers()); });
+    metrics.computed_gauge("briarfold_edge_configuration_version", "Configuration in force.", {}, [this] {
+        return static_cast<double>(entry.routes().config().version);
+    });
+    metrics.computed_gauge("briarfold_edge_leader", "1 while this router is the leader.", {},
+                           [this] { return member.is_leader() ? 1.0 : 0.0; });
+    metrics.computed_gauge("briarfold_edge_log_lines_left_out", "Log lines left out.", {},
+                           [this] { return static_cast<double>(log.dropped()); });
+    member.start();
+    asio::co_spawn(
+        executor, [self = shared_from_this()] { return self->run_ticks(); }, asio::detached);
+    asio::co_spawn(
+        executor, [self = shared_from_this()] { return self->run_flushes(); }, asio::detached);
+}
+
+bool router_node::state::is_ready() const
+{
+    return !stopping_since && entry.routes().is_known() && member.is_connected() &&
+           !member.directory().entries.empty();
+}
+
+asio::awaitable<http::response> router_node::state::serve_readiness(http::request message)
+{
+    if (!hooks.is_readiness_probe(message))
+    {
+        co_return http::response(status_not_found);
+    }
+    const bool is_now_ready = is_ready();
+    if (is_now_ready != was_ready)
+    {
+        was_ready = is_now_ready;
+        log.write("readiness changed", {{"ready", is_now_ready},
+                                        {"configuration", entry.routes().config().version},
+                                        {"connected", member.is_connected()},
+                                        {"stopping", stopping_since.has_value()}});
+    }
+    co_return http::response(is_now_ready ? status_ok : status_unavailable);
+}
+
+asio::awaitable<http::response> router_node::state::serve_metrics(http::request message)
+{
+    if (message.method != "GET")
+    {
+        co_return http::response(status_not_found);
+    }
+    http::response answer(status_ok);
+    answer.headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
+    answer.body = metrics.to_prometheus();
+    co_return answer;
+}
+
+asio::awaitable<void> router_node::state::run_ticks()
+{
+    const auto self = shared_from_this();
+    while (true)
+    {
+        front.tick();
+        const auto wait = front.queued() > 0 ? busy_tick : idle_tick;
+        co_await core::pause_for(wait);
+    }
+}
+
+asio::awaitable<void> router_node::state::run_flushes()
+{
+    const auto self = shared_from_this();
+    while (true)
+    {
+        log.flush();
+        co_await core::pause_for(flush_interval);
+    }
+}
+
+asio::awaitable<void> router_node::state::drain(std::function<void()> on_done)
+{
+    const auto self = shared_from_this();
+    constexpr core::duration poll{50};
+    const auto start = *stopping_since;
+    while (true)
+    {
+        const auto elapsed = clock::now() - start;
+        const bool is_idle = entry.in_flight() == 0 && front.in_flight() == 0 && front.servers() == 0 &&
+                             frontend->connections() == 0;
+        if ((is_idle && elapsed > drain_least) || elapsed > settings.grace - grace_margin)
+        {
+            break;
+        }
+        co_await core::pause_for(poll);
+    }
+    log.write("stopped", {{"in_flight", entry.in_flight()}, {"running", front.in_flight()}});
+    log.flush();
+    on_done();
+}
+
+router_node::router_node(asio::io_context& context, settings::edge_settings settings, protocol hooks,
+                         store_tables tables, event_log& log)
+    : state_(std::make_shared<state>(context, std::move(settings), std::move(hooks), std::move(tables), log))
+{
+    state_->start();
+}
+
+router_node::~router_node() = default;
+
+void router_node::stop(std::function<void()> on_done)
+{
+    if (state_->stopping_since)
+    {
+        return;
+    }
+    state_->stopping_since = clock::now();
+    state_->log.write("stopping", {{"in_flight", state_->entry.in_flight()}, {"running", state_->front.in_flight()}});
+    state_->frontend->begin_drain();
+    state_->member.begin_stop();
+    asio::co_spawn(
+        state_->executor,
+        [self = state_, done = std::move(on_done)] { return self->drain(done); }, asio::detached);
+}
+
+void router_node::reload(settings::edge_settings settings)
+{
+    const bool needs_restart = settings.frontend != state_->settings.frontend ||
+                               settings.peer != state_->settings.peer || settings.store != state_->settings.store;
+    state_->log.write("settings reloaded", {{"settings", settings::to_json(settings)},
+                                            {"needs_restart", needs_restart}});
+    state_->settings.grace = settings.grace;
+}
+
+} // namespace briarfold::edge
--- /dev/null
+++ b/src/edge/protocol.hpp
@@ -0,0 +1,69 @@
+/// What an adapter tells the router about the messages of its surroundings. The router itself knows no header or
+/// field name.
+#pragma once
+
+#include "core/clock.hpp"
+#include "directory/directory_types.hpp"
+#include "grants/server_grants.hpp"
+#include "http/http_types.hpp"
+#include "routes/route_types.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace briarfold::edge {
+
+/// What the router reads of a caller's request.
+struct request_head
+{
+    /// Identifies one attempt of the caller; empty when it sent none.
+    std::string attempt_id;
+    /// Time for which the caller waits.
+    std::optional<core::duration> deadline;
+    std::optional<std::uint32_t> key;
+
+    bool operator==(const request_head&) const = default;
+};
+
+/// What the router reads of a backend server's answer.
+struct response_head
+{
+    /// The attempt to which the answer belongs.
+    std::string attempt_id;
+    /// Whether the answer proves that it was made by a backend server for this request.
+    bool is_signed = false;
+    /// The backend server states that it did not run the request.
+    bool is_not_run = false;
+    /// The backend server is not the expected one, or does not hold the key.
+    bool is_misdirected = false;
+    /// Time after which the backend server closes an idle connection, where it says so.
+    std::optional<core::duration> keep_alive;
+    /// The backend server closes the connection after this answer.
+    bool closes = false;
+
+    bool operator==(const response_head&) const = default;
+};
+
+struct protocol
+{
+    std::function<request_head(const http::request&)> read_request;
+    std::function<response_head(const http::response&)> read_response;
+    /// Adds what one backend server must know: the time left and its own id.
+    std::function<http::request(http::request, core::duration left, const std::string& backend_server)> to_backend;
+    /// An answer of the router's own. `retry_after` of zero sends none.
+    std::function<http::response(unsigned status, const std::string& attempt_id, core::duration retry_after,
+                                 const std::string& text)>
+        make_refusal;
+    std::function<bool(const http::request&)> is_readiness_probe;
+    std::function<http::request(const grants::grant_call&)> make_grant_request;
+    /// The token of a release; empty when there is none.
+    std::function<std::string(const http::response&)> read_handover;
+    /// Throws core::error for a document that is not a configuration.
+    std::function<routes::routing_config(const nlohmann::json&)> read_config;
+    /// Nothing for a registration that names no usable backend server.
+    std::function<std::optional<directory::backend_server>(const std::string& id, const nlohmann::json&)>
+        read_registration;
+};
+
+} // namespace briarfold::edge
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -35,6 +35,8 @@
     bool is_reusable();
     /// Closes at once; a pending operation ends with core::connection_error.
     void close();
+    /// The same with a reset, so that bytes which are still on their way are lost.
+    void abort();
     const endpoint& peer() const;
 
 private:
--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -55,6 +55,7 @@
         co_await s.stream.async_connect(remote, asio::use_awaitable);
         s.stream.socket().set_option(asio::ip::tcp::no_delay(true));
         s.open = true;
+        s.sent = false;
     }
     catch (const boost::system::system_error& failure)
     {
@@ -78,14 +79,16 @@
         outgoing.version(11);
         outgoing.method_string(message.method);
         outgoing.target(message.target);
-        outgoing.set(beast::http::field::host, to_string(s.peer));
         internal::copy_headers(message.headers, outgoing);
+        if (!has_header(message.headers, "Host"))
+        {
+            outgoing.set(beast::http::field::host, to_string(s.peer));
+        }
         outgoing.body() = message.body;
         outgoing.prepare_payload();
         // From here on bytes may leave at any time, whatever the outcome of the write.
         s.sent = true;
         co_await beast::http::async_write(s.stream, outgoing, asio::use_awaitable);
-
         beast::http::response_parser<beast::http::string_body> parser;
         parser.body_limit(boost::none);
         if (message.method == "HEAD")
@@ -103,7 +106,7 @@
     }
     catch (const boost::system::system_error& failure)
     {
-        close();
+        abort();
         rethrow(failure, "exchange", s.peer);
     }
 }
@@ -129,6 +132,13 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+void client_connection::abort()
+{
+    boost::system::error_code ignored;
+    state_->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 void client_connection::close()
 {
     state_->open = false;
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -4,8 +4,10 @@
 #include "http/internal/beast_message.hpp"
 
 #include <atomic>
+#include <cerrno>
 #include <mutex>
 #include <set>
+#include <sys/socket.h>
 
 namespace briarfold::http {
 
@@ -45,7 +47,7 @@
 
 struct server::state : std::enable_shared_from_this<server::state>
 {
-    struct session
+    struct session : std::enable_shared_from_this<session>
     {
         session(asio::ip::tcp::socket socket) : stream(std::move(socket)) {}
 
@@ -57,7 +59,7 @@
         std::atomic<std::int64_t> waiting_since_ms{0};
     };
 
-    state(const asio::any_io_executor& base, handler request_handler, server_limits sizes,
+    state(const asio::any_io_executor& base, watched_handler request_handler, server_limits sizes,
           bad_input_handler input_handler)
         : executor(base), acceptor(core::make_strand(base)), sweep_timer(acceptor.get_executor()),
           on_request(std::move(request_handler)), limits(sizes), on_bad_input(std::move(input_handler))
@@ -71,25 +73,39 @@
     asio::awaitable<bool> serve_one(session& connection);
     asio::awaitable<void> write(session& connection, const response& answer, unsigned version,
                                 bool keep_alive, bool is_head);
-    asio::awaitable<response> answer(const internal::beast_request& incoming, const endpoint& caller);
+    asio::awaitable<response> answer(session& connection, const internal::beast_request& incoming);
+    /// Raises `departure` when the caller closes the connection while its request is being answered.
+    static void watch_departure(const std::shared_ptr<session>& connection,
+                                const std::shared_ptr<core::cancellation>& departure);
     void close_acceptor();
     void close_sessions(bool only_idle);
 
     asio::any_io_executor executor;
     asio::ip::tcp::acceptor acceptor;
     asio::steady_timer sweep_timer;
-    handler on_request;
+    watched_handler on_request;
     server_limits limits;
     bad_input_handler on_bad_input;
     unsigned short port = 0;
     std::atomic<std::size_t> in_flight{0};
     std::atomic<bool> is_stopping{false};
+    std::atomic<bool> is_draining{false};
     std::mutex mutex;
     std::set<std::shared_ptr<session>> sessions;
 };
 
 server::server(const asio::any_io_executor& executor, const endpoint& local, handler on_request,
                server_limits limits, bad_input_handler on_bad_input)
+    : server(executor, local,
+             watched_handler([inner = std::move(on_request)](request message, endpoint caller,
+                                                             const std::shared_ptr<core::cancellation>&) {
+                 return inner(std::move(message), std::move(caller));
+             }),
+             limits, std::move(on_bad_input))
+{}
+
+server::server(const asio::any_io_executor& executor, const endpoint& local, watched_handler on_request,
+               server_limits limits, bad_input_handler on_bad_input)
     : state_(std::make_shared<state>(executor, std::move(on_request), limits, std::move(on_bad_input)))
 {
     try
@@ -107,6 +123,8 @@
     }
     asio::co_spawn(
         state_->acceptor.get_executor(), [self = state_] { return self->accept(); }, asio::detached);
+    asio::co_spawn(
+        state_->acceptor.get_executor(), [self = state_] { return self->sweep(); }, asio::detached);
 }
 
 server::~server()
@@ -126,6 +144,23 @@
     return state_->in_flight;
 }
 
+void server::set_limits(server_limits limits)
+{
+    const std::scoped_lock lock(state_->mutex);
+    state_->limits = limits;
+}
+
+void server::begin_drain()
+{
+    state_->is_draining = true;
+}
+
+std::size_t server::connections() const
+{
+    const std::scoped_lock lock(state_->mutex);
+    return state_->sessions.size();
+}
+
 void server::begin_stop()
 {
     state_->is_stopping = true;
@@ -239,8 +274,12 @@
 asio::awaitable<bool> server::state::serve_one(session& connection)
 {
     beast::http::request_parser<beast::http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(limits.head_bytes));
-    parser.body_limit(limits.body_bytes);
+    const auto current = [this] {
+        const std::scoped_lock lock(mutex);
+        return limits;
+    }();
+    parser.header_limit(static_cast<std::uint32_t>(current.head_bytes));
+    parser.body_limit(current.body_bytes);
     connection.is_busy = false;
     if (is_stopping)
     {
@@ -267,8 +306,8 @@
     ++in_flight;
     try
     {
-        const auto reply = co_await answer(incoming, connection.caller);
-        const bool keep_alive = incoming.keep_alive() && !is_stopping;
+        const auto reply = co_await answer(connection, incoming);
+        const bool keep_alive = incoming.keep_alive() && !is_stopping && !is_draining;
         connection.waiting_since_ms = core::clock::now().ms;
         co_await write(connection, reply, incoming.version(), keep_alive,
                        incoming.method() == beast::http::verb::head);
@@ -282,14 +321,41 @@
     }
 }
 
-asio::awaitable<response> server::state::answer(const internal::beast_request& incoming,
-                                                const endpoint& caller)
+void server::state::watch_departure(const std::shared_ptr<session>& connection,
+                                    const std::shared_ptr<core::cancellation>& departure)
+{
+    connection->stream.socket().async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [connection, weak = std::weak_ptr(departure)](const error_code& code) {
+            const auto waiting = weak.lock();
+            if (code || !waiting)
+            {
+                return;
+            }
+            char byte = 0;
+            const auto received =
+                ::recv(connection->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            // Bytes of a further request keep the socket readable, so a later close goes unnoticed.
+            if (received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
+            {
+                waiting->cancel();
+            }
+        });
+}
+
+asio::awaitable<response> server::state::answer(session& connection,
+                                                const internal::beast_request& incoming)
 {
+    const auto departure = std::make_shared<core::cancellation>();
+    watch_departure(connection.shared_from_this(), departure);
     try
     {
         request message{std::string(incoming.method_string()), std::string(incoming.target()),
                         internal::to_headers(incoming), incoming.body()};
-        co_return co_await on_request(std::move(message), caller);
+        auto reply = co_await on_request(std::move(message), connection.caller, departure);
+        error_code ignored;
+        connection.stream.socket().cancel(ignored);
+        co_return reply;
     }
     catch (const std::exception& failure)
     {
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/asio.hpp"
+#include "core/cancellation.hpp"
 #include "core/clock.hpp"
 #include "http/http_types.hpp"
 
@@ -19,6 +20,9 @@
 
 /// Answers one request. Runs on the strand of the connection. An exception becomes a 500 answer.
 using handler = std::function<core::asio::awaitable<response>(request message, endpoint caller)>;
+/// The same with a flag that is raised when the caller closes its connection before the answer.
+using watched_handler = std::function<core::asio::awaitable<response>(
+    request message, endpoint caller, std::shared_ptr<core::cancellation> departure)>;
 /// Makes the answer for input that could not be parsed: 400, 413 or 431.
 using bad_input_handler = std::function<response(unsigned status, const std::string& reason)>;
 
@@ -28,9 +32,18 @@
     /// Listens at once. Port 0 picks a free port. Throws core::connection_error when the address is in use.
     server(const core::asio::any_io_executor& executor, const endpoint& local, handler on_request,
            server_limits limits = {}, bad_input_handler on_bad_input = {});
+    server(const core::asio::any_io_executor& executor, const endpoint& local, watched_handler on_request,
+           server_limits limits = {}, bad_input_handler on_bad_input = {});
     /// Stops accepting and closes connections at once.
     ~server();
 
+    /// In force for requests that begin later.
+    void set_limits(server_limits limits);
+    /// Answers carry `Connection: close`; new connections and requests are still taken.
+    void begin_drain();
+    /// Open connections.
+    std::size_t connections() const;
+
     unsigned short port() const;
     /// Requests being answered now.
     std::size_t in_flight() const;
--- /dev/null
+++ b/src/leader/internal/front_assignment.cpp
@@ -0,0 +1,95 @@
+#include "leader/leader_state.hpp"
+
+#include <algorithm>
+
+namespace briarfold::leader {
+
+namespace {
+
+/// Backend servers of a service without key ownership that share one front, and so one queue: enough for good
+/// sharing of slots, few enough for the processor of a small instance.
+constexpr std::size_t most_group = 8;
+
+} // namespace
+
+void leader_state::drop_routers(core::time_point now)
+{
+    std::vector<std::string> lost;
+    for (const auto& [name, item] : published_.routers)
+    {
+        if (!is_alive(name, now))
+        {
+            lost.push_back(name);
+        }
+    }
+    for (const auto& name : lost)
+    {
+        on_decision_("router lost", name, {{"silent_ms", (now - peers_[name].last_report).ms}});
+        published_.routers.erase(name);
+        ++published_.revision;
+    }
+}
+
+std::string leader_state::choose_front(const directory::backend_server& server, core::time_point now) const
+{
+    std::map<std::string, double> slots;
+    std::map<std::string, std::size_t> group;
+    for (const auto& [id, entry] : published_.entries)
+    {
+        const auto& front = records_.at(id).next_front;
+        slots[front] += entry.server.slots;
+        if (entry.server.service == server.service)
+        {
+            ++group[front];
+        }
+    }
+    const bool is_keyed = keyed_services_.contains(server.service);
+    std::string best;
+    double best_cost = 0;
+    for (const auto& [name, item] : published_.routers)
+    {
+        if (item.is_stopping || !is_alive(name, now))
+        {
+            continue;
+        }
+        // A router of another zone adds a trip between zones to each request.
+        constexpr double other_zone_cost = 1000;
+        constexpr double joins_group_gain = 10000;
+        const auto grouped = group.contains(name) ? group.at(name) : 0;
+        const bool joins_group = !is_keyed && grouped > 0 && grouped < most_group;
+        const double cost = (slots[name] + server.slots) / std::max(item.cpu, 0.01) +
+                            (item.zone == server.zone ? 0 : other_zone_cost) -
+                            (joins_group ? joins_group_gain : 0);
+        if (best.empty() || cost < best_cost)
+        {
+            best = name;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+void leader_state::assign_fronts(core::time_point now)
+{
+    for (auto& [id, entry] : published_.entries)
+    {
+        auto& known = records_[id];
+        const auto router = published_.routers.find(known.next_front);
+        const bool is_served = router != published_.routers.end() && !router->second.is_stopping;
+        const bool is_needed = entry.is_listed || !known.next_keys.empty();
+        if (is_served || !is_needed)
+        {
+            continue;
+        }
+        const auto chosen = choose_front(entry.server, now);
+        if (chosen.empty() || chosen == known.next_front)
+        {
+            continue;
+        }
+        on_decision_("front assigned", id, {{"front", chosen}, {"former", known.next_front}});
+        known.next_front = chosen;
+        dirty_services_.insert(entry.server.service);
+    }
+}
+
+} // namespace briarfold::leader
--- /dev/null
+++ b/src/leader/internal/key_assignment.cpp
@@ -0,0 +1,265 @@
+#include "leader/leader_state.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace briarfold::leader {
+
+namespace {
+
+/// A backend server that is still warming up has about this share of its speed.
+constexpr double warming_share = 0.5;
+/// Withdrawals that may be under way at the same time in one service.
+constexpr std::size_t most_withdrawals = 12;
+constexpr double load_window_ms = 3000;
+/// Traffic before the first measured requests is too little to judge.
+constexpr double least_total_load = 0.5;
+
+void drop_handovers(std::vector<directory::handover>& handovers, const keyspace::key_range& range)
+{
+    std::erase_if(handovers, [&](const directory::handover& item) {
+        return !keyspace::common({item.range}, {range}).empty();
+    });
+}
+
+} // namespace
+
+bool leader_state::accepts_keys(const std::string& id, core::time_point now) const
+{
+    const auto& entry = published_.entries.at(id);
+    const auto& known = records_.at(id);
+    return entry.is_listed && !entry.server.is_draining && !known.vanished_at && !known.unreachable_since &&
+           !known.next_front.empty() && is_alive(known.next_front, now);
+}
+
+std::vector<keyspace::holder> leader_state::holders(const std::string& service, core::time_point now) const
+{
+    std::vector<keyspace::holder> list;
+    for (const auto& [id, entry] : published_.entries)
+    {
+        if (entry.server.service != service)
+        {
+            continue;
+        }
+        const auto& known = records_.at(id);
+        keyspace::holder item;
+        item.id = id;
+        const bool is_warming = now - known.listed_at < entry.server.warmup_left;
+        item.capacity = entry.server.slots / std::max(known.slowness, 0.1) * (is_warming ? warming_share : 1.0);
+        item.keys = keyspace::without(known.next_keys, entry.withdrawn);
+        item.accepts = accepts_keys(id, now);
+        item.gives = item.accepts && entry.front == known.next_front;
+        list.push_back(std::move(item));
+    }
+    // Keys on their way count for their destination.
+    if (const auto moves = planned_.find(service); moves != planned_.end())
+    {
+        for (const auto& move : moves->second)
+        {
+            const auto position = std::ranges::find(list, move.to, &keyspace::holder::id);
+            if (position != list.end())
+            {
+                position->keys = keyspace::united(position->keys, {move.range});
+                position->gives = false;
+            }
+        }
+    }
+    return list;
+}
+
+void leader_state::give(const std::string& id, const keyspace::key_range& range, const std::string& handover)
+{
+    auto& known = records_[id];
+    known.next_keys = keyspace::united(known.next_keys, {range});
+    drop_handovers(known.next_handovers, range);
+    if (!handover.empty())
+    {
+        known.next_handovers.push_back({range, handover});
+    }
+    dirty_services_.insert(entry_of(id).server.service);
+}
+
+void leader_state::on_freed(const freed_report& report, const std::string& router, core::time_point now)
+{
+    const auto position = published_.entries.find(report.backend_server);
+    if (position == published_.entries.end() || position->second.front != router)
+    {
+        return;
+    }
+    auto& known = records_[report.backend_server];
+    const auto& entry = position->second;
+    // Grants of an earlier front may outlast those of the present one, which cannot know them.
+    const auto fresh = keyspace::without(
+        keyspace::common(keyspace::common({report.range}, entry.withdrawn), known.next_keys), known.freed);
+    for (const auto& range : fresh)
+    {
+        known.freed = keyspace::united(known.freed, {range});
+        known.next_keys = keyspace::without(known.next_keys, {range});
+        drop_handovers(known.next_handovers, range);
+        dirty_services_.insert(entry.server.service);
+        on_decision_("keys freed", report.backend_server,
+                     {{"first", range.first}, {"last", range.last}, {"warm", !report.handover.empty()}});
+        hand_over(range, report.handover, report.backend_server, now);
+    }
+}
+
+void leader_state::hand_over(const keyspace::key_range& range, const std::string& handover, const std::string& from,
+                             core::time_point now)
+{
+    const auto& service = entry_of(from).server.service;
+    auto& moves = planned_[service];
+    const auto planned = std::ranges::find_if(moves, [&](const keyspace::key_move& move) {
+        return move.from == from && !keyspace::common({move.range}, {range}).empty();
+    });
+    if (planned != moves.end())
+    {
+        const auto to = planned->to;
+        const bool fits = keyspace::covers({planned->range}, {range}) && published_.entries.contains(to) &&
+                          accepts_keys(to, now);
+        moves.erase(planned);
+        if (fits)
+        {
+            give(to, range, handover);
+            return;
+        }
+    }
+    for (const auto& part : keyspace::place({range}, holders(service, now), loads_of(service)))
+    {
+        give(part.to, part.range, handover);
+    }
+}
+
+void leader_state::withdraw_lost(core::time_point now)
+{
+    for (auto& [id, entry] : published_.entries)
+    {
+        auto& known = records_[id];
+        if (entry.is_listed && known.vanished_at && now - *known.vanished_at >= settings_.vanished_grace)
+        {
+            entry.is_listed = false;
+            on_decision_("backend server gone", id, {});
+            touch(id);
+        }
+        const bool has_left = !entry.is_listed && known.vanished_at &&
+                              now - *known.vanished_at >= settings_.vanished_grace;
+        const bool is_unreachable =
+            known.unreachable_since && now - *known.unreachable_since >= settings_.unreachable_limit;
+        if (!has_left && !entry.server.is_draining && !is_unreachable)
+        {
+            continue;
+        }
+        const auto others = holders(entry.server.service, now);
+        if (has_left || std::ranges::any_of(others, &keyspace::holder::accepts))
+        {
+            withdraw(id, entry.keys,
+                     has_left ? "gone" : entry.server.is_draining ? "draining" : "unreachable");
+        }
+    }
+}
+
+void leader_state::assign_first(core::time_point now)
+{
+    const bool is_settled = now - last_registration_ >= settings_.settle && now - started_ >= settings_.settle;
+    if (!is_settled && now - started_ < settings_.most_settle)
+    {
+        return;
+    }
+    for (const auto& service : keyed_services_)
+    {
+        if (initialized_.contains(service))
+        {
+            continue;
+        }
+        const auto placed = keyspace::place_evenly(holders(service, now));
+        if (placed.empty())
+        {
+            continue;
+        }
+        initialized_.insert(service);
+        on_decision_("first assignment", service, {{"ranges", placed.size()}});
+        std::ranges::for_each(placed, [&](const auto& part) { give(part.to, part.range, ""); });
+    }
+}
+
+void leader_state::assign_free(core::time_point now)
+{
+    for (const auto& service : keyed_services_)
+    {
+        if (!initialized_.contains(service))
+        {
+            continue;
+        }
+        keyspace::key_set held;
+        for (const auto& [id, entry] : published_.entries)
+        {
+            if (entry.server.service == service)
+            {
+                const auto& keys = records_[id].next_keys;
+                held.insert(held.end(), keys.begin(), keys.end());
+            }
+        }
+        // A row without a holder is written only after its last holder freed it.
+        const auto free = keyspace::complement(keyspace::normalized(held));
+        if (free.empty())
+        {
+            continue;
+        }
+        for (const auto& part : keyspace::place(free, holders(service, now), loads_of(service)))
+        {
+            give(part.to, part.range, "");
+        }
+    }
+}
+
+void leader_state::plan(core::time_point now)
+{
+    const double factor = std::exp(-static_cast<double>((now - last_decay_).ms) / load_window_ms);
+    last_decay_ = now;
+    for (auto& [service, loads] : loads_)
+    {
+        std::ranges::for_each(loads, [factor](float& load) { load *= static_cast<float>(factor); });
+    }
+    for (const auto& service : keyed_services_)
+    {
+        auto& moves = planned_[service];
+        std::erase_if(moves, [this](const keyspace::key_move& move) {
+            const auto from = published_.entries.find(move.from);
+            return from == published_.entries.end() || !published_.entries.contains(move.to) ||
+                   keyspace::common(from->second.withdrawn, {move.range}).empty();
+        });
+        const auto& loads = loads_of(service);
+        if (moves.size() >= most_withdrawals || keyspace::load_of({{0, keyspace::key_count - 1}}, loads) < least_total_load)
+        {
+            continue;
+        }
+        keyspace::planner_settings planner;
+        planner.most_moves = most_withdrawals - moves.size();
+        for (const auto& move : keyspace::plan_moves(holders(service, now), loads, planner))
+        {
+            moves.push_back(move);
+            withdraw(move.from, {move.range}, "load");
+        }
+    }
+}
+
+void leader_state::remove_gone()
+{
+    std::vector<std::string> gone;
+    for (const auto& [id, entry] : published_.entries)
+    {
+        if (!entry.is_listed && entry.keys.empty() && records_[id].next_keys.empty() &&
+            records_[id].vanished_at && !writing_.contains(id))
+        {
+            gone.push_back(id);
+        }
+    }
+    for (const auto& id : gone)
+    {
+        dirty_services_.insert(entry_of(id).server.service);
+        published_.entries.erase(id);
+        records_.erase(id);
+        removed_at_[id] = ++published_.revision;
+    }
+}
+
+} // namespace briarfold::leader
--- /dev/null
+++ b/src/leader/internal/leader_json.cpp
@@ -0,0 +1,55 @@
+#include "leader/leader_types.hpp"
+
+namespace briarfold::leader {
+
+using nlohmann::json;
+
+json to_json(const router_report& value)
+{
+    json freed = json::array();
+    for (const auto& item : value.freed)
+    {
+        freed.push_back({item.backend_server, item.range.first, item.range.last, item.handover});
+    }
+    json work = json::object();
+    for (const auto& [service, keys] : value.work)
+    {
+        json list = json::array();
+        for (const auto& item : keys)
+        {
+            list.push_back(item.key);
+            list.push_back(static_cast<int>(item.work_ms));
+        }
+        work[service] = std::move(list);
+    }
+    return {{"router", directory::to_json(value.router)},
+            {"freed", std::move(freed)},
+            {"unreachable", value.unreachable},
+            {"work", std::move(work)},
+            {"slowness", value.slowness}};
+}
+
+router_report report_from_json(const json& value)
+{
+    router_report result;
+    result.router = directory::router_from_json(value.at("router"));
+    for (const auto& item : value.at("freed"))
+    {
+        result.freed.push_back({item.at(0).get<std::string>(),
+                                {item.at(1).get<std::uint32_t>(), item.at(2).get<std::uint32_t>()},
+                                item.at(3).get<std::string>()});
+    }
+    result.unreachable = value.at("unreachable").get<std::vector<std::string>>();
+    for (const auto& [service, list] : value.at("work").items())
+    {
+        auto& keys = result.work[service];
+        for (std::size_t i = 0; i + 1 < list.size(); i += 2)
+        {
+            keys.push_back({list[i].get<std::uint32_t>(), list[i + 1].get<double>()});
+        }
+    }
+    result.slowness = value.at("slowness").get<std::map<std::string, double>>();
+    return result;
+}
+
+} // namespace briarfold::leader
--- /dev/null
+++ b/src/leader/internal/leader_state.cpp
@@ -0,0 +1,345 @@
+#include "leader/leader_state.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace briarfold::leader {
+
+namespace {
+
+constexpr int token_bits = 20;
+
+} // namespace
+
+leader_state::leader_state(leader_settings settings, directory::router self, std::int64_t term,
+                           core::time_point now, decision_hook on_decision)
+    : settings_(settings), self_(self.name), on_decision_(std::move(on_decision)), started_(now),
+      last_registration_(now), last_plan_(now), last_decay_(now)
+{
+    published_.term = term;
+    published_.revision = 1;
+    published_.leader = self.name;
+    published_.routers.emplace(self.name, self);
+    peers_[self.name] = {now};
+}
+
+void leader_state::load_row(const assignment_row& row, std::int64_t version, core::time_point now)
+{
+    const auto document = nlohmann::json::parse(row.text);
+    initialized_.insert(row.service);
+    for (const auto& item : document.at("servers"))
+    {
+        directory::entry entry;
+        entry.server.id = item.at(0).get<std::string>();
+        entry.server.born_ms = item.at(1).get<std::int64_t>();
+        entry.server.service = row.service;
+        entry.server.address = http::parse_endpoint(item.at(2).get<std::string>());
+        entry.front = item.at(3).get<std::string>();
+        entry.keys = directory::keys_from_json(item.at(4));
+        entry.is_listed = false;
+        entry.token_base = version << token_bits;
+        entry.revision = published_.revision;
+        record known;
+        known.next_front = entry.front;
+        known.next_keys = entry.keys;
+        known.listed_at = now;
+        known.vanished_at = now;
+        records_[entry.server.id] = known;
+        published_.entries[entry.server.id] = entry;
+    }
+}
+
+void leader_state::load_router(const directory::router& known, core::time_point now)
+{
+    if (known.name != self_)
+    {
+        published_.routers[known.name] = known;
+        peers_[known.name] = {now};
+    }
+}
+
+std::string leader_state::row_text(const std::string& service) const
+{
+    auto list = nlohmann::json::array();
+    for (const auto& [id, item] : published_.entries)
+    {
+        const auto& next = records_.at(id);
+        if (item.server.service == service && (!next.next_front.empty() || !next.next_keys.empty()))
+        {
+            list.push_back({id, item.server.born_ms, http::to_string(item.server.address), next.next_front,
+                            directory::to_json(next.next_keys)});
+        }
+    }
+    return nlohmann::json{{"servers", std::move(list)}}.dump();
+}
+
+void leader_state::touch(const std::string& id)
+{
+    entry_of(id).revision = ++published_.revision;
+}
+
+bool leader_state::is_alive(const std::string& router, core::time_point now) const
+{
+    if (router == self_)
+    {
+        return true;
+    }
+    const auto position = peers_.find(router);
+    return position != peers_.end() && now - position->second.last_report < settings_.router_silence;
+}
+
+void leader_state::set_deputy(const std::string& name)
+{
+    if (published_.deputy != name)
+    {
+        published_.deputy = name;
+        ++published_.revision;
+    }
+}
+
+void leader_state::on_registered(const directory::backend_server& server, core::time_point now)
+{
+    const auto position = published_.entries.find(server.id);
+    if (position == published_.entries.end())
+    {
+        directory::entry entry;
+        entry.server = server;
+        published_.entries.emplace(server.id, std::move(entry));
+        removed_at_.erase(server.id);
+        records_[server.id].listed_at = now;
+        last_registration_ = now;
+        on_decision_("backend server registered", server.id,
+                     {{"service", server.service}, {"address", http::to_string(server.address)},
+                      {"zone", server.zone}, {"slots", server.slots}});
+        touch(server.id);
+        return;
+    }
+    auto& entry = position->second;
+    auto& known = records_[server.id];
+    if (entry.server == server && entry.is_listed)
+    {
+        return;
+    }
+    if (entry.server.born_ms != server.born_ms || entry.server.is_draining != server.is_draining)
+    {
+        on_decision_("backend server changed", server.id,
+                     {{"born_ms", server.born_ms}, {"former_born_ms", entry.server.born_ms},
+                      {"draining", server.is_draining}});
+        known.unreachable_since.reset();
+    }
+    entry.server = server;
+    entry.is_listed = true;
+    known.vanished_at.reset();
+    touch(server.id);
+}
+
+void leader_state::on_unregistered(const std::string& id, bool is_certain, core::time_point now)
+{
+    const auto position = published_.entries.find(id);
+    if (position == published_.entries.end() || records_[id].vanished_at)
+    {
+        return;
+    }
+    records_[id].vanished_at = is_certain ? now - settings_.vanished_grace : now;
+    on_decision_("registration vanished", id, {{"certain", is_certain}});
+}
+
+void leader_state::on_report(const router_report& report, core::time_point now)
+{
+    const auto& name = report.router.name;
+    const auto position = published_.routers.find(name);
+    const bool is_new = position == published_.routers.end();
+    if (is_new || !(position->second == report.router))
+    {
+        const bool is_restarted = !is_new && position->second.incarnation != report.router.incarnation;
+        on_decision_(is_new ? "router joined" : is_restarted ? "router restarted" : "router changed", name,
+                     {{"incarnation", report.router.incarnation}, {"stopping", report.router.is_stopping}});
+        published_.routers[name] = report.router;
+        ++published_.revision;
+        if (is_new || is_restarted)
+        {
+            // The former process is gone, so its grants end by themselves within their duration.
+            const auto until = grants::hold_end(now, settings_.longest_hold);
+            for (auto& [id, entry] : published_.entries)
+            {
+                if (entry.front == name)
+                {
+                    records_[id].foreign_hold_until = until;
+                    touch(id);
+                }
+            }
+        }
+    }
+    peers_[name].last_report = now;
+    for (auto& [id, entry] : published_.entries)
+    {
+        if (entry.front != name)
+        {
+            continue;
+        }
+        auto& known = records_[id];
+        const bool is_unreachable = std::ranges::find(report.unreachable, id) != report.unreachable.end();
+        if (!is_unreachable)
+        {
+            known.unreachable_since.reset();
+        }
+        else if (!known.unreachable_since)
+        {
+            known.unreachable_since = now;
+            on_decision_("backend server unreachable", id, {{"front", name}});
+        }
+        if (const auto slow = report.slowness.find(id); slow != report.slowness.end())
+        {
+            known.slowness = slow->second;
+        }
+    }
+    for (const auto& [service, keys] : report.work)
+    {
+        auto& loads = loads_of(service);
+        constexpr double ms_per_s = 1000;
+        constexpr double load_window_s = 3;
+        for (const auto& item : keys)
+        {
+            if (item.key < loads.size())
+            {
+                loads[item.key] += static_cast<float>(item.work_ms / (ms_per_s * load_window_s));
+            }
+        }
+    }
+    std::ranges::for_each(report.freed, [&](const auto& item) { on_freed(item, name, now); });
+}
+
+keyspace::key_loads& leader_state::loads_of(const std::string& service)
+{
+    auto& loads = loads_[service];
+    loads.resize(keyspace::key_count);
+    return loads;
+}
+
+void leader_state::withdraw(const std::string& id, const keyspace::key_set& keys, const char* reason)
+{
+    auto& entry = entry_of(id);
+    const auto added = keyspace::without(keyspace::common(keys, entry.keys), entry.withdrawn);
+    if (added.empty())
+    {
+        return;
+    }
+    entry.withdrawn = keyspace::united(entry.withdrawn, added);
+    on_decision_("keys withdrawn", id, {{"keys", directory::to_json(added)}, {"reason", reason}});
+    touch(id);
+}
+
+std::vector<assignment_row> leader_state::take_write()
+{
+    if (!writing_services_.empty() || dirty_services_.empty())
+    {
+        return {};
+    }
+    writing_services_ = std::exchange(dirty_services_, {});
+    writing_.clear();
+    std::vector<assignment_row> rows;
+    for (const auto& service : writing_services_)
+    {
+        rows.push_back({service, row_text(service)});
+    }
+    for (const auto& [id, entry] : published_.entries)
+    {
+        if (writing_services_.contains(entry.server.service))
+        {
+            const auto& next = records_.at(id);
+            writing_[id] = {next.next_front, next.next_keys, next.next_handovers};
+        }
+    }
+    return rows;
+}
+
+void leader_state::on_written(std::int64_t version, core::time_point now)
+{
+    for (const auto& [id, written] : writing_)
+    {
+        const auto position = published_.entries.find(id);
+        if (position == published_.entries.end())
+        {
+            continue;
+        }
+        auto& entry = position->second;
+        auto& known = records_[id];
+        if (entry.front != written.front)
+        {
+            const bool is_new = entry.front.empty();
+            const auto renewals_end = is_alive(entry.front, now) ? now : now + settings_.authority;
+            known.foreign_hold_until = is_new ? now : grants::hold_end(renewals_end, settings_.longest_hold);
+        }
+        if (entry.front == written.front && entry.keys == written.keys)
+        {
+            continue;
+        }
+        entry.front = written.front;
+        entry.keys = written.keys;
+        entry.withdrawn = keyspace::common(entry.withdrawn, entry.keys);
+        known.freed = keyspace::common(known.freed, entry.keys);
+        entry.handovers = written.handovers;
+        entry.token_base = version << token_bits;
+        touch(id);
+    }
+    initialized_.insert(writing_services_.begin(), writing_services_.end());
+    writing_services_.clear();
+    writing_.clear();
+}
+
+void leader_state::on_write_failed()
+{
+    dirty_services_.insert(writing_services_.begin(), writing_services_.end());
+    writing_services_.clear();
+    writing_.clear();
+}
+
+core::duration leader_state::foreign_hold(const std::string& id, core::time_point now) const
+{
+    return std::max(records_.at(id).foreign_hold_until - now, core::duration{0});
+}
+
+directory::update leader_state::update_for(std::int64_t term, std::int64_t revision, core::time_point now) const
+{
+    auto change = directory::make_update(published_, removed_at_, term, revision);
+    for (auto& [id, entry] : change.changed.entries)
+    {
+        entry.foreign_hold = foreign_hold(id, now);
+    }
+    return change;
+}
+
+void leader_state::tick(core::time_point now)
+{
+    drop_routers(now);
+    assign_fronts(now);
+    withdraw_lost(now);
+    assign_first(now);
+    assign_free(now);
+    if (now - last_plan_ >= settings_.plan_interval)
+    {
+        last_plan_ = now;
+        plan(now);
+    }
+    remove_gone();
+}
+
+std::size_t leader_state::unassigned_keys() const
+{
+    std::size_t count = 0;
+    for (const auto& service : keyed_services_)
+    {
+        keyspace::key_set held;
+        for (const auto& [id, entry] : published_.entries)
+        {
+            if (entry.server.service == service)
+            {
+                held.insert(held.end(), entry.keys.begin(), entry.keys.end());
+            }
+        }
+        count += keyspace::size(keyspace::complement(keyspace::normalized(held)));
+    }
+    return count;
+}
+
+} // namespace briarfold::leader
--- a/src/membership/heartbeat_service.hpp
+++ b/src/membership/heartbeat_service.hpp
@@ -4,7 +4,7 @@
 #include "core/asio.hpp"
 #include "membership/membership.hpp"
 #include "membership/udp_channel.hpp"
-#include "platform/itable_store.hpp"
+#include "store/itable_store.hpp"
 
 #include <atomic>
 #include <functional>
@@ -26,7 +26,7 @@
 {
 public:
     heartbeat_service(core::asio::any_io_executor executor, udp_channel& channel, membership& members,
-                      replica::ireplica& rows, platform::itable_store& store);
+                      replica::ireplica& rows, store::itable_store& store);
 
     void set_hooks(heartbeat_hooks hooks) { hooks_ = std::move(hooks); }
     /// Called when the router became cut off (true) or is connected again (false). A router that was cut off
@@ -59,7 +59,7 @@
     udp_channel& channel_;
     membership& members_;
     replica::ireplica& rows_;
-    platform::itable_store& store_;
+    store::itable_store& store_;
     heartbeat_hooks hooks_;
     std::function<void(bool)> cut_off_hook_;
     std::atomic<bool> is_stopping_{false};
--- a/src/membership/internal/feed_order.cpp
+++ b/src/membership/internal/feed_order.cpp
@@ -7,7 +7,7 @@
 
 namespace briarfold::membership {
 
-replica::source_order make_feed_order(imembership& members, platform::itable_store& store,
+replica::source_order make_feed_order(imembership& members, store::itable_store& store,
                                       wire::ipeer_rpc& peers)
 {
     return [&members, &store, &peers] {
--- a/src/membership/internal/heartbeat_service.cpp
+++ b/src/membership/internal/heartbeat_service.cpp
@@ -42,7 +42,7 @@
 
 /// Rows still name the router: its grants may not be known to have ended, and it has to be reachable for
 /// fences.
-bool is_named(const platform::row& row, const std::string& instance_id)
+bool is_named(const store::row& row, const std::string& instance_id)
 {
     const auto names = [&](const nlohmann::json& holder) {
         const auto witnesses = holder.value("witnesses", nlohmann::json::array());
@@ -57,7 +57,7 @@
 
 heartbeat_service::heartbeat_service(asio::any_io_executor executor, udp_channel& channel,
                                      membership& members, replica::ireplica& rows,
-                                     platform::itable_store& store)
+                                     store::itable_store& store)
     : executor_(std::move(executor)), channel_(channel), members_(members), rows_(rows), store_(store),
       last_contact_ms_(clock::now().ms)
 {}
@@ -262,7 +262,7 @@
     {
         co_return;
     }
-    std::vector<platform::row_write> writes;
+    std::vector<store::row_write> writes;
     writes.emplace_back(row->key, row->version, nullptr);
     try
     {
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -50,9 +50,9 @@
 {
     rebuild(rows.current());
     rows.on_change([this](const std::shared_ptr<const replica::snapshot>& current,
-                          const std::vector<platform::row>& changed) {
+                          const std::vector<store::row>& changed) {
         const bool concerns_routers = std::ranges::any_of(
-            changed, [](const platform::row& item) { return item.key.starts_with(row_prefix); });
+            changed, [](const store::row& item) { return item.key.starts_with(row_prefix); });
         if (concerns_routers)
         {
             rebuild(current);
--- a/src/membership/internal/registration.cpp
+++ b/src/membership/internal/registration.cpp
@@ -16,16 +16,16 @@
 constexpr core::duration write_timeout{1000};
 constexpr core::duration check_interval{200};
 
-std::vector<platform::row_write> one_write(std::string key, std::int64_t version, nlohmann::json value)
+std::vector<store::row_write> one_write(std::string key, std::int64_t version, nlohmann::json value)
 {
-    std::vector<platform::row_write> writes;
+    std::vector<store::row_write> writes;
     writes.emplace_back(std::move(key), version, std::move(value));
     return writes;
 }
 
 } // namespace
 
-registration::registration(router_info self, platform::itable_store& store, replica::ireplica& rows)
+registration::registration(router_info self, store::itable_store& store, replica::ireplica& rows)
     : self_(std::move(self)), store_(store), rows_(rows), started_ms_(core::clock::wall().ms)
 {}
 
@@ -43,7 +43,7 @@
             // The row exists although the replica lacks it: it lags, or an earlier attempt committed.
             co_return !result.conflicts.empty() && result.conflicts.front().version > 0;
         }
-        platform::row_batch pushed;
+        store::row_batch pushed;
         pushed.rows.emplace_back(key, 1, result.revision, operation, std::move(value));
         rows_.apply(pushed);
         spdlog::info("router {} registered", self_.instance_id);
--- a/src/membership/registration.hpp
+++ b/src/membership/registration.hpp
@@ -3,7 +3,7 @@
 
 #include "core/asio.hpp"
 #include "membership/membership_types.hpp"
-#include "platform/itable_store.hpp"
+#include "store/itable_store.hpp"
 #include "replica/ireplica.hpp"
 
 #include <atomic>
@@ -13,7 +13,7 @@
 class registration
 {
 public:
-    registration(router_info self, platform::itable_store& store, replica::ireplica& rows);
+    registration(router_info self, store::itable_store& store, replica::ireplica& rows);
 
     /// Writes the row, and writes it again when another router removed it, until `stop`. Store failures are
     /// retried; never throws.
@@ -27,7 +27,7 @@
     core::asio::awaitable<bool> write();
 
     router_info self_;
-    platform::itable_store& store_;
+    store::itable_store& store_;
     replica::ireplica& rows_;
     std::int64_t started_ms_;
     std::atomic<bool> is_stopping_{false};
--- a/src/membership/tests/membership_tests.cpp
+++ b/src/membership/tests/membership_tests.cpp
@@ -25,7 +25,7 @@
 
 void add_rows(replica::replica& rows, const std::vector<router_info>& routers)
 {
-    platform::row_batch batch;
+    store::row_batch batch;
     for (const auto& router : routers)
     {
         ++batch.revision;
@@ -40,25 +40,25 @@
 }
 
 /// A store that never answers.
-class no_store : public platform::itable_store
+class no_store : public store::itable_store
 {
 public:
-    asio::awaitable<platform::commit_result> commit(std::string, std::vector<platform::row_write>,
+    asio::awaitable<store::commit_result> commit(std::string, std::vector<store::row_write>,
                                                     core::duration) override
     {
-        throw platform::store_error("commit", "", "no store");
+        throw store::store_error("commit", "", "no store");
     }
-    asio::awaitable<std::optional<platform::row>> read(std::string, core::duration) override
+    asio::awaitable<std::optional<store::row>> read(std::string, core::duration) override
     {
-        throw platform::store_error("read", "", "no store");
+        throw store::store_error("read", "", "no store");
     }
-    asio::awaitable<platform::row_batch> read_prefix(std::string, core::duration) override
+    asio::awaitable<store::row_batch> read_prefix(std::string, core::duration) override
     {
-        throw platform::store_error("read", "", "no store");
+        throw store::store_error("read", "", "no store");
     }
-    asio::awaitable<platform::row_batch> changes(std::int64_t, core::duration) override
+    asio::awaitable<store::row_batch> changes(std::int64_t, core::duration) override
     {
-        throw platform::store_error("changes", "", "no store");
+        throw store::store_error("changes", "", "no store");
     }
 };
 
--- a/src/ownership/internal/backend_client.cpp
+++ b/src/ownership/internal/backend_client.cpp
@@ -66,13 +66,13 @@
     : executor_(std::move(executor)), controller_(std::move(controller))
 {}
 
-std::shared_ptr<platform::connection_pool> backend_client::pool_for(const http::endpoint& address)
+std::shared_ptr<store::connection_pool> backend_client::pool_for(const http::endpoint& address)
 {
     const std::scoped_lock lock(mutex_);
     auto& pool = pools_[address];
     if (!pool)
     {
-        pool = std::make_shared<platform::connection_pool>(executor_, address);
+        pool = std::make_shared<store::connection_pool>(executor_, address);
     }
     return pool;
 }
--- a/src/ownership/internal/backend_client.hpp
+++ b/src/ownership/internal/backend_client.hpp
@@ -3,7 +3,7 @@
 
 #include "core/asio.hpp"
 #include "ownership/internal/protocol_types.hpp"
-#include "platform/connection_pool.hpp"
+#include "store/connection_pool.hpp"
 
 #include <mutex>
 
@@ -26,12 +26,12 @@
     core::asio::awaitable<void> order(lifecycle_order request);
 
 private:
-    std::shared_ptr<platform::connection_pool> pool_for(const http::endpoint& address);
+    std::shared_ptr<store::connection_pool> pool_for(const http::endpoint& address);
 
     core::asio::any_io_executor executor_;
     std::string controller_;
     std::mutex mutex_;
-    std::map<http::endpoint, std::shared_ptr<platform::connection_pool>> pools_;
+    std::map<http::endpoint, std::shared_ptr<store::connection_pool>> pools_;
 };
 
 } // namespace briarfold::ownership::internal
--- a/src/ownership/internal/driver.cpp
+++ b/src/ownership/internal/driver.cpp
@@ -62,7 +62,7 @@
 }
 
 void ownership::driver::on_rows(const std::shared_ptr<const replica::snapshot>& current,
-                                const std::vector<platform::row>& changed)
+                                const std::vector<store::row>& changed)
 {
     with_machine([&](machine& m, time_point now) {
         for (const auto& row : changed)
@@ -237,7 +237,7 @@
         return reply(std::move(result));
     });
     parts_.peers.register_method("row_changed", [self, reply](const std::string&, nlohmann::json parameters) {
-        platform::row_batch batch;
+        store::row_batch batch;
         std::ranges::transform(parameters.at("rows"), std::back_inserter(batch.rows), replica::parse_row);
         self->parts_.rows.apply(batch);
         return reply(nlohmann::json::object());
--- a/src/ownership/internal/driver.hpp
+++ b/src/ownership/internal/driver.hpp
@@ -80,8 +80,8 @@
 
     void register_methods();
     void on_rows(const std::shared_ptr<const replica::snapshot>& current,
-                 const std::vector<platform::row>& changed);
-    void record_commit(const internal::commit_request& request, const platform::commit_result& result);
+                 const std::vector<store::row>& changed);
+    void record_commit(const internal::commit_request& request, const store::commit_result& result);
     /// Where the router's peer port is; empty when it has no row.
     std::optional<http::endpoint> peer_of(const std::string& instance_id) const;
     bool has_other_routers() const;
--- a/src/ownership/internal/driver_actions.cpp
+++ b/src/ownership/internal/driver_actions.cpp
@@ -33,9 +33,9 @@
 }
 
 /// What `writes` made of the rows, at the revision of the commit.
-platform::row_batch committed_rows(const internal::commit_request& request, std::int64_t revision)
+store::row_batch committed_rows(const internal::commit_request& request, std::int64_t revision)
 {
-    platform::row_batch batch;
+    store::row_batch batch;
     for (const auto& write : request.writes)
     {
         batch.rows.emplace_back(write.key, write.expected_version + 1, revision, request.operation_id,
@@ -96,7 +96,7 @@
 
 asio::awaitable<void> ownership::driver::commit(self_pointer self, internal::commit_request request)
 {
-    std::optional<platform::commit_result> result;
+    std::optional<store::commit_result> result;
     while (!result && !self->is_stopping_)
     {
         try
@@ -118,18 +118,18 @@
     }
     self->record_commit(request, *result);
     self->with_machine([&](machine& m, time_point now) { m.on_commit(request.operation_id, *result, now); });
-    platform::row_batch pushed;
+    store::row_batch pushed;
     if (result->is_committed)
     {
         pushed = committed_rows(request, result->revision);
     }
     std::ranges::copy_if(result->conflicts, std::back_inserter(pushed.rows),
-                         [](const platform::row& row) { return row.revision > 0; });
+                         [](const store::row& row) { return row.revision > 0; });
     self->parts_.rows.apply(pushed);
 }
 
 void ownership::driver::record_commit(const internal::commit_request& request,
-                                      const platform::commit_result& result)
+                                      const store::commit_result& result)
 {
     if (!result.is_committed)
     {
@@ -212,7 +212,7 @@
     ++counts_.rows_pushed;
     auto rows = nlohmann::json::array();
     std::ranges::transform(push.rows, std::back_inserter(rows),
-                           [](const platform::row& row) { return replica::to_json(row); });
+                           [](const store::row& row) { return replica::to_json(row); });
     nlohmann::json parameters;
     parameters["rows"] = std::move(rows);
     asio::co_spawn(executor_, tell(shared_from_this(), push.to, "row_changed", std::move(parameters)),
--- a/src/ownership/internal/machine.cpp
+++ b/src/ownership/internal/machine.cpp
@@ -27,7 +27,7 @@
       witness_(self_.instance_id)
 {}
 
-void machine::on_row(const platform::row& row, time_point now)
+void machine::on_row(const store::row& row, time_point now)
 {
     if (row.key.starts_with(service_prefix) && !row.value.is_null())
     {
--- a/src/ownership/internal/machine.hpp
+++ b/src/ownership/internal/machine.hpp
@@ -19,7 +19,7 @@
     /// `make_id` makes operation ids, unique over all routers.
     machine(membership::router_info self, std::function<std::string()> make_id);
 
-    void on_row(const platform::row& row, core::time_point now);
+    void on_row(const store::row& row, core::time_point now);
     void on_live(const std::vector<membership::router_info>& live, core::time_point now);
     void tick(core::time_point now);
 
@@ -27,7 +27,7 @@
                   core::time_point now);
     void on_failure(const std::string& server, std::int64_t exchange, core::time_point now);
     /// The outcome of a commit_request.
-    void on_commit(const std::string& operation_id, const platform::commit_result& result,
+    void on_commit(const std::string& operation_id, const store::commit_result& result,
                    core::time_point now);
     fenced_rows on_heartbeat(const std::string& from, core::time_point now);
     void on_voucher(const std::string& from, std::int64_t seq, fenced_rows fenced);
--- a/src/ownership/internal/machine_writes.cpp
+++ b/src/ownership/internal/machine_writes.cpp
@@ -37,7 +37,7 @@
     pending_.emplace(id, std::move(commit));
 }
 
-void machine::on_commit(const std::string& operation_id, const platform::commit_result& result,
+void machine::on_commit(const std::string& operation_id, const store::commit_result& result,
                         time_point now)
 {
     const auto found = pending_.find(operation_id);
@@ -51,14 +51,14 @@
     {
         busy_.erase(write.key);
     }
-    std::map<std::string, std::vector<platform::row>> pushes;
+    std::map<std::string, std::vector<store::row>> pushes;
     for (const auto& write : done.request.writes)
     {
         if (!result.is_committed)
         {
             break;
         }
-        const platform::row row(write.key, write.expected_version + 1, result.revision, operation_id,
+        const store::row row(write.key, write.expected_version + 1, result.revision, operation_id,
                                 write.value);
         on_row(row, now);
         const auto controller = write.value.value("controller", "");
@@ -67,7 +67,7 @@
             pushes[controller].push_back(row);
         }
     }
-    std::ranges::for_each(result.conflicts, [&](const platform::row& row) { on_row(row, now); });
+    std::ranges::for_each(result.conflicts, [&](const store::row& row) { on_row(row, now); });
     for (auto& [to, rows] : pushes)
     {
         out_.emplace_back(row_push{to, std::move(rows)});
--- a/src/ownership/internal/map_builder.cpp
+++ b/src/ownership/internal/map_builder.cpp
@@ -133,7 +133,7 @@
     return current_;
 }
 
-bool map_builder::apply_row(slice_map& next, const platform::row& row)
+bool map_builder::apply_row(slice_map& next, const store::row& row)
 {
     const bool is_server = row.key.starts_with(server_prefix);
     const bool is_service = row.key.starts_with(service_prefix);
@@ -171,7 +171,7 @@
     return true;
 }
 
-bool map_builder::apply(const std::vector<platform::row>& rows, std::int64_t revision)
+bool map_builder::apply(const std::vector<store::row>& rows, std::int64_t revision)
 {
     const std::scoped_lock lock(mutex_);
     auto next = std::make_shared<slice_map>(*current_);
--- a/src/ownership/internal/map_builder.hpp
+++ b/src/ownership/internal/map_builder.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "ownership/iownership.hpp"
-#include "platform/platform_types.hpp"
+#include "store/store_types.hpp"
 
 #include <map>
 #include <mutex>
@@ -16,12 +16,12 @@
     map_builder();
 
     /// Rows may come in any order; older ones are ignored. Returns whether a new map was published.
-    bool apply(const std::vector<platform::row>& rows, std::int64_t revision);
+    bool apply(const std::vector<store::row>& rows, std::int64_t revision);
     std::shared_ptr<const iownership_map> current() const;
 
 private:
     class slice_map;
-    bool apply_row(slice_map& next, const platform::row& row);
+    bool apply_row(slice_map& next, const store::row& row);
 
     mutable std::mutex mutex_;
     std::shared_ptr<const slice_map> current_;
--- a/src/ownership/internal/protocol_types.hpp
+++ b/src/ownership/internal/protocol_types.hpp
@@ -4,7 +4,7 @@
 
 #include "core/clock.hpp"
 #include "ownership/ownership_types.hpp"
-#include "platform/platform_types.hpp"
+#include "store/store_types.hpp"
 
 #include <map>
 #include <optional>
@@ -43,7 +43,7 @@
 struct commit_request
 {
     std::string operation_id;
-    std::vector<platform::row_write> writes;
+    std::vector<store::row_write> writes;
 };
 
 /// Asks `to` to stop vouching for `controller` (a witness), or to stop acting (the controller itself), for
@@ -79,7 +79,7 @@
 struct row_push
 {
     std::string to;
-    std::vector<platform::row> rows;
+    std::vector<store::row> rows;
 };
 
 /// Asks a router to take the row over.
--- a/src/ownership/ownership.hpp
+++ b/src/ownership/ownership.hpp
@@ -17,7 +17,7 @@
     membership::membership& members;
     membership::heartbeat_service& heartbeats;
     replica::replica& rows;
-    platform::itable_store& store;
+    store::itable_store& store;
     wire::ipeer_rpc& peers;
     history::writer& history;
 };
--- a/src/ownership/tests/cluster.hpp
+++ b/src/ownership/tests/cluster.hpp
@@ -6,7 +6,7 @@
 #include "membership/feed_order.hpp"
 #include "membership/registration.hpp"
 #include "ownership/ownership.hpp"
-#include "platform/http_table_store.hpp"
+#include "store/http_table_store.hpp"
 #include "replica/peer_source.hpp"
 #include "standins/backend/backend_service.hpp"
 #include "standins/backend/registration.hpp"
@@ -120,7 +120,7 @@
 
     std::string id = core::make_id("router");
     runner threads{2};
-    platform::http_table_store store;
+    store::http_table_store store;
     membership::udp_channel channel;
     wire::peer_network network;
     replica::replica rows;
--- a/src/ownership/tests/map_tests.cpp
+++ b/src/ownership/tests/map_tests.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-platform::row make_row(const std::string& id, std::vector<slice> slices, std::int64_t revision,
+store::row make_row(const std::string& id, std::vector<slice> slices, std::int64_t revision,
                        const std::string& service = "fleetdesk")
 {
     backend_server server;
@@ -45,7 +45,7 @@
     maps.apply({make_row("a", {{0, last_hash}}, 3)}, 4);
     BOOST_TEST(owner_of(maps, 120) == "a");
     BOOST_TEST(owner_of(maps, 70) == "b");
-    maps.apply({platform::row("backend-server/a", 5, 5, "", nullptr)}, 5);
+    maps.apply({store::row("backend-server/a", 5, 5, "", nullptr)}, 5);
     BOOST_TEST(owner_of(maps, 120).empty());
     BOOST_TEST(owner_of(maps, 150) == "b");
 }
--- a/src/ownership/tests/simulation_nodes.hpp
+++ b/src/ownership/tests/simulation_nodes.hpp
@@ -99,25 +99,25 @@
 
 struct simulation::table
 {
-    platform::commit_result apply(const internal::commit_request& request)
+    store::commit_result apply(const internal::commit_request& request)
     {
-        platform::commit_result result;
+        store::commit_result result;
         for (const auto& write : request.writes)
         {
             const auto held = rows.find(write.key);
             const auto version = held == rows.end() ? 0 : held->second.version;
             if (version != write.expected_version)
             {
-                result.conflicts.push_back(held == rows.end() ? platform::row() : held->second);
+                result.conflicts.push_back(held == rows.end() ? store::row() : held->second);
             }
         }
         const auto own =
-            std::ranges::find(result.conflicts, request.operation_id, &platform::row::operation_id);
+            std::ranges::find(result.conflicts, request.operation_id, &store::row::operation_id);
         if (own != result.conflicts.end())
         {
             return {true, own->revision, {}};
         }
-        std::erase_if(result.conflicts, [](const platform::row& row) { return row.key.empty(); });
+        std::erase_if(result.conflicts, [](const store::row& row) { return row.key.empty(); });
         if (!result.conflicts.empty())
         {
             return result;
@@ -131,9 +131,9 @@
         return {true, revision, {}};
     }
 
-    std::vector<platform::row> changes(std::int64_t since) const
+    std::vector<store::row> changes(std::int64_t since) const
     {
-        std::vector<platform::row> result;
+        std::vector<store::row> result;
         for (const auto& [key, row] : rows)
         {
             if (row.revision > since)
@@ -146,7 +146,7 @@
 
     bool is_up(std::int64_t now) const { return now >= down_until; }
 
-    std::map<std::string, platform::row> rows;
+    std::map<std::string, store::row> rows;
     std::int64_t revision = 0;
     std::int64_t down_until = 0;
     std::int64_t lossy_until = 0;
--- a/src/replica/feed.hpp
+++ b/src/replica/feed.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "core/asio.hpp"
-#include "platform/itable_store.hpp"
+#include "store/itable_store.hpp"
 #include "replica/replica.hpp"
 
 #include <atomic>
@@ -14,7 +14,7 @@
 /// Rows from an upstream. `age` is the time since the upstream itself was known to be current.
 struct feed_answer
 {
-    platform::row_batch batch;
+    store::row_batch batch;
     core::duration age{0};
 };
 
@@ -35,14 +35,14 @@
 class store_source : public ifeed_source
 {
 public:
-    explicit store_source(platform::itable_store& store) : store_(store) {}
+    explicit store_source(store::itable_store& store) : store_(store) {}
 
     std::string name() const override { return "store"; }
     core::asio::awaitable<feed_answer> changes(std::int64_t since, core::duration wait) override;
     core::asio::awaitable<feed_answer> read_all() override;
 
 private:
-    platform::itable_store& store_;
+    store::itable_store& store_;
 };
 
 using feed_sources = std::vector<std::shared_ptr<ifeed_source>>;
--- a/src/replica/internal/peer_source.cpp
+++ b/src/replica/internal/peer_source.cpp
@@ -67,11 +67,11 @@
     waiters->remove(timer);
 }
 
-nlohmann::json batch_to_json(const platform::row_batch& batch, duration age)
+nlohmann::json batch_to_json(const store::row_batch& batch, duration age)
 {
     auto rows = nlohmann::json::array();
     std::ranges::transform(batch.rows, std::back_inserter(rows),
-                           [](const platform::row& row) { return to_json(row); });
+                           [](const store::row& row) { return to_json(row); });
     return {{"revision", batch.revision},
             {"age_ms", age.ms},
             {"truncated", batch.is_truncated},
@@ -94,7 +94,7 @@
 
 } // namespace
 
-nlohmann::json to_json(const platform::row& value)
+nlohmann::json to_json(const store::row& value)
 {
     return {{"key", value.key},
             {"version", value.version},
@@ -103,7 +103,7 @@
             {"value", value.value}};
 }
 
-platform::row parse_row(const nlohmann::json& value)
+store::row parse_row(const nlohmann::json& value)
 {
     try
     {
--- a/src/replica/internal/replica.cpp
+++ b/src/replica/internal/replica.cpp
@@ -37,7 +37,7 @@
     hooks_.push_back(std::move(hook));
 }
 
-bool replica::is_newer(const row_map& rows, const platform::row& candidate) const
+bool replica::is_newer(const row_map& rows, const store::row& candidate) const
 {
     if (candidate.revision <= current_->revision)
     {
@@ -52,7 +52,7 @@
     return held == rows.end() || candidate.revision > held->second->revision;
 }
 
-void replica::set_row(row_map& rows, const platform::row& changed)
+void replica::set_row(row_map& rows, const store::row& changed)
 {
     if (changed.value.is_null())
     {
@@ -61,36 +61,36 @@
         return;
     }
     deletions_.erase(changed.key);
-    rows[changed.key] = std::make_shared<const platform::row>(changed);
+    rows[changed.key] = std::make_shared<const store::row>(changed);
 }
 
-void replica::apply(const platform::row_batch& batch)
+void replica::apply(const store::row_batch& batch)
 {
     std::unique_lock lock(mutex_);
-    std::vector<platform::row> changed;
+    std::vector<store::row> changed;
     std::ranges::copy_if(batch.rows, std::back_inserter(changed),
-                         [&](const platform::row& item) { return is_newer(current_->rows, item); });
+                         [&](const store::row& item) { return is_newer(current_->rows, item); });
     if (changed.empty() && batch.revision <= current_->revision)
     {
         return;
     }
     auto rows = current_->rows;
-    std::ranges::for_each(changed, [&](const platform::row& item) { set_row(rows, item); });
+    std::ranges::for_each(changed, [&](const store::row& item) { set_row(rows, item); });
     publish(std::move(rows), std::max(batch.revision, current_->revision), changed, std::move(lock));
 }
 
-void replica::apply_all(const platform::row_batch& batch)
+void replica::apply_all(const store::row_batch& batch)
 {
     std::unique_lock lock(mutex_);
     if (batch.revision <= current_->revision)
     {
         return;
     }
-    std::vector<platform::row> changed;
+    std::vector<store::row> changed;
     std::ranges::copy_if(batch.rows, std::back_inserter(changed),
-                         [&](const platform::row& item) { return is_newer(current_->rows, item); });
+                         [&](const store::row& item) { return is_newer(current_->rows, item); });
     std::map<std::string_view, bool> present;
-    std::ranges::for_each(batch.rows, [&](const platform::row& item) { present[item.key] = true; });
+    std::ranges::for_each(batch.rows, [&](const store::row& item) { present[item.key] = true; });
     for (const auto& [key, held] : current_->rows)
     {
         if (!present.contains(key) && held->revision <= batch.revision)
@@ -99,14 +99,14 @@
         }
     }
     auto rows = current_->rows;
-    std::ranges::for_each(changed, [&](const platform::row& item) { set_row(rows, item); });
+    std::ranges::for_each(changed, [&](const store::row& item) { set_row(rows, item); });
     // A row may have been created and deleted between the two revisions, so older deletions are not all
     // known.
     deletions_since_ = batch.revision;
     publish(std::move(rows), batch.revision, changed, std::move(lock));
 }
 
-void replica::publish(row_map rows, std::int64_t revision, const std::vector<platform::row>& changed,
+void replica::publish(row_map rows, std::int64_t revision, const std::vector<store::row>& changed,
                       std::unique_lock<std::mutex> lock)
 {
     if (deletions_.size() > max_deletions)
@@ -127,10 +127,10 @@
     }
 }
 
-platform::row_batch replica::changes_since(std::int64_t since) const
+store::row_batch replica::changes_since(std::int64_t since) const
 {
     const std::scoped_lock lock(mutex_);
-    platform::row_batch batch;
+    store::row_batch batch;
     batch.revision = current_->revision;
     if (since < deletions_since_ || since < 0)
     {
@@ -154,10 +154,10 @@
     return batch;
 }
 
-platform::row_batch replica::all_rows() const
+store::row_batch replica::all_rows() const
 {
     const auto held = current();
-    platform::row_batch batch;
+    store::row_batch batch;
     batch.revision = held->revision;
     std::ranges::transform(held->rows, std::back_inserter(batch.rows),
                            [](const auto& item) { return *item.second; });
--- a/src/replica/peer_source.hpp
+++ b/src/replica/peer_source.hpp
@@ -28,8 +28,8 @@
 /// rows. Both arguments outlive the network.
 void serve_changes(wire::ipeer_rpc& peers, replica& rows);
 
-nlohmann::json to_json(const platform::row& value);
+nlohmann::json to_json(const store::row& value);
 /// Throws core::error.
-platform::row parse_row(const nlohmann::json& value);
+store::row parse_row(const nlohmann::json& value);
 
 } // namespace briarfold::replica
--- a/src/replica/replica.hpp
+++ b/src/replica/replica.hpp
@@ -17,27 +17,27 @@
     std::shared_ptr<const snapshot> current() const override;
     /// A batch of `changes`. Rows newer than the batch's revision are taken too; a batch of revision 0
     /// carries pushed rows only.
-    void apply(const platform::row_batch& batch) override;
+    void apply(const store::row_batch& batch) override;
     void on_change(change_hook hook) override;
     core::time_point confirmed_at() const override;
 
     /// All rows at the batch's revision: rows that are absent from it are deleted. Ignored when older than
     /// what is held.
-    void apply_all(const platform::row_batch& batch);
+    void apply_all(const store::row_batch& batch);
     /// The rows changed after `since` up to the replica's revision; truncated when deletions since then are
     /// no longer known.
-    platform::row_batch changes_since(std::int64_t since) const;
+    store::row_batch changes_since(std::int64_t since) const;
     /// All rows at the replica's revision.
-    platform::row_batch all_rows() const;
+    store::row_batch all_rows() const;
     /// The feed calls it with the time at which the upstream was known to be current.
     void confirm(core::time_point at);
 
 private:
-    using row_map = std::map<std::string, std::shared_ptr<const platform::row>, std::less<>>;
+    using row_map = std::map<std::string, std::shared_ptr<const store::row>, std::less<>>;
 
-    bool is_newer(const row_map& rows, const platform::row& candidate) const;
-    void set_row(row_map& rows, const platform::row& changed);
-    void publish(row_map rows, std::int64_t revision, const std::vector<platform::row>& changed,
+    bool is_newer(const row_map& rows, const store::row& candidate) const;
+    void set_row(row_map& rows, const store::row& changed);
+    void publish(row_map rows, std::int64_t revision, const std::vector<store::row>& changed,
                  std::unique_lock<std::mutex> lock);
 
     mutable std::mutex mutex_;
--- a/src/replica/tests/replica_tests.cpp
+++ b/src/replica/tests/replica_tests.cpp
@@ -3,7 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace briarfold;
-using platform::row;
+using store::row;
 
 namespace {
 
--- a/src/routing/entry.hpp
+++ b/src/routing/entry.hpp
@@ -36,7 +36,7 @@
     ~entry() override;
 
     core::asio::awaitable<http::response> answer(http::request message,
-                                                 std::shared_ptr<wire::cancellation> cancel) override;
+                                                 std::shared_ptr<core::cancellation> cancel) override;
     http::response answer_bad_input(unsigned status, const std::string& reason) override;
     std::size_t in_flight() const override;
     void begin_stop() override;
--- a/src/routing/front.hpp
+++ b/src/routing/front.hpp
@@ -19,7 +19,7 @@
     ~front() override;
 
     core::asio::awaitable<wire::forward_result> serve(wire::forward_request request,
-                                                      std::shared_ptr<wire::cancellation> cancel) override;
+                                                      std::shared_ptr<core::cancellation> cancel) override;
     std::size_t in_flight() const override;
     void begin_stop() override;
 
--- a/src/routing/ientry.hpp
+++ b/src/routing/ientry.hpp
@@ -3,7 +3,7 @@
 
 #include "core/asio.hpp"
 #include "http/http_types.hpp"
-#include "wire/cancellation.hpp"
+#include "core/cancellation.hpp"
 
 #include <memory>
 
@@ -16,7 +16,7 @@
 
     /// Answers one request of a caller as docs/design.md section 5.1 says. `cancel` may be null. Thread-safe.
     virtual core::asio::awaitable<http::response> answer(http::request message,
-                                                         std::shared_ptr<wire::cancellation> cancel) = 0;
+                                                         std::shared_ptr<core::cancellation> cancel) = 0;
     /// The answer to input that is no HTTP request: 400, 413 or 431.
     virtual http::response answer_bad_input(unsigned status, const std::string& reason) = 0;
     /// Requests without an outcome yet.
--- a/src/routing/ifront.hpp
+++ b/src/routing/ifront.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "core/asio.hpp"
-#include "wire/cancellation.hpp"
+#include "core/cancellation.hpp"
 #include "wire/frame_types.hpp"
 
 #include <memory>
@@ -17,7 +17,7 @@
     /// Serves one request at the backend server that it names. Failures are reported in the result.
     /// `cancel` may be null. Thread-safe.
     virtual core::asio::awaitable<wire::forward_result> serve(wire::forward_request request,
-                                                              std::shared_ptr<wire::cancellation> cancel) = 0;
+                                                              std::shared_ptr<core::cancellation> cancel) = 0;
     /// Requests being served now.
     virtual std::size_t in_flight() const = 0;
     /// Refuses new requests as not run; those in flight finish.
--- a/src/routing/internal/backend_channel.hpp
+++ b/src/routing/internal/backend_channel.hpp
@@ -7,7 +7,7 @@
 #include "routing/internal/connection_pool.hpp"
 #include "routing/internal/retry_budget.hpp"
 #include "routing/internal/slot_gate.hpp"
-#include "wire/cancellation.hpp"
+#include "core/cancellation.hpp"
 #include "wire/frame_types.hpp"
 
 #include <memory>
@@ -25,7 +25,7 @@
     double retry_share = 0;
     /// traceparent for the backend server.
     std::string traceparent;
-    std::shared_ptr<wire::cancellation> cancel;
+    std::shared_ptr<core::cancellation> cancel;
     /// A cancelled copy may still be known to the backend server, so that the state of the request id no
     /// longer tells about the copy that was sent again.
     bool was_withdrawn = false;
--- a/src/routing/internal/entry.cpp
+++ b/src/routing/internal/entry.cpp
@@ -195,7 +195,7 @@
 entry::~entry() = default;
 
 asio::awaitable<http::response> entry::answer(http::request message,
-                                              std::shared_ptr<wire::cancellation> cancel)
+                                              std::shared_ptr<core::cancellation> cancel)
 {
     const auto self = state_;
     const internal::request_count counted(self->in_flight);
--- a/src/routing/internal/entry_state.hpp
+++ b/src/routing/internal/entry_state.hpp
@@ -30,7 +30,7 @@
 
 struct entry_request
 {
-    entry_request(wire::forward_request&& request, std::shared_ptr<wire::cancellation> cancel_flag)
+    entry_request(wire::forward_request&& request, std::shared_ptr<core::cancellation> cancel_flag)
         : forward(std::move(request)), hash(core::key_hash(forward.service, forward.key)),
           deadline(core::clock::now() + forward.deadline), cancel(std::move(cancel_flag)),
           trace(start_span(forward.traceparent)), wall_start(core::clock::wall())
@@ -41,7 +41,7 @@
     wire::forward_request forward;
     std::uint64_t hash;
     core::time_point deadline;
-    std::shared_ptr<wire::cancellation> cancel;
+    std::shared_ptr<core::cancellation> cancel;
     trace_context trace;
     core::time_point wall_start;
     /// An attempt may have run, so that a later refusal proves nothing about the request.
--- a/src/routing/internal/front.cpp
+++ b/src/routing/internal/front.cpp
@@ -42,7 +42,7 @@
 
     std::shared_ptr<backend_channel> channel_for(const row_pointer& row);
     std::shared_ptr<channel_request> make_request(wire::forward_request request,
-                                                  std::shared_ptr<wire::cancellation> cancel) const;
+                                                  std::shared_ptr<core::cancellation> cancel) const;
     asio::awaitable<wire::forward_result> serve_at(row_pointer row, std::shared_ptr<channel_request> request);
     void report_span(const internal::trace_context& trace, core::time_point start,
                      const channel_request& request, const wire::forward_result& result) const;
@@ -69,7 +69,7 @@
 }
 
 std::shared_ptr<channel_request> front::state::make_request(wire::forward_request request,
-                                                            std::shared_ptr<wire::cancellation> cancel) const
+                                                            std::shared_ptr<core::cancellation> cancel) const
 {
     auto result = std::make_shared<channel_request>();
     result->deadline = core::clock::now() + request.deadline;
@@ -126,7 +126,7 @@
 front::~front() = default;
 
 asio::awaitable<wire::forward_result> front::serve(wire::forward_request request,
-                                                   std::shared_ptr<wire::cancellation> cancel)
+                                                   std::shared_ptr<core::cancellation> cancel)
 {
     const auto self = state_;
     ++self->counters.front_requests;
--- a/src/routing/internal/slot_gate.cpp
+++ b/src/routing/internal/slot_gate.cpp
@@ -36,7 +36,7 @@
 
 asio::awaitable<slot_result> slot_gate::acquire(std::string customer, double weight,
                                                 core::time_point deadline,
-                                                std::shared_ptr<wire::cancellation> cancel)
+                                                std::shared_ptr<core::cancellation> cancel)
 {
     if (in_use_ < slots_ && queue_.empty())
     {
--- a/src/routing/internal/slot_gate.hpp
+++ b/src/routing/internal/slot_gate.hpp
@@ -5,7 +5,7 @@
 #include "core/clock.hpp"
 #include "routing/counters.hpp"
 #include "routing/internal/fair_queue.hpp"
-#include "wire/cancellation.hpp"
+#include "core/cancellation.hpp"
 
 #include <memory>
 #include <string>
@@ -28,7 +28,7 @@
 
     /// Waits for a slot. After `granted` the caller owes one `release`.
     core::asio::awaitable<slot_result> acquire(std::string customer, double weight, core::time_point deadline,
-                                               std::shared_ptr<wire::cancellation> cancel);
+                                               std::shared_ptr<core::cancellation> cancel);
     /// `used`: how long the slot was held.
     void release(const std::string& customer, core::duration used);
     void set_slots(int slots);
--- a/src/routing/tests/fakes.hpp
+++ b/src/routing/tests/fakes.hpp
@@ -260,7 +260,7 @@
           front_role(executor, ownership, hooks, counters),
           entry_role({ownership, membership, front_role, network, counters}, hooks)
     {
-        network.on_forward([this](wire::forward_request request, std::shared_ptr<wire::cancellation> cancel) {
+        network.on_forward([this](wire::forward_request request, std::shared_ptr<core::cancellation> cancel) {
             return front_role.serve(std::move(request), std::move(cancel));
         });
     }
@@ -293,7 +293,7 @@
 }
 
 inline std::future<http::response> start(running_context& runner, router& target, http::request message,
-                                         std::shared_ptr<wire::cancellation> cancel = nullptr)
+                                         std::shared_ptr<core::cancellation> cancel = nullptr)
 {
     return asio::co_spawn(runner.context, target.entry_role.answer(std::move(message), std::move(cancel)),
                           asio::use_future);
--- a/src/routing/tests/front_tests.cpp
+++ b/src/routing/tests/front_tests.cpp
@@ -288,8 +288,8 @@
     auto row = f.backend.row();
     row.slots = 1;
     f.publish(row);
-    const auto first_cancel = std::make_shared<wire::cancellation>();
-    const auto second_cancel = std::make_shared<wire::cancellation>();
+    const auto first_cancel = std::make_shared<core::cancellation>();
+    const auto second_cancel = std::make_shared<core::cancellation>();
     auto first = start(f.runner, f.target, make_request("POST", "r1"), first_cancel);
     BOOST_TEST(eventually([&] { return f.backend.running == 1; }));
     auto second = start(f.runner, f.target, make_request("POST", "r2"), second_cancel);
