--- /dev/null
+++ b/src/settings/edge_settings.hpp
@@ -0,0 +1,58 @@
+/// Settings of one edge router, from a TOML file.
+#pragma once
+
+#include "core/clock.hpp"
+#include "http/http_types.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+namespace briarfold::settings {
+
+struct edge_settings
+{
+    /// Unique among the routers; the same after a restart.
+    std::string name;
+    std::string zone;
+    /// Where callers connect.
+    http::endpoint frontend;
+    /// Where readiness is asked for.
+    http::endpoint readiness;
+    /// Where other routers connect.
+    http::endpoint peer;
+    /// Where metrics are served.
+    http::endpoint metrics;
+    http::endpoint store;
+    /// Share of a processor core, by which fronts are distributed.
+    double cpu = 1;
+    /// Arrivals beyond the first of each request: share of the requests, window, and number on top.
+    double repeat_ratio = 0.2;
+    core::duration repeat_window{10000};
+    double repeat_slack = 0;
+    /// Time from the stop signal to the forced end.
+    core::duration grace{6000};
+    /// Longest duration of a grant that backend servers accept.
+    core::duration longest_hold{10000};
+
+    bool operator==(const edge_settings&) const = default;
+};
+
+/// Names of the values in the table `bounds`, which a deployment may choose. Others in it are ignored.
+struct bound_names
+{
+    std::string repeat_ratio = "repeat_ratio";
+    std::string repeat_window_s = "repeat_window_s";
+    std::string repeat_slack = "repeat_slack";
+    std::string grace_s = "grace_s";
+    std::string longest_hold_ms = "longest_hold_ms";
+};
+
+/// Throws document::invalid_document with every error in the text; `name` appears in it.
+edge_settings parse_edge_settings(const std::string& toml_text, const std::string& name,
+                                  const bound_names& names = {});
+/// Throws core::error when the file cannot be read.
+edge_settings load_edge_settings(const std::string& path, const bound_names& names = {});
+nlohmann::json to_json(const edge_settings& value);
+
+} // namespace briarfold::settings
--- /dev/null
+++ b/src/settings/internal/edge_settings.cpp
@@ -0,0 +1,94 @@
+#include "settings/edge_settings.hpp"
+
+#include "document/field_reader.hpp"
+#include "settings/internal/toml_document.hpp"
+
+namespace briarfold::settings {
+
+namespace {
+
+constexpr std::size_t longest_name = 200;
+constexpr std::int64_t ms_per_s = 1000;
+
+http::endpoint read_endpoint(document::field_reader& reader, const std::string& name)
+{
+    const auto text = reader.text(name, internal::endpoint_rule());
+    return text.empty() ? http::endpoint() : http::parse_endpoint(text);
+}
+
+void read_bounds(document::field_reader& reader, const nlohmann::json& bounds, const bound_names& names,
+                 edge_settings& result)
+{
+    const auto number = [&](const std::string& name, double fallback) {
+        if (!bounds.contains(name))
+        {
+            return fallback;
+        }
+        const auto& value = bounds.at(name);
+        if (!value.is_number() || value.get<double>() < 0)
+        {
+            reader.add_error("bounds." + name, value.dump(), "a number from 0");
+            return fallback;
+        }
+        return value.get<double>();
+    };
+    result.repeat_ratio = number(names.repeat_ratio, result.repeat_ratio);
+    result.repeat_slack = number(names.repeat_slack, result.repeat_slack);
+    const auto window_s = number(names.repeat_window_s, static_cast<double>(result.repeat_window.ms) / ms_per_s);
+    result.repeat_window.ms = static_cast<std::int64_t>(window_s * ms_per_s);
+    const auto grace_s = number(names.grace_s, static_cast<double>(result.grace.ms) / ms_per_s);
+    result.grace.ms = static_cast<std::int64_t>(grace_s * ms_per_s);
+    result.longest_hold.ms =
+        static_cast<std::int64_t>(number(names.longest_hold_ms, static_cast<double>(result.longest_hold.ms)));
+}
+
+} // namespace
+
+edge_settings parse_edge_settings(const std::string& toml_text, const std::string& name, const bound_names& names)
+{
+    const auto object = internal::parse_toml(toml_text, name);
+    document::field_reader reader(object);
+    edge_settings result;
+    result.name = reader.text("name", document::name_rule(longest_name));
+    result.zone = reader.text("zone", document::name_rule(longest_name));
+    result.frontend = read_endpoint(reader, "frontend");
+    result.readiness = read_endpoint(reader, "readiness");
+    result.peer = read_endpoint(reader, "peer");
+    result.metrics = read_endpoint(reader, "metrics");
+    result.store = read_endpoint(reader, "store");
+    constexpr double least_cpu = 0.001;
+    constexpr double most_cpu = 1024;
+    result.cpu = reader.number("cpu", least_cpu, most_cpu, 1);
+    reader.allow("bounds");
+    if (object.contains("bounds") && object.at("bounds").is_object())
+    {
+        read_bounds(reader, object.at("bounds"), names, result);
+    }
+    reader.finish(name);
+    return result;
+}
+
+edge_settings load_edge_settings(const std::string& path, const bound_names& names)
+{
+    return parse_edge_settings(internal::read_file(path), path, names);
+}
+
+nlohmann::json to_json(const edge_settings& value)
+{
+    return {{"name", value.name},
+            {"zone", value.zone},
+            {"frontend", http::to_string(value.frontend)},
+            {"readiness", http::to_string(value.readiness)},
+            {"peer", http::to_string(value.peer)},
+            {"metrics", http::to_string(value.metrics)},
+            {"store", http::to_string(value.store)},
+            {"cpu", value.cpu},
+            {"bounds",
+             {{"repeat_ratio", value.repeat_ratio},
+              {"repeat_window_s", static_cast<double>(value.repeat_window.ms) / ms_per_s},
+              {"repeat_slack", value.repeat_slack},
+              {"grace_s", static_cast<double>(value.grace.ms) / ms_per_s},
+              {"longest_hold_ms", value.longest_hold.ms}}}};
+}
+
+} // namespace briarfold::settings
--- a/src/settings/internal/router_settings.cpp
+++ b/src/settings/internal/router_settings.cpp
@@ -3,11 +3,9 @@
 #include "core/asio.hpp"
 #include "core/error.hpp"
 #include "document/field_reader.hpp"
-
-#include <toml.hpp>
+#include "settings/internal/toml_document.hpp"
 
 #include <algorithm>
-#include <fstream>
 #include <sstream>
 
 namespace briarfold::settings {
@@ -23,50 +21,6 @@
 constexpr std::size_t longest_token = 256;
 constexpr const char* mask = "********";
 
-nlohmann::json convert(const toml::value& value)
-{
-    switch (value.type())
-    {
-    case toml::value_t::boolean:
-        return value.as_boolean();
-    case toml::value_t::integer:
-        return value.as_integer();
-    case toml::value_t::floating:
-        return value.as_floating();
-    case toml::value_t::string:
-        return value.as_string().str;
-    case toml::value_t::array: {
-        auto list = nlohmann::json::array();
-        std::ranges::transform(value.as_array(), std::back_inserter(list), convert);
-        return list;
-    }
-    case toml::value_t::table: {
-        auto object = nlohmann::json::object();
-        for (const auto& [name, item] : value.as_table())
-        {
-            object[name] = convert(item);
-        }
-        return object;
-    }
-    default:
-        return nullptr;
-    }
-}
-
-nlohmann::json parse_toml(const std::string& text, const std::string& name)
-{
-    std::istringstream stream(text);
-    try
-    {
-        return convert(toml::parse(stream, name));
-    }
-    catch (const toml::exception& failure)
-    {
-        throw document::invalid_document(
-            name, {{"line " + std::to_string(failure.location().line()), failure.what(), "valid TOML"}});
-    }
-}
-
 bool is_ip(const std::string& text)
 {
     boost::system::error_code code;
@@ -74,24 +28,6 @@
     return !code;
 }
 
-bool is_endpoint(const std::string& text)
-{
-    try
-    {
-        return http::parse_endpoint(text).port != 0;
-    }
-    catch (const core::error&)
-    {
-        return false;
-    }
-}
-
-const document::text_rule& endpoint_rule()
-{
-    static const document::text_rule rule{"an IP address and a port such as \"10.0.0.1:9000\"", is_endpoint};
-    return rule;
-}
-
 unsigned short read_port(document::field_reader& reader, const std::string& name, unsigned short fallback)
 {
     return static_cast<unsigned short>(reader.integer(name, 0, highest_port, fallback));
@@ -99,12 +35,12 @@
 
 void read_endpoints(document::field_reader& reader, router_settings& result)
 {
-    const auto platform = reader.text("platform", endpoint_rule());
+    const auto platform = reader.text("platform", internal::endpoint_rule());
     if (!platform.empty())
     {
         result.platform = http::parse_endpoint(platform);
     }
-    const auto seeds = reader.texts("seeds", endpoint_rule(), 0, std::vector<std::string>{});
+    const auto seeds = reader.texts("seeds", internal::endpoint_rule(), 0, std::vector<std::string>{});
     std::ranges::transform(seeds, std::back_inserter(result.seeds), http::parse_endpoint);
 }
 
@@ -138,7 +74,7 @@
 
 router_settings parse_settings(const std::string& toml_text, const std::string& name)
 {
-    const auto object = parse_toml(toml_text, name);
+    const auto object = internal::parse_toml(toml_text, name);
     document::field_reader reader(object);
     router_settings result;
     const auto name_rule = document::name_rule(longest_name);
@@ -166,14 +102,7 @@
 
 router_settings load_settings(const std::string& path)
 {
-    const std::ifstream file(path);
-    if (!file)
-    {
-        throw core::error("read settings", path, "the file cannot be opened");
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return parse_settings(text.str(), path);
+    return parse_settings(internal::read_file(path), path);
 }
 
 nlohmann::json to_json(const router_settings& value)
--- a/src/platform/connection_pool.hpp
+++ b/src/store/connection_pool.hpp
@@ -9,7 +9,7 @@
 #include <mutex>
 #include <vector>
 
-namespace briarfold::platform {
+namespace briarfold::store {
 
 /// Thread-safe. Each connection lives on a strand of its own.
 class connection_pool : public std::enable_shared_from_this<connection_pool>
@@ -48,4 +48,4 @@
     std::vector<std::shared_ptr<slot>> idle_;
 };
 
-} // namespace briarfold::platform
+} // namespace briarfold::store
--- a/src/platform/http_object_store.hpp
+++ b/src/store/http_object_store.hpp
@@ -2,11 +2,11 @@
 #pragma once
 
 #include "http/http_types.hpp"
-#include "platform/iobject_store.hpp"
+#include "store/iobject_store.hpp"
 
 #include <memory>
 
-namespace briarfold::platform {
+namespace briarfold::store {
 
 class connection_pool;
 
@@ -24,4 +24,4 @@
     std::shared_ptr<connection_pool> pool_;
 };
 
-} // namespace briarfold::platform
+} // namespace briarfold::store
--- a/src/platform/http_table_store.hpp
+++ b/src/store/http_table_store.hpp
@@ -2,11 +2,11 @@
 #pragma once
 
 #include "http/http_types.hpp"
-#include "platform/itable_store.hpp"
+#include "store/itable_store.hpp"
 
 #include <memory>
 
-namespace briarfold::platform {
+namespace briarfold::store {
 
 class connection_pool;
 
@@ -31,4 +31,4 @@
     std::shared_ptr<connection_pool> pool_;
 };
 
-} // namespace briarfold::platform
+} // namespace briarfold::store
--- a/src/platform/internal/connection_pool.cpp
+++ b/src/store/internal/connection_pool.cpp
@@ -1,10 +1,10 @@
-#include "platform/connection_pool.hpp"
+#include "store/connection_pool.hpp"
 
 #include "core/error.hpp"
 
 #include <algorithm>
 
-namespace briarfold::platform {
+namespace briarfold::store {
 
 namespace asio = core::asio;
 
@@ -93,4 +93,4 @@
     }
 }
 
-} // namespace briarfold::platform
+} // namespace briarfold::store
--- a/src/platform/internal/http_object_store.cpp
+++ b/src/store/internal/http_object_store.cpp
@@ -1,9 +1,9 @@
-#include "platform/http_object_store.hpp"
+#include "store/http_object_store.hpp"
 
-#include "platform/connection_pool.hpp"
-#include "platform/itable_store.hpp"
+#include "store/connection_pool.hpp"
+#include "store/itable_store.hpp"
 
-namespace briarfold::platform {
+namespace briarfold::store {
 
 namespace asio = core::asio;
 
@@ -62,4 +62,4 @@
     co_return content;
 }
 
-} // namespace briarfold::platform
+} // namespace briarfold::store
--- a/src/platform/internal/http_table_store.cpp
+++ b/src/store/internal/http_table_store.cpp
@@ -1,12 +1,12 @@
-#include "platform/http_table_store.hpp"
+#include "store/http_table_store.hpp"
 
 #include "core/pause.hpp"
-#include "platform/connection_pool.hpp"
-#include "platform/internal/platform_json.hpp"
+#include "store/connection_pool.hpp"
+#include "store/internal/store_json.hpp"
 
 #include <algorithm>
 
-namespace briarfold::platform {
+namespace briarfold::store {
 
 namespace asio = core::asio;
 using core::clock;
@@ -201,4 +201,4 @@
     co_return internal::parse_batch(internal::parse_body(answer.body), "changes");
 }
 
-} // namespace briarfold::platform
+} // namespace briarfold::store
--- a/src/platform/internal/platform_json.cpp
+++ b/src/store/internal/store_json.cpp
@@ -1,11 +1,11 @@
-#include "platform/internal/platform_json.hpp"
+#include "store/internal/store_json.hpp"
 
-#include "platform/itable_store.hpp"
+#include "store/itable_store.hpp"
 
 #include <algorithm>
 #include <cctype>
 
-namespace briarfold::platform::internal {
+namespace briarfold::store::internal {
 
 namespace {
 
@@ -91,4 +91,4 @@
     return encoded;
 }
 
-} // namespace briarfold::platform::internal
+} // namespace briarfold::store::internal
--- a/src/platform/internal/platform_json.hpp
+++ b/src/store/internal/store_json.hpp
@@ -1,11 +1,11 @@
 /// JSON bodies of the table service.
 #pragma once
 
-#include "platform/platform_types.hpp"
+#include "store/store_types.hpp"
 
 #include <string_view>
 
-namespace briarfold::platform::internal {
+namespace briarfold::store::internal {
 
 /// The functions that read throw store_error for anything malformed.
 nlohmann::json parse_body(std::string_view body);
@@ -15,4 +15,4 @@
 std::string transaction_body(const std::string& operation_id, const std::vector<row_write>& writes);
 std::string url_encode(std::string_view text);
 
-} // namespace briarfold::platform::internal
+} // namespace briarfold::store::internal
--- a/src/platform/iobject_store.hpp
+++ b/src/store/iobject_store.hpp
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string>
 
-namespace briarfold::platform {
+namespace briarfold::store {
 
 class iobject_store
 {
@@ -22,4 +22,4 @@
                                                                   core::duration timeout) = 0;
 };
 
-} // namespace briarfold::platform
+} // namespace briarfold::store
--- a/src/platform/itable_store.hpp
+++ b/src/store/itable_store.hpp
@@ -4,13 +4,13 @@
 #include "core/asio.hpp"
 #include "core/clock.hpp"
 #include "core/error.hpp"
-#include "platform/platform_types.hpp"
+#include "store/store_types.hpp"
 
 #include <optional>
 #include <string>
 #include <vector>
 
-namespace briarfold::platform {
+namespace briarfold::store {
 
 /// The service refused (429, 503) or did not answer in time; nothing is known about a write.
 class store_error : public core::error
@@ -37,4 +37,4 @@
     virtual core::asio::awaitable<row_batch> changes(std::int64_t since, core::duration wait) = 0;
 };
 
-} // namespace briarfold::platform
+} // namespace briarfold::store
--- a/src/platform/platform_types.hpp
+++ b/src/store/store_types.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace briarfold::platform {
+namespace briarfold::store {
 
 /// One row. `value` is null in a change that deletes the row.
 struct row
@@ -64,4 +64,4 @@
     bool operator==(const row_batch&) const = default;
 };
 
-} // namespace briarfold::platform
+} // namespace briarfold::store
--- a/src/platform/tests/table_store_tests.cpp
+++ b/src/store/tests/table_store_tests.cpp
@@ -1,8 +1,8 @@
 #include "core/ids.hpp"
 #include "http/client_connection.hpp"
 #include "http/server.hpp"
-#include "platform/http_object_store.hpp"
-#include "platform/http_table_store.hpp"
+#include "store/http_object_store.hpp"
+#include "store/http_table_store.hpp"
 #include "standins/platform/platform_service.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -27,7 +27,7 @@
         service_context.get_executor(), http::endpoint("127.0.0.1", 0),
         [this](http::request message, const http::endpoint&) { return service.answer(std::move(message)); }};
     http::endpoint address{"127.0.0.1", server.port()};
-    platform::http_table_store store{client_context.get_executor(), address};
+    store::http_table_store store{client_context.get_executor(), address};
     asio::executor_work_guard<asio::io_context::executor_type> client_guard =
         asio::make_work_guard(client_context);
     std::jthread service_thread{[this] { service_context.run(); }};
@@ -53,9 +53,9 @@
     }
 };
 
-std::vector<platform::row_write> one_write(std::int64_t version, int value)
+std::vector<store::row_write> one_write(std::int64_t version, int value)
 {
-    std::vector<platform::row_write> writes;
+    std::vector<store::row_write> writes;
     writes.emplace_back("contract/a b", version, nlohmann::json(value));
     return writes;
 }
@@ -94,8 +94,8 @@
 {
     fixture f;
     f.set_faults(R"({"mode":"down"})");
-    BOOST_CHECK_THROW(f.run(f.store.commit("op", one_write(0, 1), 300_ms)), platform::store_error);
-    BOOST_CHECK_THROW(f.run(f.store.read("contract/a b", 300_ms)), platform::store_error);
+    BOOST_CHECK_THROW(f.run(f.store.commit("op", one_write(0, 1), 300_ms)), store::store_error);
+    BOOST_CHECK_THROW(f.run(f.store.read("contract/a b", 300_ms)), store::store_error);
     f.set_faults(R"({"mode":"up"})");
     BOOST_TEST(!f.run(f.store.read("contract/a b", 5000_ms)).has_value());
 }
@@ -103,7 +103,7 @@
 BOOST_AUTO_TEST_CASE(objects_are_stored_and_read)
 {
     fixture f;
-    platform::http_object_store objects(f.client_context.get_executor(), f.address);
+    store::http_object_store objects(f.client_context.get_executor(), f.address);
     f.run(objects.put("history/line-1", "content", 5000_ms));
     BOOST_TEST(f.run(objects.get("history/line-1", 5000_ms)).value_or("") == "content");
     BOOST_TEST(!f.run(objects.get("history/none", 5000_ms)).has_value());
--- a/src/wire/frame_types.hpp
+++ b/src/wire/frame_types.hpp
@@ -38,6 +38,14 @@
     core::duration deadline;
     bool is_idempotent = false;
     std::string traceparent;
+    /// Name of the route that the request matched.
+    std::string route;
+    /// 0 is the most urgent.
+    int priority = 0;
+    /// Time left in which an answer has its full value to the caller; may be negative.
+    core::duration objective;
+    /// Number of backend servers that may receive the request.
+    int most_attempts = 1;
 
     bool operator==(const forward_request&) const = default;
 };
--- a/src/wire/iforwarder.hpp
+++ b/src/wire/iforwarder.hpp
@@ -3,7 +3,7 @@
 
 #include "core/asio.hpp"
 #include "core/error.hpp"
-#include "wire/cancellation.hpp"
+#include "core/cancellation.hpp"
 #include "wire/frame_types.hpp"
 
 #include <memory>
@@ -34,7 +34,7 @@
     /// it knows. `cancel`, when given, sends a cancel frame. Thread-safe. Throws link_error, or
     /// core::timeout_error when no result came in time.
     virtual core::asio::awaitable<forward_result> forward(http::endpoint peer, forward_request request,
-                                                          std::shared_ptr<cancellation> cancel) = 0;
+                                                          std::shared_ptr<core::cancellation> cancel) = 0;
 };
 
 } // namespace briarfold::wire
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -109,6 +109,10 @@
     fields.read(request.deadline.ms);
     fields.read(request.is_idempotent);
     fields.read(request.traceparent);
+    fields.read(request.route);
+    fields.read(request.priority);
+    fields.read(request.objective.ms);
+    fields.read(request.most_attempts);
 }
 
 void read_result(field_cursor& fields, forward_result& result)
@@ -155,6 +159,8 @@
         break;
     case frame_type::rpc_call:
     case frame_type::rpc_answer:
+    case frame_type::message:
+    case frame_type::message_answer:
         fields.read(value.text);
         break;
     case frame_type::cancel:
@@ -179,7 +185,7 @@
 
 void append_forward(std::string& out, std::uint64_t id, const forward_request& request)
 {
-    constexpr std::uint32_t fields = 12;
+    constexpr std::uint32_t fields = 16;
     append_frame(out, frame_type::forward, id, fields, [&](packer& pack) {
         pack.pack(request.customer);
         pack.pack(request.service);
@@ -193,6 +199,10 @@
         pack.pack(request.deadline.ms);
         pack.pack(request.is_idempotent);
         pack.pack(request.traceparent);
+        pack.pack(request.route);
+        pack.pack(request.priority);
+        pack.pack(request.objective.ms);
+        pack.pack(request.most_attempts);
     });
 }
 
--- a/src/wire/internal/codec.hpp
+++ b/src/wire/internal/codec.hpp
@@ -19,7 +19,9 @@
     rpc_call = 5,
     rpc_answer = 6,
     ping = 7,
-    pong = 8
+    pong = 8,
+    message = 9,
+    message_answer = 10
 };
 
 /// A decoded frame; only the members of its type are set.
@@ -42,7 +44,7 @@
 void append_hello(std::string& out, const std::string& token, const std::string& instance_id);
 void append_forward(std::string& out, std::uint64_t id, const forward_request& request);
 void append_result(std::string& out, std::uint64_t id, const forward_result& result);
-/// rpc_call or rpc_answer.
+/// rpc_call, rpc_answer, message or message_answer.
 void append_text(std::string& out, frame_type type, std::uint64_t id, const std::string& text);
 /// cancel, ping or pong.
 void append_plain(std::string& out, frame_type type, std::uint64_t id);
--- a/src/wire/internal/peer_link.cpp
+++ b/src/wire/internal/peer_link.cpp
@@ -14,11 +14,10 @@
 
 /// A live peer in another zone accepts within a few round trips; a longer wait only delays the next choice.
 constexpr core::duration connect_limit{300};
-/// Silence is found within 700 ms: after ping_after without a byte a ping is sent, which the peer answers at
-/// once however slow its backend servers are.
+/// After ping_after without a byte a ping is sent, which the peer answers at once however slow its backend
+/// servers are. With the default limit for the answer, silence is found within 700 ms.
 constexpr core::duration watch_interval{100};
 constexpr core::duration ping_after{150};
-constexpr core::duration pong_limit{350};
 constexpr std::size_t read_bytes = 65536;
 /// Above this the peer does not keep up, and more calls would only wait.
 constexpr std::size_t max_outbox_bytes = std::size_t{8} << 20U;
@@ -62,9 +61,10 @@
     frame answer;
 };
 
-peer_link::peer_link(const asio::any_io_executor& executor, http::endpoint peer, std::string hello)
+peer_link::peer_link(const asio::any_io_executor& executor, http::endpoint peer, std::string hello,
+                     core::duration pong_limit)
     : strand_(core::make_strand(executor)), peer_(std::move(peer)), hello_(std::move(hello)),
-      connect_done_(strand_)
+      pong_limit_(pong_limit), connect_done_(strand_)
 {}
 
 asio::awaitable<void> peer_link::ensure_connected(core::duration limit)
@@ -179,7 +179,7 @@
         {
             continue;
         }
-        if (current->is_ping_open && now - current->ping_sent > pong_limit)
+        if (current->is_ping_open && now - current->ping_sent > pong_limit_)
         {
             fail(current, "silent connection");
         }
@@ -277,7 +277,7 @@
 }
 
 asio::awaitable<frame> peer_link::exchange(append_call append, core::time_point deadline,
-                                           core::duration grace, std::shared_ptr<cancellation> cancel)
+                                           core::duration grace, std::shared_ptr<core::cancellation> cancel)
 {
     const auto self = shared_from_this();
     co_await ensure_connected(deadline - core::clock::now());
--- a/src/wire/internal/peer_link.hpp
+++ b/src/wire/internal/peer_link.hpp
@@ -4,7 +4,7 @@
 #include "core/asio.hpp"
 #include "core/clock.hpp"
 #include "http/http_types.hpp"
-#include "wire/cancellation.hpp"
+#include "core/cancellation.hpp"
 #include "wire/internal/codec.hpp"
 
 #include <functional>
@@ -22,13 +22,14 @@
 class peer_link : public std::enable_shared_from_this<peer_link>
 {
 public:
-    peer_link(const core::asio::any_io_executor& executor, http::endpoint peer, std::string hello);
+    peer_link(const core::asio::any_io_executor& executor, http::endpoint peer, std::string hello,
+              core::duration pong_limit);
 
     const core::asio::any_io_executor& strand() const { return strand_; }
     /// Sends one call and waits for its answer until `deadline` and `grace` have passed.
     /// Throws link_error or core::timeout_error.
     core::asio::awaitable<frame> exchange(append_call append, core::time_point deadline, core::duration grace,
-                                          std::shared_ptr<cancellation> cancel);
+                                          std::shared_ptr<core::cancellation> cancel);
     void close(const std::string& reason);
 
 private:
@@ -47,6 +48,7 @@
     core::asio::any_io_executor strand_;
     http::endpoint peer_;
     std::string hello_;
+    core::duration pong_limit_;
     std::shared_ptr<connection> connection_;
     core::asio::steady_timer connect_done_;
     bool is_connecting_ = false;
--- a/src/wire/internal/peer_network.cpp
+++ b/src/wire/internal/peer_network.cpp
@@ -67,6 +67,7 @@
     std::atomic<bool> is_stopping{false};
     std::mutex mutex;
     std::shared_ptr<const forward_handler> on_forward;
+    std::shared_ptr<const message_handler> on_message;
     std::map<http::endpoint, std::shared_ptr<internal::peer_link>> links;
     std::set<std::weak_ptr<internal::peer_session>, std::owner_less<>> sessions;
     internal::rpc_server methods;
@@ -107,6 +108,15 @@
         const std::scoped_lock lock(self->mutex);
         return self->on_forward;
     };
+    context->message = [weak]() -> std::shared_ptr<const message_handler> {
+        const auto self = weak.lock();
+        if (!self)
+        {
+            return nullptr;
+        }
+        const std::scoped_lock lock(self->mutex);
+        return self->on_message;
+    };
     context->rpc = [weak](std::string message, std::function<void(std::string)> reply) {
         if (const auto self = weak.lock())
         {
@@ -155,7 +165,7 @@
     auto& link = links[peer];
     if (!link)
     {
-        link = std::make_shared<internal::peer_link>(executor, peer, hello);
+        link = std::make_shared<internal::peer_link>(executor, peer, hello, settings.pong_limit);
     }
     return link;
 }
@@ -182,6 +192,7 @@
     });
     const std::scoped_lock lock(mutex);
     on_forward = nullptr;
+    on_message = nullptr;
     for (const auto& [peer, link] : links)
     {
         asio::post(link->strand(), [link = link] { link->close("shutting down"); });
@@ -219,6 +230,26 @@
     state_->on_forward = std::make_shared<const forward_handler>(std::move(handler));
 }
 
+void peer_network::on_message(message_handler handler)
+{
+    const std::scoped_lock lock(state_->mutex);
+    state_->on_message = std::make_shared<const message_handler>(std::move(handler));
+}
+
+asio::awaitable<std::string> peer_network::send_message(http::endpoint peer, std::string text,
+                                                        core::duration timeout)
+{
+    const auto link = state_->link_to(peer);
+    const auto shared = std::make_shared<std::string>(std::move(text));
+    const internal::append_call append = [shared](std::string& out, std::uint64_t id, core::duration) {
+        internal::append_text(out, internal::frame_type::message, id, *shared);
+    };
+    auto answer = co_await asio::co_spawn(
+        link->strand(), link->exchange(append, core::clock::now() + timeout, {}, nullptr),
+        asio::use_awaitable);
+    co_return std::move(answer.text);
+}
+
 void peer_network::register_method(std::string name, rpc_handler handler)
 {
     state_->methods.add(name, std::move(handler));
@@ -254,7 +285,7 @@
 }
 
 asio::awaitable<forward_result> peer_network::forward(http::endpoint peer, forward_request request,
-                                                      std::shared_ptr<cancellation> cancel)
+                                                      std::shared_ptr<core::cancellation> cancel)
 {
     const auto link = state_->link_to(peer);
     const auto deadline = core::clock::now() + request.deadline;
--- a/src/wire/internal/peer_session.cpp
+++ b/src/wire/internal/peer_session.cpp
@@ -1,6 +1,7 @@
 #include "wire/internal/peer_session.hpp"
 
 #include <openssl/crypto.h>
+#include <spdlog/spdlog.h>
 
 namespace briarfold::wire::internal {
 
@@ -83,12 +84,13 @@
             throw core::connection_error("authenticate peer", "", "the first frame does not carry the token");
         }
         is_authenticated_ = true;
+        peer_instance_ = message.instance_id;
         return;
     }
     const auto id = message.id;
     if (message.type == frame_type::forward)
     {
-        const auto cancel = std::make_shared<cancellation>();
+        const auto cancel = std::make_shared<core::cancellation>();
         in_flight_.emplace(id, cancel);
         asio::co_spawn(socket_.get_executor(), serve_forward(id, std::move(message.request), cancel),
                        asio::detached);
@@ -104,6 +106,10 @@
     {
         serve_rpc(id, std::move(message.text));
     }
+    else if (message.type == frame_type::message)
+    {
+        asio::co_spawn(socket_.get_executor(), serve_message(id, std::move(message.text)), asio::detached);
+    }
     else if (message.type == frame_type::ping)
     {
         append_plain(outbox_, frame_type::pong, 0);
@@ -112,7 +118,7 @@
 }
 
 asio::awaitable<void> peer_session::serve_forward(std::uint64_t id, forward_request request,
-                                                  std::shared_ptr<cancellation> cancel)
+                                                  std::shared_ptr<core::cancellation> cancel)
 {
     const auto self = shared_from_this();
     const auto handler = context_->forward();
@@ -154,6 +160,31 @@
     });
 }
 
+asio::awaitable<void> peer_session::serve_message(std::uint64_t id, std::string text)
+{
+    const auto self = shared_from_this();
+    const auto handler = context_->message();
+    if (!handler)
+    {
+        co_return;
+    }
+    std::string answer;
+    try
+    {
+        answer = co_await (*handler)(peer_instance_, std::move(text));
+    }
+    catch (const std::exception& failure)
+    {
+        spdlog::warn("message of {} was not handled: {}", peer_instance_, failure.what());
+        co_return;
+    }
+    if (!is_ended_)
+    {
+        append_text(outbox_, frame_type::message_answer, id, answer);
+        flush();
+    }
+}
+
 void peer_session::flush()
 {
     if (is_writing_ || outbox_.empty() || is_ended_)
--- a/src/wire/internal/peer_session.hpp
+++ b/src/wire/internal/peer_session.hpp
@@ -19,6 +19,7 @@
     std::function<std::shared_ptr<const forward_handler>()> forward;
     /// Answers a JSON-RPC message from another thread; calls `reply` once.
     std::function<void(std::string message, std::function<void(std::string)> reply)> rpc;
+    std::function<std::shared_ptr<const message_handler>()> message;
 };
 
 class peer_session : public std::enable_shared_from_this<peer_session>
@@ -35,20 +36,22 @@
     /// Throws core::connection_error when the first frame does not carry the token.
     void accept_frame(frame message);
     core::asio::awaitable<void> serve_forward(std::uint64_t id, forward_request request,
-                                              std::shared_ptr<cancellation> cancel);
+                                              std::shared_ptr<core::cancellation> cancel);
     void serve_rpc(std::uint64_t id, std::string message);
+    core::asio::awaitable<void> serve_message(std::uint64_t id, std::string text);
     void flush();
     void end();
 
     core::asio::ip::tcp::socket socket_;
     std::shared_ptr<const session_context> context_;
     frame_reader reader_;
+    std::string peer_instance_;
     bool is_authenticated_ = false;
     bool is_ended_ = false;
     bool is_writing_ = false;
     std::string outbox_;
     std::string writing_;
-    std::map<std::uint64_t, std::shared_ptr<cancellation>> in_flight_;
+    std::map<std::uint64_t, std::shared_ptr<core::cancellation>> in_flight_;
 };
 
 } // namespace briarfold::wire::internal
--- a/src/wire/peer_network.hpp
+++ b/src/wire/peer_network.hpp
@@ -22,11 +22,16 @@
     http::endpoint listen;
     std::string token;
     std::string instance_id;
+    /// Time in which a peer answers a ping. Instances with a small share of a processor need more.
+    core::duration pong_limit{350};
 };
 
 /// Serves one forwarded request. It reports failures in the result; an exception becomes outcome unknown.
 using forward_handler =
-    std::function<core::asio::awaitable<forward_result>(forward_request, std::shared_ptr<cancellation>)>;
+    std::function<core::asio::awaitable<forward_result>(forward_request, std::shared_ptr<core::cancellation>)>;
+
+/// Answers one message of the router `from`. After an exception the sender gets no answer.
+using message_handler = std::function<core::asio::awaitable<std::string>(std::string from, std::string text)>;
 
 class peer_network : public ipeer_rpc, public iforwarder
 {
@@ -40,11 +45,18 @@
     /// Forwarded requests are refused as not run until a handler is set.
     void on_forward(forward_handler handler);
 
+    /// Messages are not answered until a handler is set. It runs on the I/O executor.
+    void on_message(message_handler handler);
+    /// Sends `text` and returns the answer of the peer's message handler. Throws link_error or
+    /// core::timeout_error.
+    core::asio::awaitable<std::string> send_message(http::endpoint peer, std::string text,
+                                                    core::duration timeout);
+
     void register_method(std::string name, rpc_handler handler) override;
     core::asio::awaitable<nlohmann::json> call(http::endpoint peer, std::string method,
                                                nlohmann::json parameters, core::duration timeout) override;
     core::asio::awaitable<forward_result> forward(http::endpoint peer, forward_request request,
-                                                  std::shared_ptr<cancellation> cancel) override;
+                                                  std::shared_ptr<core::cancellation> cancel) override;
 
 private:
     struct state;
--- a/src/wire/tests/wire_tests.cpp
+++ b/src/wire/tests/wire_tests.cpp
@@ -121,7 +121,7 @@
     wire::peer_network server(executor, {{"127.0.0.1", 0}, "token", "a"});
     wire::peer_network client(executor, {{"127.0.0.1", 0}, "token", "b"});
     server.on_forward([](wire::forward_request request,
-                         std::shared_ptr<wire::cancellation>) -> asio::awaitable<wire::forward_result> {
+                         std::shared_ptr<core::cancellation>) -> asio::awaitable<wire::forward_result> {
         asio::steady_timer timer(co_await asio::this_coro::executor,
                                  std::chrono::milliseconds(request.body.back() % 5));
         co_await timer.async_wait(asio::use_awaitable);
@@ -151,7 +151,7 @@
     wire::peer_network client(executor, {{"127.0.0.1", 0}, "other", "b"});
     bool was_called = false;
     server.on_forward([&](wire::forward_request request,
-                          std::shared_ptr<wire::cancellation>) -> asio::awaitable<wire::forward_result> {
+                          std::shared_ptr<core::cancellation>) -> asio::awaitable<wire::forward_result> {
         was_called = true;
         co_return make_echo(request);
     });
@@ -203,9 +203,9 @@
     const auto executor = runner.context.get_executor();
     wire::peer_network server(executor, {{"127.0.0.1", 0}, "token", "a"});
     wire::peer_network client(executor, {{"127.0.0.1", 0}, "token", "b"});
-    const auto cancel = std::make_shared<wire::cancellation>();
+    const auto cancel = std::make_shared<core::cancellation>();
     server.on_forward([&](wire::forward_request request,
-                          std::shared_ptr<wire::cancellation> flag) -> asio::awaitable<wire::forward_result> {
+                          std::shared_ptr<core::cancellation> flag) -> asio::awaitable<wire::forward_result> {
         asio::steady_timer timer(co_await asio::this_coro::executor, std::chrono::hours(1));
         flag->set_hook([&timer] { timer.cancel(); });
         cancel->cancel();
