Report keys as free only when no grant is under way; assign fronts without a write

The keys were withdrawn while their first grant was on its way, so the front reported them free at once.

--- a/src/directory/directory_types.hpp
+++ b/src/directory/directory_types.hpp
@@ -84,8 +84,9 @@
     /// Rises with each change within a term.
     std::int64_t revision = 0;
     std::string leader;
-    /// The router that also reads the store and takes over from a leader which cannot.
-    std::string deputy;
+    /// Routers that also read the store, in other zones than the leader where there are any. The first takes over from
+    /// a leader that cannot.
+    std::vector<std::string> deputies;
     std::map<std::string, entry> entries;
     std::map<std::string, router> routers;
 
--- a/src/directory/internal/directory_json.cpp
+++ b/src/directory/internal/directory_json.cpp
@@ -120,7 +120,7 @@
     return {{"whole", value.is_whole},        {"base", value.base},
             {"term", value.changed.term},
             {"rev", value.changed.revision},  {"leader", value.changed.leader},
-            {"deputy", value.changed.deputy}, {"entries", std::move(entries)},
+            {"deputies", value.changed.deputies}, {"entries", std::move(entries)},
             {"routers", std::move(routers)},  {"removed", value.removed}};
 }
 
@@ -132,7 +132,7 @@
     result.changed.term = value.at("term").get<std::int64_t>();
     result.changed.revision = value.at("rev").get<std::int64_t>();
     result.changed.leader = value.at("leader").get<std::string>();
-    result.changed.deputy = value.at("deputy").get<std::string>();
+    result.changed.deputies = value.at("deputies").get<std::vector<std::string>>();
     result.removed = value.at("removed").get<std::vector<std::string>>();
     for (const auto& item : value.at("entries"))
     {
--- a/src/directory/internal/update.cpp
+++ b/src/directory/internal/update.cpp
@@ -44,7 +44,7 @@
     }
     current.revision = std::max(current.revision, change.changed.revision);
     current.leader = change.changed.leader;
-    current.deputy = change.changed.deputy;
+    current.deputies = change.changed.deputies;
     current.routers = change.changed.routers;
     for (const auto& [id, item] : change.changed.entries)
     {
--- a/src/edge/entry.hpp
+++ b/src/edge/entry.hpp
@@ -46,6 +46,8 @@
     /// Answers one request of a caller.
     core::asio::awaitable<http::response> handle(http::request message,
                                                  std::shared_ptr<core::cancellation> departure);
+    /// From now on requests are refused at once, since their answers would come after the end of this process.
+    void refuse_new() { is_refusing_ = true; }
     std::size_t in_flight() const { return in_flight_; }
 
 private:
@@ -99,6 +101,7 @@
     std::int64_t revision_ = 0;
     std::int64_t term_ = 0;
     std::size_t in_flight_ = 0;
+    bool is_refusing_ = false;
 };
 
 } // namespace briarfold::edge
--- a/src/edge/internal/entry.cpp
+++ b/src/edge/internal/entry.cpp
@@ -204,6 +204,11 @@
 {
     item.arrived = clock::now();
     item.head = hooks_.read_request(message);
+    if (is_refusing_)
+    {
+        constexpr core::duration other_router{50};
+        return refuse(item, status_unavailable, other_router, "this router is about to end");
+    }
     if (!routes_.is_known())
     {
         return refuse(item, status_unavailable, startup_retry, "no configuration is known yet");
--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -285,8 +285,11 @@
 {
     const bool has_time =
         static_cast<double>((item.waiting.give_up - now).ms) > item.expected_ms && item.sends < most_sends;
+    // Keys stay at their owner, so a repeat reaches no further backend server.
+    const bool has_attempts =
+        !item.request.key.empty() || static_cast<int>(item.tried.size()) < item.request.most_attempts;
     const auto budget = budgets.find(item.request.service);
-    return has_time && budget != budgets.end() && budget->second.take(slack_share(), now);
+    return has_time && has_attempts && budget != budgets.end() && budget->second.take(slack_share(), now);
 }
 
 std::optional<wire::forward_result> front::state::judge(job& item, exchange_result& outcome)
@@ -371,6 +374,10 @@
         server.limit.on_failure(now);
     }
     item.was_cut = item.was_cut || was_sent;
+    if (!was_sent)
+    {
+        item.tried.erase(server.entry.server.id);
+    }
     const bool may_send_again = !was_sent || item.request.is_idempotent;
     // A request that never left its connection has not arrived, so it does not count against the budget.
     const bool is_allowed = was_sent ? may_repeat(item, now)
--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -26,6 +26,8 @@
 /// Without the store the leadership counts as undisputed for this time, or while every router follows it.
 constexpr core::duration storeless_leadership{10000};
 constexpr core::duration vanish_doubt{2200};
+/// One deputy may be cut off from the store together with the leader.
+constexpr std::size_t deputy_count = 2;
 
 } // namespace
 
@@ -150,12 +152,19 @@
     {
         apply_config(json(config_));
     }
+    config_revision_ = std::max(config_revision_, rows.revision);
     co_return rows.revision;
 }
 
 void leader_service::apply_registration(const store::row& row)
 {
     const auto now = clock::now();
+    auto& seen = row_versions_[row.key];
+    if (row.version < seen)
+    {
+        return;
+    }
+    seen = row.version;
     const auto server = row.value.is_null() ? std::nullopt : hooks_.read_registration(row.key, row.value);
     if (server)
     {
@@ -187,6 +196,7 @@
         registered_.erase(id);
         state_->on_unregistered(id, !health_.was_failing(vanish_doubt, clock::now()), clock::now());
     }
+    registry_revision_ = std::max(registry_revision_, rows.revision);
     co_return rows.revision;
 }
 
@@ -211,6 +221,7 @@
             else
             {
                 revision = batch.revision;
+                registry_revision_ = std::max(registry_revision_, revision);
                 std::ranges::for_each(batch.rows, [this](const auto& row) { apply_registration(row); });
             }
             if (batch.rows.empty() && !batch.is_truncated)
@@ -256,6 +267,7 @@
             else
             {
                 revision = batch.revision;
+                config_revision_ = std::max(config_revision_, revision);
                 for (const auto& row : batch.rows)
                 {
                     if (row.key == tables_.config_key && !row.value.is_null())
@@ -373,6 +385,10 @@
     const auto report = leader::report_from_json(message.at("report"));
     const auto now = clock::now();
     state_->on_report(report, now);
+    if (message.contains("news"))
+    {
+        take_news(message.at("news"));
+    }
     after_change();
     const auto term = message.at("term").get<std::int64_t>();
     const auto revision = message.at("revision").get<std::int64_t>();
@@ -388,6 +404,8 @@
     known.revision = state_->current().revision;
     known.config = config_version_;
     reply["confirmed_age"] = (now - confirmed_at()).ms;
+    reply["config_revision"] = config_revision_;
+    reply["registry_revision"] = registry_revision_;
     reply["store_failing"] = health_.failing_for(now).ms;
     return reply;
 }
@@ -403,7 +421,7 @@
     const auto self = shared_from_this();
     while (is_current())
     {
-        choose_deputy();
+        choose_deputies();
         after_change();
         if (clock::now() - confirmed_at_ > leadership_check && !is_writing_)
         {
@@ -413,28 +431,54 @@
     }
 }
 
-void leader_service::choose_deputy()
+void leader_service::choose_deputies()
 {
     const auto now = clock::now();
     const auto& current = state_->current();
-    const auto is_fit = [&](const directory::router& item) {
-        return item.name != self_.name && !item.is_stopping && state_->is_alive(item.name, now);
+    const auto is_fit = [&](const std::string& name) {
+        const auto router = current.routers.find(name);
+        return router != current.routers.end() && name != self_.name && !router->second.is_stopping &&
+               state_->is_alive(name, now);
     };
-    const auto present = current.routers.find(current.deputy);
-    if (present != current.routers.end() && is_fit(present->second))
+    auto names = current.deputies;
+    std::erase_if(names, [&](const std::string& name) { return !is_fit(name); });
+    const auto has_zone = [&](const std::string& zone) {
+        return zone == self_.zone || std::ranges::any_of(names, [&](const std::string& name) {
+            return current.routers.at(name).zone == zone;
+        });
+    };
+    for (const bool needs_new_zone : {true, false})
     {
-        return;
+        for (const auto& [name, item] : current.routers)
+        {
+            const bool is_chosen = std::ranges::find(names, name) != names.end();
+            const bool fits = is_fit(name) && !is_chosen && !(needs_new_zone && has_zone(item.zone));
+            if (fits && names.size() < deputy_count)
+            {
+                names.push_back(name);
+            }
+        }
     }
-    const directory::router* best = nullptr;
-    for (const auto& [name, item] : current.routers)
+    state_->set_deputies(std::move(names));
+}
+
+void leader_service::take_news(const json& rows)
+{
+    for (const auto& item : rows)
     {
-        const bool is_elsewhere = item.zone != self_.zone;
-        if (is_fit(item) && (best == nullptr || (is_elsewhere && best->zone == self_.zone)))
+        const store::row row(item.at("key").get<std::string>(), item.at("version").get<std::int64_t>(), 0, "",
+                             item.at("value"));
+        const bool is_config = item.at("table").get<std::string>() == "config";
+        log_.write("news of a deputy", {{"key", row.key}, {"version", row.version}, {"config", is_config}});
+        if (is_config)
+        {
+            apply_config(row.value);
+        }
+        else
         {
-            best = &item;
+            apply_registration(row);
         }
     }
-    state_->set_deputy(best == nullptr ? "" : best->name);
 }
 
 asio::awaitable<void> leader_service::check_leadership()
--- a/src/edge/internal/leader_service.hpp
+++ b/src/edge/internal/leader_service.hpp
@@ -61,7 +61,9 @@
     void apply_registration(const store::row& row);
     void apply_config(const nlohmann::json& document);
     void after_change();
-    void choose_deputy();
+    void choose_deputies();
+    /// Rows that a deputy read and this leader has not.
+    void take_news(const nlohmann::json& rows);
     nlohmann::json make_update(std::int64_t term, std::int64_t revision, std::int64_t config) const;
     bool is_current() const { return !is_stopped_; }
 
@@ -81,6 +83,10 @@
     std::optional<leader::leader_state> state_;
     std::map<std::string, follower> followers_;
     std::set<std::string> registered_;
+    /// Versions of the registrations applied, so that older news changes nothing.
+    std::map<std::string, std::int64_t> row_versions_;
+    std::int64_t config_revision_ = 0;
+    std::int64_t registry_revision_ = 0;
     core::time_point confirmed_at_;
     std::int64_t published_revision_ = 0;
     std::int64_t published_config_ = 0;
--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -27,7 +27,11 @@
 /// Routers try to become the leader one after the other, in an order that differs for each term.
 constexpr core::duration election_step{60};
 constexpr core::duration contact_limit{2200};
-constexpr core::duration deputy_wait{1500};
+constexpr core::duration deputy_wait{2500};
+/// Registrations change often; a deputy gathers them.
+constexpr core::duration news_gather{300};
+/// Time that the leader has to read a row by itself.
+constexpr core::duration news_delay{150};
 /// A leader that cannot read the store for this time is replaced by one that can.
 constexpr core::duration store_patience{300};
 /// From then on no router may be able to take over, so grants last longer.
@@ -56,7 +60,8 @@
     report_soon();
     if (state_->leading && state_->network)
     {
-        const auto deputy = state_->known.routers.find(state_->known.deputy);
+        const auto& deputies = state_->known.deputies;
+        const auto deputy = state_->known.routers.find(deputies.empty() ? "" : deputies.front());
         if (deputy != state_->known.routers.end())
         {
             asio::co_spawn(
@@ -205,12 +210,13 @@
                 co_await elect("the leader is lost");
             }
         }
-        const bool is_deputy = known.deputy == settings.name;
-        if (is_deputy && !is_watching && !leading)
+        if (is_deputy() && watchers == 0)
         {
-            is_watching = true;
+            watchers = 2;
             asio::co_spawn(
-                executor, [self_reference] { return self_reference->watch_as_deputy(); }, asio::detached);
+                executor, [self_reference] { return self_reference->watch_as_deputy("config"); }, asio::detached);
+            asio::co_spawn(
+                executor, [self_reference] { return self_reference->watch_as_deputy("registry"); }, asio::detached);
         }
         boost::system::error_code ignored;
         const auto wait = is_report_wanted ? report_gather : report_interval;
@@ -223,8 +229,8 @@
 {
     constexpr std::uint64_t most_steps = 12;
     const auto rank = core::text_hash(settings.name + std::to_string(known.term)) % most_steps;
-    const bool is_deputy = known.deputy == settings.name;
-    return is_deputy ? core::duration{0} : election_step * static_cast<std::int64_t>(rank + 1);
+    const bool is_heir = !known.deputies.empty() && known.deputies.front() == settings.name;
+    return is_heir ? core::duration{0} : election_step * static_cast<std::int64_t>(rank + 1);
 }
 
 leader::router_report member::state::make_report()
@@ -250,11 +256,12 @@
         failed_reports = refusals_of_lost_leader;
         co_return;
     }
-    const json message = {{"kind", "report"},
+    json message = {{"kind", "report"},
                           {"term", known.term},
                           {"revision", known.revision},
                           {"config", known_config_version},
                           {"report", leader::to_json(make_report())}};
+    add_news(message);
     const auto sent = clock::now();
     const auto asked = leader;
     try
@@ -269,6 +276,7 @@
             leader_store_failing.ms = reply.value("store_failing", std::int64_t{0});
             const core::duration age{reply.value("confirmed_age", std::int64_t{0})};
             authority_at = std::max(authority_at, sent - age);
+            drop_known_news(reply);
         }
         else if (reply.contains("leader"))
         {
@@ -501,40 +509,88 @@
     failed_reports = 0;
 }
 
-asio::awaitable<void> member::state::watch_as_deputy()
+bool member::state::is_deputy() const
+{
+    return !leading && !is_stopping && std::ranges::find(known.deputies, settings.name) != known.deputies.end();
+}
+
+asio::awaitable<void> member::state::watch_as_deputy(std::string table)
 {
     const auto self_reference = shared_from_this();
+    const bool is_config = table == "config";
+    const auto rows = is_config ? tables.config : tables.registry;
     std::int64_t revision = 0;
-    while (known.deputy == settings.name && !leading && !is_stopping)
+    while (is_deputy())
     {
-        bool has_failed = false;
+        core::duration pause = is_config ? core::duration{0} : news_gather;
         try
         {
             if (revision == 0)
             {
-                revision = (co_await tables.config->read_prefix(tables.config_key, store_timeout)).revision;
+                revision = (co_await rows->read_prefix(is_config ? tables.config_key : "", store_timeout)).revision;
             }
-            const auto batch = co_await tables.config->changes(revision, deputy_wait);
+            const auto batch = co_await rows->changes(revision, deputy_wait);
             health.on_success(clock::now());
             revision = batch.is_truncated ? 0 : batch.revision;
+            for (const auto& row : batch.rows)
+            {
+                if (!is_config || row.key == tables.config_key)
+                {
+                    news[{table, row.key}] = {row, clock::now()};
+                }
+            }
         }
         catch (const core::error&)
         {
             // Whether the store serves this router is all that the deputy needs to know.
             health.on_failure(clock::now());
-            has_failed = true;
+            pause = retry_pause;
         }
-        if (has_failed)
+        const bool is_heir = !known.deputies.empty() && known.deputies.front() == settings.name;
+        if (is_heir && !health.is_failing() && leader_store_failing > store_patience)
         {
-            co_await core::pause_for(retry_pause);
-            continue;
+            co_await elect("the leader cannot read the store");
         }
-        if (leader_store_failing > store_patience)
+        if (pause.ms > 0)
         {
-            co_await elect("the leader cannot read the store");
+            co_await core::pause_for(pause);
         }
     }
-    is_watching = false;
+    --watchers;
+}
+
+void member::state::add_news(json& message)
+{
+    auto list = json::array();
+    for (const auto& [name, item] : news)
+    {
+        // The leader reads the same rows, so most news is known to it when it is old enough to be told.
+        if (clock::now() - item.seen >= news_delay)
+        {
+            list.push_back({{"table", name.first},
+                            {"key", name.second},
+                            {"version", item.row.version},
+                            {"value", item.row.value}});
+        }
+    }
+    if (!list.empty())
+    {
+        message["news"] = std::move(list);
+    }
+}
+
+void member::state::drop_known_news(const json& reply)
+{
+    const auto config_revision = reply.value("config_revision", std::int64_t{0});
+    const auto registry_revision = reply.value("registry_revision", std::int64_t{0});
+    std::erase_if(news, [&](const auto& item) {
+        const auto known_revision = item.first.first == "config" ? config_revision : registry_revision;
+        return item.second.row.version <= known_revision;
+    });
+    if (!is_deputy())
+    {
+        news.clear();
+    }
 }
 
 } // namespace briarfold::edge
--- a/src/edge/internal/member_state.hpp
+++ b/src/edge/internal/member_state.hpp
@@ -17,7 +17,11 @@
     core::asio::awaitable<void> learn_leader();
     core::asio::awaitable<void> report();
     core::asio::awaitable<void> elect(const char* reason);
-    core::asio::awaitable<void> watch_as_deputy();
+    bool is_deputy() const;
+    /// Reads the changes of "config" or "registry" for the case that the leader cannot.
+    core::asio::awaitable<void> watch_as_deputy(std::string table);
+    void add_news(nlohmann::json& message);
+    void drop_known_news(const nlohmann::json& reply);
     core::asio::awaitable<std::string> on_message(std::string from, std::string text);
     void become_leader(std::int64_t term);
     void step_down(const char* reason);
@@ -46,7 +50,15 @@
     core::duration leader_store_failing;
     bool is_stopping = false;
     bool is_electing = false;
-    bool is_watching = false;
+    struct news_item
+    {
+        store::row row;
+        core::time_point seen;
+    };
+
+    /// Rows read as deputy that the leader has not confirmed, by table and key.
+    std::map<std::pair<std::string, std::string>, news_item> news;
+    int watchers = 0;
     bool is_report_wanted = false;
     int failed_reports = 0;
 };
--- a/src/edge/internal/router_node.cpp
+++ b/src/edge/internal/router_node.cpp
@@ -24,6 +24,8 @@
 constexpr core::duration flush_interval{250};
 /// The balancer notices a router that is not ready within two questions, one a second.
 constexpr core::duration drain_least{2600};
+/// Requests that come later could not be answered before the end of the grace time.
+constexpr core::duration take_limit{3000};
 /// Left of the grace time when remaining requests are cut off.
 constexpr core::duration grace_margin{500};
 
@@ -259,6 +261,14 @@
     while (true)
     {
         const auto elapsed = clock::now() - start;
+        if (elapsed > drain_least)
+        {
+            frontend->close_idle();
+        }
+        if (elapsed > take_limit)
+        {
+            entry.refuse_new();
+        }
         const bool is_idle = entry.in_flight() == 0 && front.in_flight() == 0 && front.servers() == 0 &&
                              frontend->connections() == 0;
         if ((is_idle && elapsed > drain_least) || elapsed > settings.grace - grace_margin)
--- a/src/grants/internal/server_grants.cpp
+++ b/src/grants/internal/server_grants.cpp
@@ -8,7 +8,8 @@
 
 /// Pause after a call without an answer, so that a backend server that is down is not flooded.
 constexpr core::duration retry_pause{150};
-constexpr std::int64_t most_token_step = (std::int64_t{1} << 20) - 1;
+/// Tokens above this belong to the next front.
+constexpr std::int64_t most_token_step = (std::int64_t{1} << 12) - 1;
 
 } // namespace
 
@@ -106,6 +107,7 @@
     {
         const bool fits = !joined.empty() && joined.back().range.last + 1 == item.range.first &&
                           joined.back().is_granted && item.is_granted &&
+                          joined.back().is_under_way == item.is_under_way &&
                           joined.back().release == release_state::none && item.release == release_state::none &&
                           joined.back().handover.empty() && item.handover.empty();
         if (!fits)
@@ -128,7 +130,8 @@
     for (auto& item : pieces_)
     {
         const bool may_hold = item.is_granted || item.unanswered_bound > now;
-        if (item.release == release_state::wanted && may_hold && item.retry_at <= now)
+        const bool is_idle = !item.is_under_way && item.retry_at <= now;
+        if (item.release == release_state::wanted && may_hold && is_idle)
         {
             item.release = release_state::under_way;
             return grant_call{call_kind::release, item.range, token_base_ + token_step_, {}, "", now};
@@ -138,11 +141,12 @@
     {
         return std::nullopt;
     }
-    for (const auto& item : pieces_)
+    for (auto& item : pieces_)
     {
         const bool is_due = !item.is_granted || item.renewed + renewal_interval <= now;
-        if (item.release == release_state::none && is_due && item.retry_at <= now)
+        if (item.release == release_state::none && is_due && !item.is_under_way && item.retry_at <= now)
         {
+            item.is_under_way = true;
             return grant_call{call_kind::grant, item.range, token_base_ + token_step_, length, item.handover, now};
         }
     }
@@ -155,9 +159,21 @@
     return position == pieces_.end() ? nullptr : &*position;
 }
 
+void server_grants::end_call(const keyspace::key_range& range)
+{
+    split_at(range);
+    for (auto& item : pieces_)
+    {
+        if (keyspace::covers({range}, {item.range}))
+        {
+            item.is_under_way = false;
+        }
+    }
+}
+
 void server_grants::on_granted(const grant_call& call, core::time_point now)
 {
-    split_at(call.range);
+    end_call(call.range);
     for (auto& item : pieces_)
     {
         if (!keyspace::covers({call.range}, {item.range}))
@@ -176,6 +192,7 @@
 
 void server_grants::on_superseded(const grant_call& call, core::time_point now)
 {
+    end_call(call.range);
     token_step_ = std::min(token_step_ * 2 + 1, most_token_step);
     for (auto& item : pieces_)
     {
@@ -206,6 +223,10 @@
 
 void server_grants::on_not_sent(const grant_call& call, core::time_point now)
 {
+    if (call.kind == call_kind::grant)
+    {
+        end_call(call.range);
+    }
     split_at(call.range);
     for (auto& item : pieces_)
     {
@@ -229,7 +250,11 @@
 void server_grants::on_lost(const grant_call& call, core::time_point now)
 {
     // The next call needs a higher token, since the lost one may be applied after it.
-    ++token_step_;
+    token_step_ = std::min(token_step_ + 1, most_token_step);
+    if (call.kind == call_kind::grant)
+    {
+        end_call(call.range);
+    }
     split_at(call.range);
     for (auto& item : pieces_)
     {
@@ -274,7 +299,7 @@
     std::vector<freed_keys> result;
     for (const auto& item : pieces_)
     {
-        if (item.release != release_state::none && free_at(item) <= now)
+        if (item.release != release_state::none && !item.is_under_way && free_at(item) <= now)
         {
             result.push_back({item.range, item.release == release_state::done ? item.handover : ""});
         }
--- a/src/grants/server_grants.hpp
+++ b/src/grants/server_grants.hpp
@@ -89,6 +89,8 @@
     {
         keyspace::key_range range;
         bool is_granted = false;
+        /// A grant is on its way, so the keys may be held at any moment.
+        bool is_under_way = false;
         core::time_point renewed;
         core::time_point valid_until;
         /// Latest end of any accepted grant, those of earlier fronts included.
@@ -105,6 +107,8 @@
     void add_pieces(const directory::entry& entry, core::time_point bound);
     piece* find(const keyspace::key_range& range);
     static core::time_point free_at(const piece& item);
+    /// The grant under way for these keys has ended one way or another.
+    void end_call(const keyspace::key_range& range);
 
     std::int64_t born_ms_ = 0;
     std::int64_t token_base_ = 0;
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -155,6 +155,11 @@
     state_->is_draining = true;
 }
 
+void server::close_idle()
+{
+    state_->close_sessions(true);
+}
+
 std::size_t server::connections() const
 {
     const std::scoped_lock lock(state_->mutex);
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -41,6 +41,8 @@
     void set_limits(server_limits limits);
     /// Answers carry `Connection: close`; new connections and requests are still taken.
     void begin_drain();
+    /// Closes connections that wait for a request.
+    void close_idle();
     /// Open connections.
     std::size_t connections() const;
 
--- a/src/leader/internal/front_assignment.cpp
+++ b/src/leader/internal/front_assignment.cpp
@@ -36,7 +36,7 @@
     std::map<std::string, std::size_t> group;
     for (const auto& [id, entry] : published_.entries)
     {
-        const auto& front = records_.at(id).next_front;
+        const auto& front = entry.front;
         slots[front] += entry.server.slots;
         if (entry.server.service == server.service)
         {
@@ -74,7 +74,7 @@
     for (auto& [id, entry] : published_.entries)
     {
         auto& known = records_[id];
-        const auto router = published_.routers.find(known.next_front);
+        const auto router = published_.routers.find(entry.front);
         const bool is_served = router != published_.routers.end() && !router->second.is_stopping;
         const bool is_needed = entry.is_listed || !known.next_keys.empty();
         if (is_served || !is_needed)
@@ -82,13 +82,22 @@
             continue;
         }
         const auto chosen = choose_front(entry.server, now);
-        if (chosen.empty() || chosen == known.next_front)
+        if (chosen.empty() || chosen == entry.front)
         {
             continue;
         }
-        on_decision_("front assigned", id, {{"front", chosen}, {"former", known.next_front}});
-        known.next_front = chosen;
-        dirty_services_.insert(entry.server.service);
+        on_decision_("front assigned", id, {{"front", chosen}, {"former", entry.front}});
+        if (!entry.front.empty())
+        {
+            // A front that is alive follows this change; a silent one may renew until its authority ends.
+            const auto renewals_end = is_alive(entry.front, now) ? now : now + settings_.authority;
+            known.foreign_hold_until =
+                std::max(known.foreign_hold_until, grants::hold_end(renewals_end, settings_.longest_hold));
+        }
+        entry.front = chosen;
+        ++known.front_changes;
+        raise_token(id);
+        touch(id);
     }
 }
 
--- a/src/leader/internal/key_assignment.cpp
+++ b/src/leader/internal/key_assignment.cpp
@@ -29,7 +29,7 @@
     const auto& entry = published_.entries.at(id);
     const auto& known = records_.at(id);
     return entry.is_listed && !entry.server.is_draining && !known.vanished_at && !known.unreachable_since &&
-           !known.next_front.empty() && is_alive(known.next_front, now);
+           !entry.front.empty() && is_alive(entry.front, now);
 }
 
 std::vector<keyspace::holder> leader_state::holders(const std::string& service, core::time_point now) const
@@ -48,7 +48,7 @@
         item.capacity = entry.server.slots / std::max(known.slowness, 0.1) * (is_warming ? warming_share : 1.0);
         item.keys = keyspace::without(known.next_keys, entry.withdrawn);
         item.accepts = accepts_keys(id, now);
-        item.gives = item.accepts && entry.front == known.next_front;
+        item.gives = item.accepts;
         list.push_back(std::move(item));
     }
     // Keys on their way count for their destination.
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -7,7 +7,10 @@
 
 namespace {
 
-constexpr int token_bits = 20;
+/// Bits of a token below the version of the store. The upper ones of them count the fronts, which need no write; the
+/// lower ones are the front's own, for calls without an answer.
+constexpr int version_shift = 20;
+constexpr int front_shift = 12;
 
 } // namespace
 
@@ -37,15 +40,18 @@
         entry.front = item.at(3).get<std::string>();
         entry.keys = directory::keys_from_json(item.at(4));
         entry.is_listed = false;
-        entry.token_base = version << token_bits;
         entry.revision = published_.revision;
         record known;
-        known.next_front = entry.front;
+        // The term is later than every version that a former leader wrote or used.
+        known.version = std::max(version, published_.term);
+        // Former leaders assigned fronts without a write, so any router may have granted until its authority ended.
+        known.foreign_hold_until = grants::hold_end(now + settings_.authority, settings_.longest_hold);
         known.next_keys = entry.keys;
         known.listed_at = now;
         known.vanished_at = now;
         records_[entry.server.id] = known;
         published_.entries[entry.server.id] = entry;
+        raise_token(entry.server.id);
     }
 }
 
@@ -64,9 +70,9 @@
     for (const auto& [id, item] : published_.entries)
     {
         const auto& next = records_.at(id);
-        if (item.server.service == service && (!next.next_front.empty() || !next.next_keys.empty()))
+        if (item.server.service == service && !next.next_keys.empty())
         {
-            list.push_back({id, item.server.born_ms, http::to_string(item.server.address), next.next_front,
+            list.push_back({id, item.server.born_ms, http::to_string(item.server.address), item.front,
                             directory::to_json(next.next_keys)});
         }
     }
@@ -78,6 +84,12 @@
     entry_of(id).revision = ++published_.revision;
 }
 
+void leader_state::raise_token(const std::string& id)
+{
+    const auto& known = records_[id];
+    entry_of(id).token_base = (known.version << version_shift) + (known.front_changes << front_shift);
+}
+
 bool leader_state::is_alive(const std::string& router, core::time_point now) const
 {
     if (router == self_)
@@ -88,11 +100,11 @@
     return position != peers_.end() && now - position->second.last_report < settings_.router_silence;
 }
 
-void leader_state::set_deputy(const std::string& name)
+void leader_state::set_deputies(std::vector<std::string> names)
 {
-    if (published_.deputy != name)
+    if (published_.deputies != names)
     {
-        published_.deputy = name;
+        published_.deputies = std::move(names);
         ++published_.revision;
     }
 }
@@ -107,6 +119,8 @@
         published_.entries.emplace(server.id, std::move(entry));
         removed_at_.erase(server.id);
         records_[server.id].listed_at = now;
+        records_[server.id].version = published_.term;
+        raise_token(server.id);
         last_registration_ = now;
         on_decision_("backend server registered", server.id,
                      {{"service", server.service}, {"address", http::to_string(server.address)},
@@ -247,7 +261,7 @@
         if (writing_services_.contains(entry.server.service))
         {
             const auto& next = records_.at(id);
-            writing_[id] = {next.next_front, next.next_keys, next.next_handovers};
+            writing_[id] = {next.next_keys, next.next_handovers};
         }
     }
     return rows;
@@ -264,22 +278,17 @@
         }
         auto& entry = position->second;
         auto& known = records_[id];
-        if (entry.front != written.front)
-        {
-            const bool is_new = entry.front.empty();
-            const auto renewals_end = is_alive(entry.front, now) ? now : now + settings_.authority;
-            known.foreign_hold_until = is_new ? now : grants::hold_end(renewals_end, settings_.longest_hold);
-        }
-        if (entry.front == written.front && entry.keys == written.keys)
+        if (entry.keys == written.keys)
         {
             continue;
         }
-        entry.front = written.front;
         entry.keys = written.keys;
         entry.withdrawn = keyspace::common(entry.withdrawn, entry.keys);
         known.freed = keyspace::common(known.freed, entry.keys);
         entry.handovers = written.handovers;
-        entry.token_base = version << token_bits;
+        known.version = version;
+        known.front_changes = 0;
+        raise_token(id);
         touch(id);
     }
     initialized_.insert(writing_services_.begin(), writing_services_.end());
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -51,7 +51,7 @@
     void on_unregistered(const std::string& id, bool is_certain, core::time_point now);
     void on_report(const router_report& report, core::time_point now);
     /// Chosen outside, since it depends on the store.
-    void set_deputy(const std::string& name);
+    void set_deputies(std::vector<std::string> names);
 
     /// Plans; call every tenth of a second or so.
     void tick(core::time_point now);
@@ -72,8 +72,7 @@
 private:
     struct record
     {
-        /// Assignment that the next write stores.
-        std::string next_front;
+        /// Keys that the next write stores.
         keyspace::key_set next_keys;
         std::vector<directory::handover> next_handovers;
         keyspace::key_set freed;
@@ -82,6 +81,10 @@
         std::optional<core::time_point> unreachable_since;
         double slowness = 1;
         core::time_point foreign_hold_until;
+        /// Version of the row that holds its keys, or the term when that is later.
+        std::int64_t version = 0;
+        /// Fronts assigned since that version.
+        std::int64_t front_changes = 0;
     };
 
     struct peer
@@ -91,13 +94,14 @@
 
     struct staged
     {
-        std::string front;
         keyspace::key_set keys;
         std::vector<directory::handover> handovers;
     };
 
     directory::entry& entry_of(const std::string& id) { return published_.entries.at(id); }
     void touch(const std::string& id);
+    /// Tokens of the entry's front are above those of all fronts before it.
+    void raise_token(const std::string& id);
     void withdraw(const std::string& id, const keyspace::key_set& keys, const char* reason);
     void drop_routers(core::time_point now);
     void assign_fronts(core::time_point now);
