Build temporaries outside coroutines, where g++ 12 miscompiles them

Cause: deputies aborted (code 134) on each change of the registry; a braced list with temporaries stood in a coroutine.

--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -519,6 +519,7 @@
     const auto self_reference = shared_from_this();
     const bool is_config = table == "config";
     const auto rows = is_config ? tables.config : tables.registry;
+    const std::string prefix = is_config ? tables.config_key : std::string();
     std::int64_t revision = 0;
     while (is_deputy())
     {
@@ -527,7 +528,8 @@
         {
             if (revision == 0)
             {
-                revision = (co_await rows->read_prefix(is_config ? tables.config_key : "", store_timeout)).revision;
+                const auto all = co_await rows->read_prefix(prefix, store_timeout);
+                revision = all.revision;
             }
             const auto batch = co_await rows->changes(revision, deputy_wait);
             health.on_success(clock::now());
@@ -536,7 +538,7 @@
             {
                 if (!is_config || row.key == tables.config_key)
                 {
-                    news[{table, row.key}] = {row, clock::now()};
+                    note_news(table, row);
                 }
             }
         }
@@ -559,6 +561,11 @@
     --watchers;
 }
 
+void member::state::note_news(const std::string& table, const store::row& row)
+{
+    news[{table, row.key}] = {row, clock::now()};
+}
+
 void member::state::add_news(json& message)
 {
     auto list = json::array();
--- a/src/edge/internal/member_state.hpp
+++ b/src/edge/internal/member_state.hpp
@@ -20,6 +20,7 @@
     bool is_deputy() const;
     /// Reads the changes of "config" or "registry" for the case that the leader cannot.
     core::asio::awaitable<void> watch_as_deputy(std::string table);
+    void note_news(const std::string& table, const store::row& row);
     void add_news(nlohmann::json& message);
     void drop_known_news(const nlohmann::json& reply);
     core::asio::awaitable<std::string> on_message(std::string from, std::string text);
