--- a/apps/edge/main.cpp
+++ b/apps/edge/main.cpp
@@ -43,7 +43,8 @@
     briarfold::edge::event_log& log_;
 };
 
-briarfold::edge::store_tables make_tables(const asio::any_io_executor& executor, const edge_settings& settings)
+briarfold::edge::store_tables make_tables(const asio::any_io_executor& executor,
+                                          const edge_settings& settings)
 {
     using briarfold::platform::row_table;
     const auto pool = std::make_shared<briarfold::store::connection_pool>(executor, settings.store);
@@ -63,15 +64,16 @@
 {
     struct stat state
     {};
-    return ::stat(path.c_str(), &state) == 0 ? state.st_mtim.tv_sec * 1000 + state.st_mtim.tv_nsec / 1000000 : 0;
+    return ::stat(path.c_str(), &state) == 0 ? state.st_mtim.tv_sec * 1000 + state.st_mtim.tv_nsec / 1000000
+                                             : 0;
 }
 
 class application
 {
 public:
     application(std::string path, const edge_settings& settings)
-        : path_(std::move(path)), context_(1), signals_(context_, SIGTERM, SIGINT, SIGHUP), check_timer_(context_),
-          log_({settings.name}, briarfold::edge::make_descriptor_sink(STDOUT_FILENO)),
+        : path_(std::move(path)), context_(1), signals_(context_, SIGTERM, SIGINT, SIGHUP),
+          check_timer_(context_), log_({settings.name}, briarfold::edge::make_descriptor_sink(STDOUT_FILENO)),
           modified_at_(modified_at(path_))
     {
         const auto logger = std::make_shared<spdlog::logger>("", std::make_shared<event_sink>(log_));
@@ -152,12 +154,13 @@
 
 int main(int argc, char** argv)
 {
-    options::options_description all("Edge router of briarfold.\n\nUsage: briarfold-edge [--config FILE] [options]\n"
-                                     "Example: briarfold-edge --check --config edge.toml\n\nOptions");
+    options::options_description all(
+        "Edge router of briarfold.\n\nUsage: briarfold-edge [--config FILE] [options]\n"
+        "Example: briarfold-edge --check --config edge.toml\n\nOptions");
     all.add_options()("config", options::value<std::string>(),
                       "settings file (TOML); default: the file named by BRIARFOLD_NODE_FILE")(
-        "check", "check the settings file and exit")("print-settings", "print the effective settings as JSON and exit")(
-        "help", "show this help");
+        "check", "check the settings file and exit")(
+        "print-settings", "print the effective settings as JSON and exit")("help", "show this help");
     try
     {
         options::variables_map values;
@@ -169,7 +172,7 @@
         }
         const char* const named = std::getenv(settings_variable);
         const auto path = values.contains("config") ? values["config"].as<std::string>()
-                                                     : std::string(named == nullptr ? "" : named);
+                                                    : std::string(named == nullptr ? "" : named);
         if (path.empty())
         {
             std::cerr << "no settings file: give --config or set " << settings_variable << '\n';
--- a/apps/router/router_app.cpp
+++ b/apps/router/router_app.cpp
@@ -15,11 +15,11 @@
 #include "membership/heartbeat_service.hpp"
 #include "membership/registration.hpp"
 #include "ownership/ownership.hpp"
-#include "store/http_object_store.hpp"
-#include "store/http_table_store.hpp"
 #include "replica/peer_source.hpp"
 #include "routing/entry.hpp"
 #include "routing/front.hpp"
+#include "store/http_object_store.hpp"
+#include "store/http_table_store.hpp"
 #include "trace/measuring_sink.hpp"
 #include "wire/peer_network.hpp"
 
--- a/src/contracts/internal/contract_store.cpp
+++ b/src/contracts/internal/contract_store.cpp
@@ -46,7 +46,7 @@
 }
 
 std::vector<store::row_write> make_writes(const edit& wish, const std::string& customer,
-                                             const nlohmann::json& value)
+                                          const nlohmann::json& value)
 {
     std::vector<store::row_write> writes;
     writes.emplace_back(contract_key(customer), wish.expected_version, value);
--- a/src/contracts/tests/memory_store.hpp
+++ b/src/contracts/tests/memory_store.hpp
@@ -70,7 +70,7 @@
     }
 
     store::commit_result commit_now(const std::string& operation_id,
-                                       const std::vector<store::row_write>& writes)
+                                    const std::vector<store::row_write>& writes)
     {
         check();
         const std::scoped_lock lock(mutex_);
--- a/src/directory/directory_types.hpp
+++ b/src/directory/directory_types.hpp
@@ -84,8 +84,8 @@
     /// Rises with each change within a term.
     std::int64_t revision = 0;
     std::string leader;
-    /// Routers that also read the store, in other zones than the leader where there are any. The first takes over from
-    /// a leader that cannot.
+    /// Routers that also read the store, in other zones than the leader where there are any. The first takes
+    /// over from a leader that cannot.
     std::vector<std::string> deputies;
     std::map<std::string, entry> entries;
     std::map<std::string, router> routers;
@@ -113,8 +113,8 @@
 update update_from_json(const nlohmann::json& value);
 keyspace::key_set keys_from_json(const nlohmann::json& value);
 
-/// The changes since `revision` of the same term, or the whole snapshot when `term` differs. `removed_at` tells at
-/// which revision each removed entry went.
+/// The changes since `revision` of the same term, or the whole snapshot when `term` differs. `removed_at`
+/// tells at which revision each removed entry went.
 update make_update(const snapshot& current, const std::map<std::string, std::int64_t>& removed_at,
                    std::int64_t term, std::int64_t revision);
 /// Applies an update. Returns false when it does not fit, so that a whole one is needed.
--- a/src/directory/internal/directory_json.cpp
+++ b/src/directory/internal/directory_json.cpp
@@ -89,8 +89,8 @@
 
 json to_json(const router& value)
 {
-    return json::array({value.name, value.incarnation, value.zone, to_text(value.peer), value.cpu,
-                        value.is_stopping});
+    return json::array(
+        {value.name, value.incarnation, value.zone, to_text(value.peer), value.cpu, value.is_stopping});
 }
 
 router router_from_json(const json& value)
@@ -118,10 +118,10 @@
         routers.push_back(to_json(item));
     }
     return {{"whole", value.is_whole},        {"base", value.base},
-            {"term", value.changed.term},
-            {"rev", value.changed.revision},  {"leader", value.changed.leader},
-            {"deputies", value.changed.deputies}, {"entries", std::move(entries)},
-            {"routers", std::move(routers)},  {"removed", value.removed}};
+            {"term", value.changed.term},     {"rev", value.changed.revision},
+            {"leader", value.changed.leader}, {"deputies", value.changed.deputies},
+            {"entries", std::move(entries)},  {"routers", std::move(routers)},
+            {"removed", value.removed}};
 }
 
 update update_from_json(const json& value)
--- a/src/dispatch/internal/slot_queue.cpp
+++ b/src/dispatch/internal/slot_queue.cpp
@@ -10,16 +10,19 @@
 namespace {
 
 /// Work times spread by about half of their mean, so a request is expected in time only with this room.
-constexpr double work_margin = 1.4;
+constexpr double work_margin = 1.6;
 /// A request whose remaining time is below this share of its work is not started any more.
 constexpr double least_work_share = 0.5;
 /// Each so many starts the least urgent kind that waits goes first, which keeps it above a quarter of the
 /// service that the others get.
 constexpr unsigned turns_of_urgent = 5;
+/// Each so many starts a request that missed its objective goes first, so that none waits in vain behind new
+/// ones.
+constexpr unsigned turns_of_punctual = 4;
 /// Time constant of the offered load.
-constexpr double load_window_ms = 1000;
+constexpr double load_window_ms = 500;
 /// Offered load above which late requests are rejected, since requests in time take all slots.
-constexpr double overload = 0.95;
+constexpr double overload = 0.9;
 /// Share of the time left that a caller waits at most before it comes back.
 constexpr double retry_share = 1.0 / 3.0;
 constexpr core::duration least_retry_after{50};
@@ -55,8 +58,8 @@
     }
     const double slots = std::max(state.slots, 1);
     const double running = std::max(state.running, 1);
-    const double ahead = std::accumulate(
-        waiting_.begin(), waiting_.end(), 0.0, [&](double sum, const waiting_request& item) {
+    const double ahead =
+        std::accumulate(waiting_.begin(), waiting_.end(), 0.0, [&](double sum, const waiting_request& item) {
             const bool goes_first = item.priority <= request.priority;
             return sum + (goes_first ? item.work_ms : item.work_ms / turns_of_urgent);
         });
@@ -98,11 +101,12 @@
         return std::nullopt;
     }
     const bool is_turn_of_least_urgent = ++turns_ % turns_of_urgent == 0;
+    const bool is_turn_of_late = turns_ % turns_of_punctual == 0;
     const auto rank = [&](const waiting_request& item) {
         const int urgency = is_turn_of_least_urgent ? -item.priority : item.priority;
         const bool in_time = is_in_time(item, now);
         const auto order = in_time ? item.objective_end : item.give_up;
-        return std::tuple(!in_time, urgency, order);
+        return std::tuple(in_time == is_turn_of_late, urgency, order);
     };
     const auto next = std::ranges::min_element(waiting_, {}, rank);
     const auto taken = *next;
--- a/src/dispatch/repeat_budget.hpp
+++ b/src/dispatch/repeat_budget.hpp
@@ -16,8 +16,8 @@
     double slack = 0;
 };
 
-/// Counts over a sliding window. Load pattern: backend servers that fail or reject a part of their requests, where
-/// unbounded retries would multiply the load.
+/// Counts over a sliding window. Load pattern: backend servers that fail or reject a part of their requests,
+/// where unbounded retries would multiply the load.
 class repeat_budget
 {
 public:
--- a/src/dispatch/slot_limit.hpp
+++ b/src/dispatch/slot_limit.hpp
@@ -7,8 +7,9 @@
 
 namespace briarfold::dispatch {
 
-/// Load patterns: a backend server that rejects although it has free slots (fewer requests at a time), one that
-/// does not accept connections (a pause that doubles), and one that has just started (its slots one by one).
+/// Load patterns: a backend server that rejects although it has free slots (fewer requests at a time), one
+/// that does not accept connections (a pause that doubles), and one that has just started (its slots one by
+/// one).
 class slot_limit
 {
 public:
@@ -34,7 +35,10 @@
         paused_until_ = now + std::min(doubled, longest_pause);
     }
 
-    bool is_paused(core::time_point now) const { return failures_ >= failures_before_pause && now < paused_until_; }
+    bool is_paused(core::time_point now) const
+    {
+        return failures_ >= failures_before_pause && now < paused_until_;
+    }
     /// Requests that may run at the same time.
     int slots(core::time_point now) const { return is_paused(now) ? 0 : static_cast<int>(limit_); }
     int failures() const { return failures_; }
--- a/src/dispatch/slot_queue.hpp
+++ b/src/dispatch/slot_queue.hpp
@@ -1,5 +1,5 @@
-/// Requests that wait for the slots of one backend server, or of a group of them. Pure: time and state come in,
-/// decisions go out.
+/// Requests that wait for the slots of one backend server, or of a group of them. Pure: time and state come
+/// in, decisions go out.
 #pragma once
 
 #include "core/clock.hpp"
@@ -48,14 +48,14 @@
     core::duration retry_after;
 };
 
-/// Load patterns that it answers: a burst above capacity (the queue holds no more than meets its objective, the
-/// rest is rejected at once), a hot key (the same for one backend server), and mixed urgency (urgent requests go
-/// first while every kind keeps a share).
+/// Load patterns that it answers: a burst above capacity (the queue holds no more than meets its objective,
+/// the rest is rejected at once), a hot key (the same for one backend server), and mixed urgency (urgent
+/// requests go first while every kind keeps a share).
 class slot_queue
 {
 public:
-    /// Accepts a request that is expected to be answered in time. Without overload also one that will be late but
-    /// before `give_up`.
+    /// Accepts a request that is expected to be answered in time. Without overload also one that will be late
+    /// but before `give_up`.
     offer_result offer(const waiting_request& request, const slot_state& state, core::time_point now);
     /// Adds a request that was accepted before.
     void put_back(const waiting_request& request) { waiting_.push_back(request); }
@@ -69,7 +69,7 @@
     bool remove(std::uint64_t id);
 
     std::size_t size() const { return waiting_.size(); }
-    /// Offered work as a share of the slots over about the last second; above 1 is overload.
+    /// Offered work as a share of the slots over about the last half second; above 1 is overload.
     double offered_load(core::time_point now) const;
 
 private:
--- a/src/dispatch/work_estimate.hpp
+++ b/src/dispatch/work_estimate.hpp
@@ -9,8 +9,8 @@
 
 namespace briarfold::dispatch {
 
-/// Mean work of each route on an average backend server, and the speed of each backend server relative to that
-/// average. Not thread-safe.
+/// Mean work of each route on an average backend server, and the speed of each backend server relative to
+/// that average. Not thread-safe.
 class work_estimate
 {
 public:
--- a/src/edge/backend_link.hpp
+++ b/src/edge/backend_link.hpp
@@ -56,8 +56,9 @@
         : executor_(std::move(executor)), peer_(std::move(peer)), hooks_(hooks)
     {}
 
-    /// Sends the request on an idle connection or, with `may_connect`, a new one. Never throws for failures of the peer. An answer for
-    /// another attempt than `attempt_id` is a mismatch; an empty id accepts every answer.
+    /// Sends the request on an idle connection or, with `may_connect`, a new one. Never throws for failures
+    /// of the peer. An answer for another attempt than `attempt_id` is a mismatch; an empty id accepts every
+    /// answer.
     core::asio::awaitable<exchange_result> exchange(http::request message, std::string attempt_id,
                                                     core::duration timeout,
                                                     std::shared_ptr<exchange_handle> handle,
--- a/src/edge/entry.hpp
+++ b/src/edge/entry.hpp
@@ -46,7 +46,8 @@
     /// Answers one request of a caller.
     core::asio::awaitable<http::response> handle(http::request message,
                                                  std::shared_ptr<core::cancellation> departure);
-    /// From now on requests are refused at once, since their answers would come after the end of this process.
+    /// From now on requests are refused at once, since their answers would come after the end of this
+    /// process.
     void refuse_new() { is_refusing_ = true; }
     std::size_t in_flight() const { return in_flight_; }
 
@@ -78,7 +79,8 @@
     core::asio::awaitable<void> await_change(core::duration limit);
     std::optional<http::response> prepare(call& item, http::request& message);
     http::response finish(const call& item, wire::forward_result result);
-    http::response refuse(const call& item, unsigned status, core::duration retry_after, const std::string& reason);
+    http::response refuse(const call& item, unsigned status, core::duration retry_after,
+                          const std::string& reason);
     wire::forward_request make_forward(const call& item) const;
 
     core::asio::any_io_executor executor_;
--- a/src/edge/event_log.hpp
+++ b/src/edge/event_log.hpp
@@ -22,8 +22,8 @@
     std::size_t buffer_bytes = 256 * 1024;
 };
 
-/// Lines wait in memory and are written by `flush`. What the rate or a full buffer leaves out is counted and reported
-/// by a line of its own. Not thread-safe.
+/// Lines wait in memory and are written by `flush`. What the rate or a full buffer leaves out is counted and
+/// reported by a line of its own. Not thread-safe.
 class event_log
 {
 public:
--- a/src/edge/front.hpp
+++ b/src/edge/front.hpp
@@ -1,5 +1,5 @@
-/// The front role: holds the requests for the backend servers that the directory assigns to this router, sends them
-/// when a slot is free, and keeps the grants of their keys.
+/// The front role: holds the requests for the backend servers that the directory assigns to this router,
+/// sends them when a slot is free, and keeps the grants of their keys.
 #pragma once
 
 #include "core/asio.hpp"
--- a/src/edge/internal/backend_link.cpp
+++ b/src/edge/internal/backend_link.cpp
@@ -52,8 +52,9 @@
         connection->close();
         return;
     }
-    const auto usable = head.keep_alive ? core::duration{head.keep_alive->ms * idle_numerator / idle_denominator}
-                                        : default_idle;
+    const auto usable = head.keep_alive
+                            ? core::duration{head.keep_alive->ms * idle_numerator / idle_denominator}
+                            : default_idle;
     idle_.push_back({std::move(connection), clock::now() + usable});
 }
 
@@ -94,7 +95,8 @@
 
 asio::awaitable<exchange_result> backend_link::exchange(http::request message, std::string attempt_id,
                                                         core::duration timeout,
-                                                        std::shared_ptr<exchange_handle> handle, bool may_connect)
+                                                        std::shared_ptr<exchange_handle> handle,
+                                                        bool may_connect)
 {
     const auto self = shared_from_this();
     const auto start = clock::now();
--- a/src/edge/internal/entry.cpp
+++ b/src/edge/internal/entry.cpp
@@ -29,10 +29,11 @@
 
 bool is_connection_header(std::string_view name)
 {
-    constexpr std::string_view names[] = {"Connection",       "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
-                                          "Content-Length",   "TE",         "Trailer",          "Upgrade",
-                                          "Proxy-Authenticate"};
-    return std::ranges::any_of(names, [&](std::string_view item) { return http::equal_ignoring_case(item, name); });
+    constexpr std::string_view names[] = {"Connection",        "Keep-Alive",     "Proxy-Connection",
+                                          "Transfer-Encoding", "Content-Length", "TE",
+                                          "Trailer",           "Upgrade",        "Proxy-Authenticate"};
+    return std::ranges::any_of(names,
+                               [&](std::string_view item) { return http::equal_ignoring_case(item, name); });
 }
 
 void drop_connection_headers(std::vector<http::header>& headers)
@@ -60,10 +61,10 @@
     bool may_have_run = false;
 };
 
-entry::entry(asio::any_io_executor executor, std::string name, std::string zone, const protocol& hooks, event_log& log,
-             metrics::registry& metrics, entry_hooks surroundings)
-    : executor_(std::move(executor)), name_(std::move(name)), zone_(std::move(zone)), hooks_(hooks), log_(log),
-      metrics_(metrics), surroundings_(std::move(surroundings))
+entry::entry(asio::any_io_executor executor, std::string name, std::string zone, const protocol& hooks,
+             event_log& log, metrics::registry& metrics, entry_hooks surroundings)
+    : executor_(std::move(executor)), name_(std::move(name)), zone_(std::move(zone)), hooks_(hooks),
+      log_(log), metrics_(metrics), surroundings_(std::move(surroundings))
 {}
 
 bool entry::apply(routes::routing_config config)
@@ -161,7 +162,8 @@
         // Among equally loaded fronts the one in the own zone saves a trip.
         constexpr double other_zone_cost = 0.1;
         const auto zone = router_zones_.find(front);
-        const double cost = load + (zone != router_zones_.end() && zone->second == zone_ ? 0 : other_zone_cost);
+        const double cost =
+            load + (zone != router_zones_.end() && zone->second == zone_ ? 0 : other_zone_cost);
         if (!best || cost < best_cost)
         {
             best = destination{"", front};
@@ -181,7 +183,8 @@
     return found;
 }
 
-http::response entry::refuse(const call& item, unsigned status, core::duration retry_after, const std::string& reason)
+http::response entry::refuse(const call& item, unsigned status, core::duration retry_after,
+                             const std::string& reason)
 {
     log_.write("request ended", {{"request", item.head.attempt_id},
                                  {"route", item.route_name},
@@ -229,7 +232,8 @@
     {
         return refuse(item, status_bad_request, {}, "the request names no key");
     }
-    const auto deadline = item.head.deadline.value_or(route->timeout.ms > 0 ? route->timeout : default_deadline);
+    const auto deadline =
+        item.head.deadline.value_or(route->timeout.ms > 0 ? route->timeout : default_deadline);
     auto& longest = longest_deadline_[route->name];
     longest = std::max(longest, deadline);
     const auto timeout = route->timeout.ms > 0 ? route->timeout : deadline;
@@ -280,7 +284,8 @@
         }
         else
         {
-            result = co_await surroundings_.serve_there(router_peers_.at(to.front), std::move(request), departure);
+            result =
+                co_await surroundings_.serve_there(router_peers_.at(to.front), std::move(request), departure);
         }
     }
     catch (const wire::link_error& failure)
@@ -303,7 +308,8 @@
     co_return result;
 }
 
-asio::awaitable<http::response> entry::handle(http::request message, std::shared_ptr<core::cancellation> departure)
+asio::awaitable<http::response> entry::handle(http::request message,
+                                              std::shared_ptr<core::cancellation> departure)
 {
     call item;
     if (auto refusal = prepare(item, message))
@@ -364,7 +370,8 @@
         co_return finish(item, std::move(result));
     }
     const bool is_unknown = item.may_have_run;
-    co_return refuse(item, is_unknown ? status_gateway_timeout : status_unavailable, {}, "no front served it in time");
+    co_return refuse(item, is_unknown ? status_gateway_timeout : status_unavailable, {},
+                     "no front served it in time");
 }
 
 http::response entry::finish(const call& item, wire::forward_result result)
@@ -382,7 +389,8 @@
     }
     if (result.outcome == wire::outcome::unknown || item.may_have_run)
     {
-        const auto status = result.status == status_gateway_timeout ? status_gateway_timeout : status_bad_gateway;
+        const auto status =
+            result.status == status_gateway_timeout ? status_gateway_timeout : status_bad_gateway;
         return refuse(item, status, {}, result.reason);
     }
     return refuse(item, status_unavailable, result.retry_after, result.reason);
--- a/src/edge/internal/front.cpp
+++ b/src/edge/internal/front.cpp
@@ -19,8 +19,8 @@
     return result;
 }
 
-front::front(asio::any_io_executor executor, settings::edge_settings settings, const protocol& hooks, event_log& log,
-             metrics::registry& metrics, front_hooks surroundings)
+front::front(asio::any_io_executor executor, settings::edge_settings settings, const protocol& hooks,
+             event_log& log, metrics::registry& metrics, front_hooks surroundings)
     : state_(std::make_shared<state>(std::move(executor), std::move(settings), hooks, log, metrics,
                                      std::move(surroundings)))
 {}
@@ -233,7 +233,8 @@
     }
 }
 
-void front::state::end_waiting(work_pool& pool, const dispatch::waiting_request& waiting, wire::forward_result result)
+void front::state::end_waiting(work_pool& pool, const dispatch::waiting_request& waiting,
+                               wire::forward_result result)
 {
     const auto position = pool.waiting.find(waiting.id);
     if (position == pool.waiting.end())
--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -13,8 +13,8 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
 constexpr unsigned status_superseded = 409;
-/// A backend server answers a grant within a few milliseconds; a lost answer is noticed soon enough for three tries
-/// within one grant.
+/// A backend server answers a grant within a few milliseconds; a lost answer is noticed soon enough for three
+/// tries within one grant.
 constexpr core::duration grant_timeout{500};
 /// Work may run for up to about 2 s before a release is answered.
 constexpr core::duration release_timeout{3000};
@@ -65,8 +65,8 @@
 {
     const auto now = clock::now();
     const auto authority = surroundings.authority();
-    // A new connection may lead to a new life of the backend server, which knows no tokens, so the assignment must
-    // have been confirmed since it was opened.
+    // A new connection may lead to a new life of the backend server, which knows no tokens, so the assignment
+    // must have been confirmed since it was opened.
     const bool has_authority =
         now - authority < grants::authority && server->control->connected_at() < authority;
     const bool is_due = server->grants->next_due(now) <= now;
@@ -74,11 +74,11 @@
     {
         server->is_granting = true;
         asio::co_spawn(
-            executor, [self = shared_from_this(), server] { return self->open_control(server); }, asio::detached);
+            executor, [self = shared_from_this(), server] { return self->open_control(server); },
+            asio::detached);
     }
-    const auto length = surroundings.needs_long_hold()
-                            ? std::min(grants::long_hold, settings.longest_hold)
-                            : std::min(grants::hold, settings.longest_hold);
+    const auto length = surroundings.needs_long_hold() ? std::min(grants::long_hold, settings.longest_hold)
+                                                       : std::min(grants::hold, settings.longest_hold);
     while (!server->is_removed)
     {
         const auto call = server->grants->next_call(now, has_authority && !server->is_granting, length);
@@ -234,7 +234,8 @@
     {
         server.unreachable_since = clock::now();
         server.link->close_idle();
-        log.write("backend server unreachable", {{"backend_server", server.entry.server.id}, {"reason", reason}});
+        log.write("backend server unreachable",
+                  {{"backend_server", server.entry.server.id}, {"reason", reason}});
         surroundings.report_soon();
     }
 }
--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -73,8 +73,8 @@
     const auto pool = find_pool(request);
     if (!pool)
     {
-        co_return make_result(wire::outcome::refused_not_run, status_unavailable, "another router is the front",
-                              "moved");
+        co_return make_result(wire::outcome::refused_not_run, status_unavailable,
+                              "another router is the front", "moved");
     }
     const auto item = std::make_shared<job>(executor);
     item->id = ++next_id;
@@ -94,11 +94,13 @@
         waiting.key = static_cast<std::uint32_t>(std::stoul(item->request.key));
         if (first->is_keyed() && !first->grants->is_wanted(waiting.key))
         {
-            co_return make_result(wire::outcome::refused_not_run, status_unavailable, "keys are moving", "moved");
+            co_return make_result(wire::outcome::refused_not_run, status_unavailable, "keys are moving",
+                                  "moved");
         }
         offered[pool->service][waiting.key] += estimate.mean_ms(item->request.route);
     }
-    const dispatch::budget_settings budget{settings.repeat_ratio, settings.repeat_window, settings.repeat_slack};
+    const dispatch::budget_settings budget{settings.repeat_ratio, settings.repeat_window,
+                                           settings.repeat_slack};
     budgets.try_emplace(pool->service, budget).first->second.count_request(now);
     if (auto refusal = admit(item, *pool))
     {
@@ -167,8 +169,9 @@
         }
         // A backend server that failed this request is the last choice for it.
         constexpr double tried_cost = 100;
-        const double cost = estimate.slowness(server->entry.server.id) +
-                            (item != nullptr && item->tried.contains(server->entry.server.id) ? tried_cost : 0);
+        const double cost =
+            estimate.slowness(server->entry.server.id) +
+            (item != nullptr && item->tried.contains(server->entry.server.id) ? tried_cost : 0);
         if (!best || cost < best_cost)
         {
             best = server;
@@ -225,7 +228,8 @@
     pump(server->pool);
 }
 
-asio::awaitable<wire::forward_result> front::state::run(std::shared_ptr<job> item, std::shared_ptr<work_pool> pool)
+asio::awaitable<wire::forward_result> front::state::run(std::shared_ptr<job> item,
+                                                        std::shared_ptr<work_pool> pool)
 {
     const auto self = shared_from_this();
     while (true)
@@ -245,8 +249,8 @@
         {
             pool->queue.remove(item->id);
             pool->waiting.erase(item->id);
-            co_return make_result(wire::outcome::refused_not_run, status_unavailable, "no slot was free in time",
-                                  "expired");
+            co_return make_result(wire::outcome::refused_not_run, status_unavailable,
+                                  "no slot was free in time", "expired");
         }
         const auto server = item->server;
         const auto left = item->waiting.give_up - clock::now();
@@ -267,13 +271,15 @@
 
 void front::state::requeue(const std::shared_ptr<job>& item, const std::shared_ptr<work_pool>& pool)
 {
-    const bool has_moved = pool->servers.empty() || (pool->servers.front()->is_keyed() &&
-                                                     !pool->servers.front()->grants->is_wanted(item->waiting.key));
+    const bool has_moved =
+        pool->servers.empty() ||
+        (pool->servers.front()->is_keyed() && !pool->servers.front()->grants->is_wanted(item->waiting.key));
     if (has_moved)
     {
-        item->ended = item->was_cut
-                          ? make_result(wire::outcome::unknown, status_bad_gateway, "keys moved during a retry", "")
-                          : make_result(wire::outcome::refused_not_run, status_unavailable, "keys moved", "moved");
+        item->ended =
+            item->was_cut
+                ? make_result(wire::outcome::unknown, status_bad_gateway, "keys moved during a retry", "")
+                : make_result(wire::outcome::refused_not_run, status_unavailable, "keys moved", "moved");
         return;
     }
     pool->waiting.emplace(item->id, item);
@@ -307,7 +313,8 @@
         note_contact(server, true, "answer");
         if (is_success(outcome.answer.status))
         {
-            estimate.record(item.request.route, server.entry.server.id, static_cast<double>(outcome.elapsed.ms));
+            estimate.record(item.request.route, server.entry.server.id,
+                            static_cast<double>(outcome.elapsed.ms));
         }
         const bool is_server_failure = outcome.answer.status >= status_not_found_limit;
         if (is_server_failure && item.request.is_idempotent && may_repeat(item, clock::now()))
@@ -348,7 +355,8 @@
     {
         return make_result(wire::outcome::unknown, status_bad_gateway, "rejected after a lost answer", "");
     }
-    auto result = make_result(wire::outcome::refused_not_run, status_unavailable, "backend server rejected", "shed");
+    auto result =
+        make_result(wire::outcome::refused_not_run, status_unavailable, "backend server rejected", "shed");
     result.peer = id;
     return result;
 }
@@ -380,8 +388,9 @@
     }
     const bool may_send_again = !was_sent || item.request.is_idempotent;
     // A request that never left its connection has not arrived, so it does not count against the budget.
-    const bool is_allowed = was_sent ? may_repeat(item, now)
-                                     : item.sends < most_sends && now + core::duration{50} < item.waiting.give_up;
+    const bool is_allowed = was_sent
+                                ? may_repeat(item, now)
+                                : item.sends < most_sends && now + core::duration{50} < item.waiting.give_up;
     if (!is_out_of_time && may_send_again && is_allowed)
     {
         return std::nullopt;
--- a/src/edge/internal/front_state.hpp
+++ b/src/edge/internal/front_state.hpp
@@ -10,8 +10,8 @@
 
 struct front::state : std::enable_shared_from_this<front::state>
 {
-    state(core::asio::any_io_executor base, settings::edge_settings values, const protocol& names, event_log& lines,
-          metrics::registry& registry, front_hooks surroundings);
+    state(core::asio::any_io_executor base, settings::edge_settings values, const protocol& names,
+          event_log& lines, metrics::registry& registry, front_hooks surroundings);
 
     // Following the directory.
     void apply(const directory::snapshot& known, const routes::routing_config& config);
@@ -23,13 +23,15 @@
     // Requests.
     core::asio::awaitable<wire::forward_result> serve(wire::forward_request request,
                                                       std::shared_ptr<core::cancellation> departure);
-    core::asio::awaitable<wire::forward_result> run(std::shared_ptr<job> item, std::shared_ptr<work_pool> pool);
+    core::asio::awaitable<wire::forward_result> run(std::shared_ptr<job> item,
+                                                    std::shared_ptr<work_pool> pool);
     std::shared_ptr<work_pool> find_pool(const wire::forward_request& request);
     std::optional<wire::forward_result> admit(const std::shared_ptr<job>& item, work_pool& pool);
     void pump(const std::shared_ptr<work_pool>& pool);
     void start(const std::shared_ptr<job>& item, const std::shared_ptr<fronted_server>& server);
     void finish(const std::shared_ptr<job>& item);
-    std::shared_ptr<fronted_server> choose_server(const work_pool& pool, const job* item, core::time_point now);
+    std::shared_ptr<fronted_server> choose_server(const work_pool& pool, const job* item,
+                                                  core::time_point now);
     dispatch::slot_state slots_of(const work_pool& pool, core::time_point now) const;
     /// Returns the result, or nothing when the request is to be sent again.
     std::optional<wire::forward_result> judge(job& item, exchange_result& outcome);
@@ -65,6 +67,7 @@
     std::uint64_t next_id = 0;
 };
 
-wire::forward_result make_result(wire::outcome outcome, unsigned status, std::string reason, std::string not_run_reason);
+wire::forward_result make_result(wire::outcome outcome, unsigned status, std::string reason,
+                                 std::string not_run_reason);
 
 } // namespace briarfold::edge
--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -75,9 +75,11 @@
             const auto config_revision = co_await read_config();
             const auto registry_revision = co_await read_registry();
             is_started_ = true;
-            asio::co_spawn(executor_, [self] { return self->run_ticks(); }, asio::detached);
             asio::co_spawn(
-                executor_, [self, config_revision] { return self->follow_config(config_revision); }, asio::detached);
+                executor_, [self] { return self->run_ticks(); }, asio::detached);
+            asio::co_spawn(
+                executor_, [self, config_revision] { return self->follow_config(config_revision); },
+                asio::detached);
             asio::co_spawn(
                 executor_, [self, registry_revision] { return self->follow_registry(registry_revision); },
                 asio::detached);
@@ -105,8 +107,8 @@
         return now;
     }
     const auto& routers = state_->current().routers;
-    const bool all_follow = std::ranges::all_of(
-        routers, [&](const auto& item) { return state_->is_alive(item.first, now); });
+    const bool all_follow =
+        std::ranges::all_of(routers, [&](const auto& item) { return state_->is_alive(item.first, now); });
     return all_follow && health_.is_failing() ? now : confirmed_at_ + storeless_leadership;
 }
 
@@ -328,7 +330,8 @@
         {
             known.is_pushing = true;
             asio::co_spawn(
-                executor_, [self = shared_from_this(), name = name] { return self->push(name); }, asio::detached);
+                executor_, [self = shared_from_this(), name = name] { return self->push(name); },
+                asio::detached);
         }
     }
 }
@@ -373,7 +376,8 @@
         catch (const std::exception& failure)
         {
             // The router asks for what it missed with its next report.
-            log_.write("push failed", {{"router", name}, {"revision", sent_revision}, {"reason", failure.what()}});
+            log_.write("push failed",
+                       {{"router", name}, {"revision", sent_revision}, {"reason", failure.what()}});
             followers_[name].revision = -1;
         }
     }
@@ -394,8 +398,7 @@
     const auto revision = message.at("revision").get<std::int64_t>();
     const auto config = message.at("config").get<std::int64_t>();
     auto& known = followers_[report.router.name];
-    const bool is_behind =
-        term != term_ || revision < state_->current().revision || config < config_version_;
+    const bool is_behind = term != term_ || revision < state_->current().revision || config < config_version_;
     json reply = {{"kind", "update"}, {"term", term_}, {"leader", directory::to_json(self_)}};
     if (is_behind)
     {
@@ -444,8 +447,8 @@
     std::erase_if(names, [&](const std::string& name) { return !is_fit(name); });
     const auto has_zone = [&](const std::string& zone) {
         return zone == self_.zone || std::ranges::any_of(names, [&](const std::string& name) {
-            return current.routers.at(name).zone == zone;
-        });
+                   return current.routers.at(name).zone == zone;
+               });
     };
     for (const bool needs_new_zone : {true, false})
     {
--- a/src/edge/internal/leader_service.hpp
+++ b/src/edge/internal/leader_service.hpp
@@ -18,14 +18,14 @@
     std::function<void(const char* reason)> on_deposed;
 };
 
-/// The leader role while it lasts: reads the store's tables, keeps the directory, writes assignments and pushes
-/// changes. Used on one thread.
+/// The leader role while it lasts: reads the store's tables, keeps the directory, writes assignments and
+/// pushes changes. Used on one thread.
 class leader_service : public std::enable_shared_from_this<leader_service>
 {
 public:
     leader_service(core::asio::any_io_executor executor, directory::router self, const protocol& hooks,
-                   store_tables tables, store_health& health, event_log& log, leader_surroundings surroundings,
-                   std::int64_t term, nlohmann::json config);
+                   store_tables tables, store_health& health, event_log& log,
+                   leader_surroundings surroundings, std::int64_t term, nlohmann::json config);
 
     /// Reads the rows of the store and starts. `former` is what was known of routers.
     core::asio::awaitable<void> start(directory::snapshot former);
@@ -38,7 +38,10 @@
     core::time_point confirmed_at() const;
     const directory::snapshot& current() const { return state_->current(); }
     /// Until when earlier fronts' grants of this backend server may hold, from now.
-    core::duration foreign_hold(const std::string& id) const { return state_->foreign_hold(id, core::clock::now()); }
+    core::duration foreign_hold(const std::string& id) const
+    {
+        return state_->foreign_hold(id, core::clock::now());
+    }
     bool is_started() const { return state_.has_value() && is_started_; }
 
 private:
--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -1,8 +1,7 @@
-#include "edge/internal/member_state.hpp"
-
 #include "core/ids.hpp"
 #include "core/key_hash.hpp"
 #include "core/pause.hpp"
+#include "edge/internal/member_state.hpp"
 
 #include <algorithm>
 
@@ -113,8 +112,7 @@
 
 bool member::is_connected() const
 {
-    return state_->known.term > 0 &&
-           (state_->leading || clock::now() - state_->last_contact < contact_limit);
+    return state_->known.term > 0 && (state_->leading || clock::now() - state_->last_contact < contact_limit);
 }
 
 const directory::snapshot& member::directory() const
@@ -124,8 +122,8 @@
 
 member::state::state(asio::any_io_executor base, settings::edge_settings values, const protocol& names,
                      store_tables rows, event_log& lines, member_hooks outside)
-    : executor(std::move(base)), settings(std::move(values)), hooks(names), tables(std::move(rows)), log(lines),
-      surroundings(std::move(outside)), report_timer(executor)
+    : executor(std::move(base)), settings(std::move(values)), hooks(names), tables(std::move(rows)),
+      log(lines), surroundings(std::move(outside)), report_timer(executor)
 {
     self.name = settings.name;
     self.incarnation = core::make_id("run");
@@ -184,14 +182,15 @@
     // A small share of a processor may be used up for most of a second.
     peers.pong_limit = core::duration{900};
     network = std::make_shared<wire::peer_network>(executor, std::move(peers));
-    network->on_message([weak = weak_from_this()](std::string from, std::string text) -> asio::awaitable<std::string> {
-        const auto state = weak.lock();
-        if (!state)
-        {
-            co_return "{}";
-        }
-        co_return co_await state->on_message(std::move(from), std::move(text));
-    });
+    network->on_message(
+        [weak = weak_from_this()](std::string from, std::string text) -> asio::awaitable<std::string> {
+            const auto state = weak.lock();
+            if (!state)
+            {
+                co_return "{}";
+            }
+            co_return co_await state->on_message(std::move(from), std::move(text));
+        });
     surroundings.on_network(network);
     last_contact = clock::now() - leader_silence;
     while (true)
@@ -214,9 +213,11 @@
         {
             watchers = 2;
             asio::co_spawn(
-                executor, [self_reference] { return self_reference->watch_as_deputy("config"); }, asio::detached);
+                executor, [self_reference] { return self_reference->watch_as_deputy("config"); },
+                asio::detached);
             asio::co_spawn(
-                executor, [self_reference] { return self_reference->watch_as_deputy("registry"); }, asio::detached);
+                executor, [self_reference] { return self_reference->watch_as_deputy("registry"); },
+                asio::detached);
         }
         boost::system::error_code ignored;
         const auto wait = is_report_wanted ? report_gather : report_interval;
@@ -257,10 +258,10 @@
         co_return;
     }
     json message = {{"kind", "report"},
-                          {"term", known.term},
-                          {"revision", known.revision},
-                          {"config", known_config_version},
-                          {"report", leader::to_json(make_report())}};
+                    {"term", known.term},
+                    {"revision", known.revision},
+                    {"config", known_config_version},
+                    {"report", leader::to_json(make_report())}};
     add_news(message);
     const auto sent = clock::now();
     const auto asked = leader;
@@ -296,7 +297,8 @@
     catch (const std::exception& failure)
     {
         ++failed_reports;
-        log.write("report failed", {{"leader", asked.name}, {"reason", failure.what()}, {"failures", failed_reports}});
+        log.write("report failed",
+                  {{"leader", asked.name}, {"reason", failure.what()}, {"failures", failed_reports}});
     }
 }
 
@@ -381,7 +383,8 @@
     if (kind == "take over" && !leading && message.at("term").get<std::int64_t>() == known.term)
     {
         asio::co_spawn(
-            executor, [self = shared_from_this()] { return self->elect("the leader stops"); }, asio::detached);
+            executor, [self = shared_from_this()] { return self->elect("the leader stops"); },
+            asio::detached);
     }
     co_return json{{"kind", "none"}, {"from", from}}.dump();
 }
@@ -414,11 +417,13 @@
         else
         {
             std::vector<store::row_write> writes;
-            writes.emplace_back(internal::leadership_key, row ? row->version : 0, internal::leadership_value(self));
+            writes.emplace_back(internal::leadership_key, row ? row->version : 0,
+                                internal::leadership_value(self));
             const auto result = co_await tables.own->commit("", std::move(writes), store_timeout);
             if (result.is_committed && !is_stopping)
             {
-                log.write("leadership taken", {{"term", result.revision}, {"reason", reason}, {"former", leader.name}});
+                log.write("leadership taken",
+                          {{"term", result.revision}, {"reason", reason}, {"former", leader.name}});
                 become_leader(result.revision);
             }
             else
@@ -449,7 +454,8 @@
     leader = self;
     failed_reports = 0;
     internal::leader_surroundings outside;
-    outside.on_local_change = [weak = weak_from_this()](const directory::snapshot& current, const json& document) {
+    outside.on_local_change = [weak = weak_from_this()](const directory::snapshot& current,
+                                                        const json& document) {
         const auto state = weak.lock();
         if (!state || !state->leading)
         {
@@ -511,7 +517,8 @@
 
 bool member::state::is_deputy() const
 {
-    return !leading && !is_stopping && std::ranges::find(known.deputies, settings.name) != known.deputies.end();
+    return !leading && !is_stopping &&
+           std::ranges::find(known.deputies, settings.name) != known.deputies.end();
 }
 
 asio::awaitable<void> member::state::watch_as_deputy(std::string table)
--- a/src/edge/internal/member_state.hpp
+++ b/src/edge/internal/member_state.hpp
@@ -8,8 +8,8 @@
 
 struct member::state : std::enable_shared_from_this<member::state>
 {
-    state(core::asio::any_io_executor base, settings::edge_settings values, const protocol& names, store_tables rows,
-          event_log& lines, member_hooks outside);
+    state(core::asio::any_io_executor base, settings::edge_settings values, const protocol& names,
+          store_tables rows, event_log& lines, member_hooks outside);
 
     core::asio::awaitable<void> run();
     /// Reads or creates the secret that all routers share.
--- a/src/edge/internal/router_node.cpp
+++ b/src/edge/internal/router_node.cpp
@@ -146,26 +146,28 @@
 void router_node::state::start()
 {
     const auto weak = weak_from_this();
-    frontend.emplace(executor, settings.frontend,
-                     http::watched_handler([weak](http::request message, http::endpoint,
-                                                  std::shared_ptr<core::cancellation> departure)
-                                               -> asio::awaitable<http::response> {
-                         const auto self = weak.lock();
-                         if (!self)
-                         {
-                             co_return http::response(status_unavailable);
-                         }
-                         co_return co_await self->entry.handle(std::move(message), std::move(departure));
-                     }));
-    readiness.emplace(executor, settings.readiness,
-                      http::handler([weak](http::request message, http::endpoint) -> asio::awaitable<http::response> {
-                          const auto self = weak.lock();
-                          if (!self)
-                          {
-                              co_return http::response(status_unavailable);
-                          }
-                          co_return co_await self->serve_readiness(std::move(message));
-                      }));
+    frontend.emplace(
+        executor, settings.frontend,
+        http::watched_handler(
+            [weak](http::request message, http::endpoint,
+                   std::shared_ptr<core::cancellation> departure) -> asio::awaitable<http::response> {
+                const auto self = weak.lock();
+                if (!self)
+                {
+                    co_return http::response(status_unavailable);
+                }
+                co_return co_await self->entry.handle(std::move(message), std::move(departure));
+            }));
+    readiness.emplace(
+        executor, settings.readiness,
+        http::handler([weak](http::request message, http::endpoint) -> asio::awaitable<http::response> {
+            const auto self = weak.lock();
+            if (!self)
+            {
+                co_return http::response(status_unavailable);
+            }
+            co_return co_await self->serve_readiness(std::move(message));
+        }));
     metrics_server.emplace(
         executor, settings.metrics,
         http::handler([weak](http::request message, http::endpoint) -> asio::awaitable<http::response> {
@@ -180,11 +182,10 @@
                            [this] { return static_cast<double>(front.queued()); });
     metrics.computed_gauge("briarfold_edge_running_requests", "Requests at backend servers.", {},
                            [this] { return static_cast<double>(front.in_flight()); });
-    metrics.computed_gauge("briarfold_edge_backend_servers", "Backend servers whose front this router is.", {},
-                           [this] { return static_cast<double>(front.servers()); });
-    metrics.computed_gauge("briarfold_edge_configuration_version", "Configuration in force.", {}, [this] {
-        return static_cast<double>(entry.routes().config().version);
-    });
+    metrics.computed_gauge("briarfold_edge_backend_servers", "Backend servers whose front this router is.",
+                           {}, [this] { return static_cast<double>(front.servers()); });
+    metrics.computed_gauge("briarfold_edge_configuration_version", "Configuration in force.", {},
+                           [this] { return static_cast<double>(entry.routes().config().version); });
     metrics.computed_gauge("briarfold_edge_leader", "1 while this router is the leader.", {},
                            [this] { return member.is_leader() ? 1.0 : 0.0; });
     metrics.computed_gauge("briarfold_edge_log_lines_left_out", "Log lines left out.", {},
@@ -298,20 +299,22 @@
         return;
     }
     state_->stopping_since = clock::now();
-    state_->log.write("stopping", {{"in_flight", state_->entry.in_flight()}, {"running", state_->front.in_flight()}});
+    state_->log.write("stopping",
+                      {{"in_flight", state_->entry.in_flight()}, {"running", state_->front.in_flight()}});
     state_->frontend->begin_drain();
     state_->member.begin_stop();
     asio::co_spawn(
-        state_->executor,
-        [self = state_, done = std::move(on_done)] { return self->drain(done); }, asio::detached);
+        state_->executor, [self = state_, done = std::move(on_done)] { return self->drain(done); },
+        asio::detached);
 }
 
 void router_node::reload(settings::edge_settings settings)
 {
     const bool needs_restart = settings.frontend != state_->settings.frontend ||
-                               settings.peer != state_->settings.peer || settings.store != state_->settings.store;
-    state_->log.write("settings reloaded", {{"settings", settings::to_json(settings)},
-                                            {"needs_restart", needs_restart}});
+                               settings.peer != state_->settings.peer ||
+                               settings.store != state_->settings.store;
+    state_->log.write("settings reloaded",
+                      {{"settings", settings::to_json(settings)}, {"needs_restart", needs_restart}});
     state_->settings.grace = settings.grace;
 }
 
--- a/src/edge/member.hpp
+++ b/src/edge/member.hpp
@@ -1,5 +1,5 @@
-/// Takes part in the group of routers: joins, reports to the leader, follows its directory, and becomes the leader when
-/// there is none.
+/// Takes part in the group of routers: joins, reports to the leader, follows its directory, and becomes the
+/// leader when there is none.
 #pragma once
 
 #include "core/asio.hpp"
--- a/src/edge/protocol.hpp
+++ b/src/edge/protocol.hpp
@@ -1,5 +1,5 @@
-/// What an adapter tells the router about the messages of its surroundings. The router itself knows no header or
-/// field name.
+/// What an adapter tells the router about the messages of its surroundings. The router itself knows no header
+/// or field name.
 #pragma once
 
 #include "core/clock.hpp"
@@ -50,7 +50,8 @@
     std::function<request_head(const http::request&)> read_request;
     std::function<response_head(const http::response&)> read_response;
     /// Adds what one backend server must know: the time left and its own id.
-    std::function<http::request(http::request, core::duration left, const std::string& backend_server)> to_backend;
+    std::function<http::request(http::request, core::duration left, const std::string& backend_server)>
+        to_backend;
     /// An answer of the router's own. `retry_after` of zero sends none.
     std::function<http::response(unsigned status, const std::string& attempt_id, core::duration retry_after,
                                  const std::string& text)>
--- a/src/edge/router_node.hpp
+++ b/src/edge/router_node.hpp
@@ -11,7 +11,8 @@
 
 namespace briarfold::edge {
 
-/// Starts at construction; ends when `stop` was called and its requests are answered, or at the end of the grace time.
+/// Starts at construction; ends when `stop` was called and its requests are answered, or at the end of the
+/// grace time.
 class router_node
 {
 public:
--- a/src/grants/grant_timing.hpp
+++ b/src/grants/grant_timing.hpp
@@ -5,10 +5,11 @@
 
 namespace briarfold::grants {
 
-/// Duration of a grant. A silent backend server keeps its keys at most this long after its last renewal; three
-/// renewals fit in, so that two lost ones in a row do no harm.
+/// Duration of a grant. A silent backend server keeps its keys at most this long after its last renewal;
+/// three renewals fit in, so that two lost ones in a row do no harm.
 constexpr core::duration hold{4000};
-/// Duration while the store cannot be reached, when no router could take over as front. The platform allows 10 s.
+/// Duration while the store cannot be reached, when no router could take over as front. The platform allows
+/// 10 s.
 constexpr core::duration long_hold{9500};
 constexpr core::duration renewal_interval{1200};
 /// Time before the end of a grant from which no work is sent: covers the delay of a request to the target.
--- a/src/grants/internal/server_grants.cpp
+++ b/src/grants/internal/server_grants.cpp
@@ -105,11 +105,11 @@
     std::vector<piece> joined;
     for (const auto& item : pieces_)
     {
-        const bool fits = !joined.empty() && joined.back().range.last + 1 == item.range.first &&
-                          joined.back().is_granted && item.is_granted &&
-                          joined.back().is_under_way == item.is_under_way &&
-                          joined.back().release == release_state::none && item.release == release_state::none &&
-                          joined.back().handover.empty() && item.handover.empty();
+        const bool fits =
+            !joined.empty() && joined.back().range.last + 1 == item.range.first && joined.back().is_granted &&
+            item.is_granted && joined.back().is_under_way == item.is_under_way &&
+            joined.back().release == release_state::none && item.release == release_state::none &&
+            joined.back().handover.empty() && item.handover.empty();
         if (!fits)
         {
             joined.push_back(item);
@@ -125,7 +125,8 @@
     pieces_ = std::move(joined);
 }
 
-std::optional<grant_call> server_grants::next_call(core::time_point now, bool may_grant, core::duration length)
+std::optional<grant_call> server_grants::next_call(core::time_point now, bool may_grant,
+                                                   core::duration length)
 {
     for (auto& item : pieces_)
     {
@@ -147,7 +148,8 @@
         if (item.release == release_state::none && is_due && !item.is_under_way && item.retry_at <= now)
         {
             item.is_under_way = true;
-            return grant_call{call_kind::grant, item.range, token_base_ + token_step_, length, item.handover, now};
+            return grant_call{call_kind::grant, item.range,    token_base_ + token_step_,
+                              length,           item.handover, now};
         }
     }
     return std::nullopt;
--- a/src/grants/server_grants.hpp
+++ b/src/grants/server_grants.hpp
@@ -1,5 +1,5 @@
-/// The grants of one backend server, as its front keeps them. Pure: time, entries and answers come in, calls and
-/// freed keys go out.
+/// The grants of one backend server, as its front keeps them. Pure: time, entries and answers come in, calls
+/// and freed keys go out.
 #pragma once
 
 #include "directory/directory_types.hpp"
@@ -17,8 +17,8 @@
     release
 };
 
-/// One call to the backend server. At most one grant is under way at a time; releases run beside it, since they are
-/// answered only when the work on their keys has ended.
+/// One call to the backend server. At most one grant is under way at a time; releases run beside it, since
+/// they are answered only when the work on their keys has ended.
 struct grant_call
 {
     call_kind kind = call_kind::grant;
@@ -41,9 +41,9 @@
     bool operator==(const freed_keys&) const = default;
 };
 
-/// Invariants: a key is reported as freed only when every grant of it has ended or was released; a call whose answer
-/// was lost counts as arrived until its connection was reset, and may be applied later unless a higher token was
-/// accepted since.
+/// Invariants: a key is reported as freed only when every grant of it has ended or was released; a call whose
+/// answer was lost counts as arrived until its connection was reset, and may be applied later unless a higher
+/// token was accepted since.
 class server_grants
 {
 public:
--- a/src/grants/tests/server_grants_tests.cpp
+++ b/src/grants/tests/server_grants_tests.cpp
@@ -55,8 +55,8 @@
     BOOST_CHECK(!grants.may_send(5, now + hold));
 }
 
-// Guards against two owners: keys whose grant is on its way were reported as free when they were withdrawn before the
-// answer, and the backend server accepted the grant after another one had received the keys.
+// Guards against two owners: keys whose grant is on its way were reported as free when they were withdrawn
+// before the answer, and the backend server accepted the grant after another one had received the keys.
 BOOST_AUTO_TEST_CASE(keys_with_a_grant_under_way_are_not_free)
 {
     auto entry = make_entry({{0, 99}});
@@ -77,8 +77,8 @@
     BOOST_CHECK_EQUAL(freed.front().handover, "token");
 }
 
-// Guards against two owners: a grant whose answer was lost may be applied until its connection was reset, and holds
-// from its arrival on a clock that may run slow.
+// Guards against two owners: a grant whose answer was lost may be applied until its connection was reset, and
+// holds from its arrival on a clock that may run slow.
 BOOST_AUTO_TEST_CASE(a_lost_grant_keeps_its_keys_until_its_bound)
 {
     auto entry = make_entry({{0, 99}});
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -348,8 +348,7 @@
         });
 }
 
-asio::awaitable<response> server::state::answer(session& connection,
-                                                const internal::beast_request& incoming)
+asio::awaitable<response> server::state::answer(session& connection, const internal::beast_request& incoming)
 {
     const auto departure = std::make_shared<core::cancellation>();
     watch_departure(connection.shared_from_this(), departure);
--- a/src/keyspace/internal/move_planner.cpp
+++ b/src/keyspace/internal/move_planner.cpp
@@ -33,7 +33,8 @@
 };
 
 /// The longest part at one end of `range` with a load of at most `most`.
-std::optional<candidate> end_part(const key_range& range, const key_loads& loads, double most, bool from_front)
+std::optional<candidate> end_part(const key_range& range, const key_loads& loads, double most,
+                                  bool from_front)
 {
     candidate part;
     std::uint32_t taken = 0;
@@ -217,9 +218,8 @@
             accepting.push_back(&item);
         }
     }
-    const double total =
-        std::accumulate(accepting.begin(), accepting.end(), 0.0,
-                        [](double sum, const holder* item) { return sum + item->capacity; });
+    const double total = std::accumulate(accepting.begin(), accepting.end(), 0.0,
+                                         [](double sum, const holder* item) { return sum + item->capacity; });
     std::vector<placed_range> placed;
     double before = 0;
     std::uint32_t first = 0;
--- a/src/keyspace/move_planner.hpp
+++ b/src/keyspace/move_planner.hpp
@@ -37,8 +37,8 @@
 
 struct planner_settings
 {
-    /// Load over the mean at which a holder gives keys away. Moves are cheap beside rejected requests, and below
-    /// this the difference is within the spread of the measured load.
+    /// Load over the mean at which a holder gives keys away. Moves are cheap beside rejected requests, and
+    /// below this the difference is within the spread of the measured load.
     double trigger = 1.3;
     /// Utilization below which a holder gives nothing away, since its queue is short anyway.
     double least_utilization = 0.3;
@@ -50,8 +50,9 @@
 /// Load of all keys of the set.
 double load_of(const key_set& keys, const key_loads& loads);
 
-/// Moves from loaded to idle holders, the most loaded first. Load patterns: traffic concentrated on neighbouring
-/// keys, a hot key above one holder's slots (its neighbours leave it), a new holder without keys.
+/// Moves from loaded to idle holders, the most loaded first. Load patterns: traffic concentrated on
+/// neighbouring keys, a hot key above one holder's slots (its neighbours leave it), a new holder without
+/// keys.
 std::vector<key_move> plan_moves(std::vector<holder> holders, const key_loads& loads,
                                  const planner_settings& settings = {});
 
@@ -63,8 +64,8 @@
     bool operator==(const placed_range&) const = default;
 };
 
-/// Places keys that nobody holds; splits a range whose load is more than one holder has room for. Empty when no
-/// holder accepts keys.
+/// Places keys that nobody holds; splits a range whose load is more than one holder has room for. Empty when
+/// no holder accepts keys.
 std::vector<placed_range> place(const key_set& free, std::vector<holder> holders, const key_loads& loads);
 
 /// Even ranges in the order of the holders, by their capacity.
--- a/src/leader/internal/key_assignment.cpp
+++ b/src/leader/internal/key_assignment.cpp
@@ -45,7 +45,8 @@
         keyspace::holder item;
         item.id = id;
         const bool is_warming = now - known.listed_at < entry.server.warmup_left;
-        item.capacity = entry.server.slots / std::max(known.slowness, 0.1) * (is_warming ? warming_share : 1.0);
+        item.capacity =
+            entry.server.slots / std::max(known.slowness, 0.1) * (is_warming ? warming_share : 1.0);
         item.keys = keyspace::without(known.next_keys, entry.withdrawn);
         item.accepts = accepts_keys(id, now);
         item.gives = item.accepts;
@@ -103,8 +104,8 @@
     }
 }
 
-void leader_state::hand_over(const keyspace::key_range& range, const std::string& handover, const std::string& from,
-                             core::time_point now)
+void leader_state::hand_over(const keyspace::key_range& range, const std::string& handover,
+                             const std::string& from, core::time_point now)
 {
     const auto& service = entry_of(from).server.service;
     auto& moves = planned_[service];
@@ -140,8 +141,8 @@
             on_decision_("backend server gone", id, {});
             touch(id);
         }
-        const bool has_left = !entry.is_listed && known.vanished_at &&
-                              now - *known.vanished_at >= settings_.vanished_grace;
+        const bool has_left =
+            !entry.is_listed && known.vanished_at && now - *known.vanished_at >= settings_.vanished_grace;
         const bool is_unreachable =
             known.unreachable_since && now - *known.unreachable_since >= settings_.unreachable_limit;
         if (!has_left && !entry.server.is_draining && !is_unreachable)
@@ -152,14 +153,17 @@
         if (has_left || std::ranges::any_of(others, &keyspace::holder::accepts))
         {
             withdraw(id, entry.keys,
-                     has_left ? "gone" : entry.server.is_draining ? "draining" : "unreachable");
+                     has_left                   ? "gone"
+                     : entry.server.is_draining ? "draining"
+                                                : "unreachable");
         }
     }
 }
 
 void leader_state::assign_first(core::time_point now)
 {
-    const bool is_settled = now - last_registration_ >= settings_.settle && now - started_ >= settings_.settle;
+    const bool is_settled =
+        now - last_registration_ >= settings_.settle && now - started_ >= settings_.settle;
     if (!is_settled && now - started_ < settings_.most_settle)
     {
         return;
@@ -228,7 +232,8 @@
                    keyspace::common(from->second.withdrawn, {move.range}).empty();
         });
         const auto& loads = loads_of(service);
-        if (moves.size() >= most_withdrawals || keyspace::load_of({{0, keyspace::key_count - 1}}, loads) < least_total_load)
+        if (moves.size() >= most_withdrawals ||
+            keyspace::load_of({{0, keyspace::key_count - 1}}, loads) < least_total_load)
         {
             continue;
         }
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// Bits of a token below the version of the store. The upper ones of them count the fronts, which need no write; the
-/// lower ones are the front's own, for calls without an answer.
+/// Bits of a token below the version of the store. The upper ones of them count the fronts, which need no
+/// write; the lower ones are the front's own, for calls without an answer.
 constexpr int version_shift = 20;
 constexpr int front_shift = 12;
 
@@ -44,7 +44,8 @@
         record known;
         // The term is later than every version that a former leader wrote or used.
         known.version = std::max(version, published_.term);
-        // Former leaders assigned fronts without a write, so any router may have granted until its authority ended.
+        // Former leaders assigned fronts without a write, so any router may have granted until its authority
+        // ended.
         known.foreign_hold_until = grants::hold_end(now + settings_.authority, settings_.longest_hold);
         known.next_keys = entry.keys;
         known.listed_at = now;
@@ -123,21 +124,24 @@
         raise_token(server.id);
         last_registration_ = now;
         on_decision_("backend server registered", server.id,
-                     {{"service", server.service}, {"address", http::to_string(server.address)},
-                      {"zone", server.zone}, {"slots", server.slots}});
+                     {{"service", server.service},
+                      {"address", http::to_string(server.address)},
+                      {"zone", server.zone},
+                      {"slots", server.slots}});
         touch(server.id);
         return;
     }
     auto& entry = position->second;
     auto& known = records_[server.id];
-    if (entry.server == server && entry.is_listed)
+    if (entry.server == server && entry.is_listed && !known.vanished_at)
     {
         return;
     }
     if (entry.server.born_ms != server.born_ms || entry.server.is_draining != server.is_draining)
     {
         on_decision_("backend server changed", server.id,
-                     {{"born_ms", server.born_ms}, {"former_born_ms", entry.server.born_ms},
+                     {{"born_ms", server.born_ms},
+                      {"former_born_ms", entry.server.born_ms},
                       {"draining", server.is_draining}});
         known.unreachable_since.reset();
     }
@@ -166,7 +170,10 @@
     if (is_new || !(position->second == report.router))
     {
         const bool is_restarted = !is_new && position->second.incarnation != report.router.incarnation;
-        on_decision_(is_new ? "router joined" : is_restarted ? "router restarted" : "router changed", name,
+        on_decision_(is_new         ? "router joined"
+                     : is_restarted ? "router restarted"
+                                    : "router changed",
+                     name,
                      {{"incarnation", report.router.incarnation}, {"stopping", report.router.is_stopping}});
         published_.routers[name] = report.router;
         ++published_.revision;
@@ -308,7 +315,8 @@
     return std::max(records_.at(id).foreign_hold_until - now, core::duration{0});
 }
 
-directory::update leader_state::update_for(std::int64_t term, std::int64_t revision, core::time_point now) const
+directory::update leader_state::update_for(std::int64_t term, std::int64_t revision,
+                                           core::time_point now) const
 {
     auto change = directory::make_update(published_, removed_at_, term, revision);
     for (auto& [id, entry] : change.changed.entries)
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -1,5 +1,5 @@
-/// Assigns fronts and keys. Pure: registrations, reports and time come in; a directory, rows to write and decisions
-/// come out.
+/// Assigns fronts and keys. Pure: registrations, reports and time come in; a directory, rows to write and
+/// decisions come out.
 #pragma once
 
 #include "grants/grant_timing.hpp"
@@ -32,7 +32,8 @@
 };
 
 /// One line of the decision log: what was decided, about whom, on what grounds.
-using decision_hook = std::function<void(const char* decision, const std::string& subject, nlohmann::json grounds)>;
+using decision_hook =
+    std::function<void(const char* decision, const std::string& subject, nlohmann::json grounds)>;
 
 class leader_state
 {
@@ -116,7 +117,10 @@
                    core::time_point now);
     void give(const std::string& id, const keyspace::key_range& range, const std::string& handover);
     bool accepts_keys(const std::string& id, core::time_point now) const;
-    bool is_keyed(const directory::entry& item) const { return keyed_services_.contains(item.server.service); }
+    bool is_keyed(const directory::entry& item) const
+    {
+        return keyed_services_.contains(item.server.service);
+    }
     std::vector<keyspace::holder> holders(const std::string& service, core::time_point now) const;
     keyspace::key_loads& loads_of(const std::string& service);
     std::string row_text(const std::string& service) const;
--- /dev/null
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -0,0 +1,311 @@
+#include "leader/leader_state.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace briarfold;
+using namespace briarfold::leader;
+using core::duration;
+using core::time_point;
+
+namespace {
+
+directory::router make_router(const std::string& name, const std::string& zone = "a",
+                              const std::string& incarnation = "1")
+{
+    directory::router router;
+    router.name = name;
+    router.zone = zone;
+    router.incarnation = incarnation;
+    router.peer = {"10.0.0.1", 7000};
+    return router;
+}
+
+directory::backend_server make_server(const std::string& id, const std::string& zone = "a",
+                                      const std::string& service = "keyed")
+{
+    directory::backend_server server;
+    server.id = id;
+    server.born_ms = 1;
+    server.service = service;
+    server.zone = zone;
+    server.address = {"10.0.1.1", 8000};
+    server.slots = 6;
+    return server;
+}
+
+struct fixture
+{
+    fixture() { restart(10); }
+
+    void restart(std::int64_t term)
+    {
+        state.emplace(leader_settings(), make_router("r1"), term, now,
+                      [this](const char* decision, const std::string&, const nlohmann::json&) {
+                          decisions.emplace_back(decision);
+                      });
+        state->set_keyed_services({"keyed"});
+        version = std::max(version, term);
+    }
+
+    void report(const std::string& name, std::vector<freed_report> freed = {},
+                std::vector<std::string> lost = {}, const std::string& incarnation = "1")
+    {
+        router_report message;
+        message.router = make_router(name, name == "r2" ? "b" : "a", incarnation);
+        message.freed = std::move(freed);
+        message.unreachable = std::move(lost);
+        state->on_report(message, now);
+    }
+
+    /// Lets time pass with all routers reporting and all writes done.
+    void pass(std::int64_t ms, const std::vector<std::string>& routers = {"r1", "r2", "r3"})
+    {
+        for (std::int64_t step = 0; step < ms; step += 100)
+        {
+            now = now + duration{100};
+            std::ranges::for_each(routers, [this](const auto& name) { report(name); });
+            state->tick(now);
+            write();
+        }
+    }
+
+    std::size_t write()
+    {
+        const auto rows = state->take_write();
+        if (!rows.empty())
+        {
+            written = rows;
+            state->on_written(++version, now);
+        }
+        return rows.size();
+    }
+
+    const directory::entry& entry(const std::string& id) { return state->current().entries.at(id); }
+
+    void start(std::size_t servers)
+    {
+        for (std::size_t i = 0; i < servers; ++i)
+        {
+            state->on_registered(make_server("s" + std::to_string(i), i % 2 == 0 ? "a" : "b"), now);
+        }
+        pass(3000);
+    }
+
+    time_point now{5000000};
+    std::int64_t version = 0;
+    std::vector<std::string> decisions;
+    std::vector<assignment_row> written;
+    std::optional<leader_state> state;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(leader_states, fixture)
+
+// Guards against keys without an owner, or with two, after the first assignment.
+BOOST_AUTO_TEST_CASE(all_keys_are_assigned_once)
+{
+    start(4);
+    BOOST_CHECK_EQUAL(state->unassigned_keys(), 0U);
+    std::uint32_t sum = 0;
+    for (const auto& [id, item] : state->current().entries)
+    {
+        sum += keyspace::size(item.keys);
+        BOOST_CHECK(!item.front.empty());
+    }
+    BOOST_CHECK_EQUAL(sum, keyspace::key_count);
+}
+
+// Guards against keys that are published before the store has them.
+BOOST_AUTO_TEST_CASE(keys_are_published_only_when_written)
+{
+    state->on_registered(make_server("s0"), now);
+    for (int i = 0; i < 30; ++i)
+    {
+        now = now + duration{100};
+        report("r1");
+        state->tick(now);
+    }
+    BOOST_CHECK(entry("s0").keys.empty());
+    BOOST_CHECK_EQUAL(state->take_write().size(), 1U);
+    BOOST_CHECK(entry("s0").keys.empty());
+    state->on_write_failed();
+    BOOST_CHECK(entry("s0").keys.empty());
+    BOOST_CHECK_EQUAL(write(), 1U);
+    BOOST_CHECK_EQUAL(keyspace::size(entry("s0").keys), keyspace::key_count);
+}
+
+// Guards against a next owner before the keys were freed, and against an equal or lower token for it.
+BOOST_AUTO_TEST_CASE(draining_keys_move_after_they_are_free)
+{
+    start(3);
+    const auto keys = entry("s0").keys;
+    const auto former_token = entry("s0").token_base;
+    const auto front = entry("s0").front;
+    auto leaving = make_server("s0");
+    leaving.is_draining = true;
+    state->on_registered(leaving, now);
+    pass(1000);
+    BOOST_CHECK(entry("s0").withdrawn == keys);
+    BOOST_CHECK(entry("s0").keys == keys);
+    BOOST_REQUIRE_EQUAL(keys.size(), 1U);
+    report(front, {{"s0", keys.front(), "warm"}});
+    state->tick(now);
+    BOOST_CHECK(entry("s0").keys == keys);
+    write();
+    BOOST_CHECK(entry("s0").keys.empty());
+    BOOST_CHECK_EQUAL(state->unassigned_keys(), 0U);
+    for (const auto& [id, item] : state->current().entries)
+    {
+        if (!keyspace::common(item.keys, keys).empty())
+        {
+            BOOST_CHECK_GT(item.token_base, former_token);
+            BOOST_CHECK(!item.handovers.empty());
+        }
+    }
+}
+
+// Guards against freed keys reported by a router that is not the front any more.
+BOOST_AUTO_TEST_CASE(only_the_front_frees_keys)
+{
+    start(3);
+    auto leaving = make_server("s0");
+    leaving.is_draining = true;
+    state->on_registered(leaving, now);
+    pass(200);
+    const auto keys = entry("s0").keys;
+    const std::string other = entry("s0").front == "r2" ? "r3" : "r2";
+    report(other, {{"s0", keys.front(), ""}});
+    state->tick(now);
+    write();
+    BOOST_CHECK(entry("s0").keys == keys);
+}
+
+// Guards against a silent front that keeps its backend servers: another one gets them without a write, with a
+// higher token, and with the bound of what the silent one may still grant.
+BOOST_AUTO_TEST_CASE(a_silent_front_is_replaced_without_a_write)
+{
+    start(4);
+    const auto fronted_by = [&](const std::string& name) {
+        std::vector<std::string> ids;
+        for (const auto& [id, item] : state->current().entries)
+        {
+            if (item.front == name)
+            {
+                ids.push_back(id);
+            }
+        }
+        return ids;
+    };
+    const auto ids = fronted_by("r2");
+    BOOST_REQUIRE(!ids.empty());
+    const auto token = entry(ids.front()).token_base;
+    for (int i = 0; i < 20; ++i)
+    {
+        now = now + duration{100};
+        report("r1");
+        report("r3");
+        state->tick(now);
+        BOOST_CHECK(state->take_write().empty());
+    }
+    BOOST_CHECK(fronted_by("r2").empty());
+    BOOST_CHECK_GT(entry(ids.front()).token_base, token);
+    BOOST_CHECK_GT(state->foreign_hold(ids.front(), now).ms, grants::long_hold.ms);
+}
+
+// Guards against a stopping router that remains a front until it ends.
+BOOST_AUTO_TEST_CASE(a_stopping_router_loses_its_fronts_at_once)
+{
+    start(4);
+    router_report message;
+    message.router = make_router("r2", "b");
+    message.router.is_stopping = true;
+    state->on_report(message, now);
+    state->tick(now);
+    for (const auto& [id, item] : state->current().entries)
+    {
+        BOOST_CHECK(item.front != "r2");
+    }
+}
+
+// Guards against a backend server that its front cannot reach and that keeps its keys, and against a single
+// failure that takes them.
+BOOST_AUTO_TEST_CASE(unreachable_backend_servers_lose_their_keys)
+{
+    start(3);
+    const auto front = entry("s1").front;
+    report(front, {}, {"s1"});
+    state->tick(now);
+    BOOST_CHECK(entry("s1").withdrawn.empty());
+    now = now + duration{1000};
+    for (const std::string name : {"r1", "r2", "r3"})
+    {
+        report(name, {}, name == front ? std::vector<std::string>{"s1"} : std::vector<std::string>{});
+    }
+    state->tick(now);
+    BOOST_CHECK(entry("s1").withdrawn == entry("s1").keys);
+}
+
+// Guards against keys that are taken from a backend server whose registration lapsed while the store was
+// away, and against one that stays for good.
+BOOST_AUTO_TEST_CASE(a_vanished_registration_has_time_to_return)
+{
+    start(3);
+    state->on_unregistered("s1", false, now);
+    pass(1500);
+    BOOST_CHECK(entry("s1").is_listed);
+    BOOST_CHECK(entry("s1").withdrawn.empty());
+    state->on_registered(make_server("s1", "b"), now);
+    pass(1500);
+    BOOST_CHECK(entry("s1").withdrawn.empty());
+    state->on_unregistered("s1", false, now);
+    pass(2500);
+    BOOST_CHECK(!entry("s1").is_listed);
+    BOOST_CHECK(entry("s1").withdrawn == entry("s1").keys);
+}
+
+// Guards against a new leader whose tokens are not above those of the former one, and that forgets what its
+// fronts may have granted.
+BOOST_AUTO_TEST_CASE(a_new_leader_continues_from_the_rows)
+{
+    start(3);
+    std::map<std::string, directory::entry> former = state->current().entries;
+    const auto rows = written;
+    const auto row_version = version;
+    restart(version + 5);
+    for (const auto& row : rows)
+    {
+        state->load_row(row, row_version, now);
+    }
+    for (const auto& [id, item] : former)
+    {
+        state->on_registered(item.server, now);
+        BOOST_CHECK(entry(id).keys == item.keys);
+        BOOST_CHECK_GT(entry(id).token_base, item.token_base);
+        BOOST_CHECK_GT(state->foreign_hold(id, now).ms, grants::long_hold.ms);
+    }
+}
+
+// Guards against a directory update that is applied on a gap, or in the wrong order.
+BOOST_AUTO_TEST_CASE(followers_apply_updates_without_gaps)
+{
+    start(2);
+    directory::snapshot follower;
+    BOOST_CHECK(directory::apply(follower, state->update_for(0, 0, now)));
+    const auto known = follower.revision;
+    state->on_registered(make_server("late"), now);
+    const auto first = directory::update_from_json(directory::to_json(state->update_for(10, known, now)));
+    const auto behind = state->current().revision;
+    state->on_registered(make_server("later"), now);
+    const auto second = state->update_for(10, behind, now);
+    BOOST_CHECK(!directory::apply(follower, second));
+    BOOST_CHECK(directory::apply(follower, first));
+    BOOST_CHECK(directory::apply(follower, second));
+    BOOST_CHECK(follower.entries.contains("later"));
+    BOOST_CHECK(directory::apply(follower, first));
+    BOOST_CHECK_EQUAL(follower.revision, state->current().revision);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/membership/internal/heartbeat_service.cpp
+++ b/src/membership/internal/heartbeat_service.cpp
@@ -56,8 +56,7 @@
 } // namespace
 
 heartbeat_service::heartbeat_service(asio::any_io_executor executor, udp_channel& channel,
-                                     membership& members, replica::ireplica& rows,
-                                     store::itable_store& store)
+                                     membership& members, replica::ireplica& rows, store::itable_store& store)
     : executor_(std::move(executor)), channel_(channel), members_(members), rows_(rows), store_(store),
       last_contact_ms_(clock::now().ms)
 {}
--- a/src/membership/registration.hpp
+++ b/src/membership/registration.hpp
@@ -3,8 +3,8 @@
 
 #include "core/asio.hpp"
 #include "membership/membership_types.hpp"
-#include "store/itable_store.hpp"
 #include "replica/ireplica.hpp"
+#include "store/itable_store.hpp"
 
 #include <atomic>
 
--- a/src/membership/tests/membership_tests.cpp
+++ b/src/membership/tests/membership_tests.cpp
@@ -44,7 +44,7 @@
 {
 public:
     asio::awaitable<store::commit_result> commit(std::string, std::vector<store::row_write>,
-                                                    core::duration) override
+                                                 core::duration) override
     {
         throw store::store_error("commit", "", "no store");
     }
--- a/src/ownership/internal/machine.hpp
+++ b/src/ownership/internal/machine.hpp
@@ -27,8 +27,7 @@
                   core::time_point now);
     void on_failure(const std::string& server, std::int64_t exchange, core::time_point now);
     /// The outcome of a commit_request.
-    void on_commit(const std::string& operation_id, const store::commit_result& result,
-                   core::time_point now);
+    void on_commit(const std::string& operation_id, const store::commit_result& result, core::time_point now);
     fenced_rows on_heartbeat(const std::string& from, core::time_point now);
     void on_voucher(const std::string& from, std::int64_t seq, fenced_rows fenced);
     fence_answer on_fence(const fence_request& request, core::time_point now);
--- a/src/ownership/internal/machine_writes.cpp
+++ b/src/ownership/internal/machine_writes.cpp
@@ -37,8 +37,7 @@
     pending_.emplace(id, std::move(commit));
 }
 
-void machine::on_commit(const std::string& operation_id, const store::commit_result& result,
-                        time_point now)
+void machine::on_commit(const std::string& operation_id, const store::commit_result& result, time_point now)
 {
     const auto found = pending_.find(operation_id);
     if (found == pending_.end())
@@ -59,7 +58,7 @@
             break;
         }
         const store::row row(write.key, write.expected_version + 1, result.revision, operation_id,
-                                write.value);
+                             write.value);
         on_row(row, now);
         const auto controller = write.value.value("controller", "");
         if (!controller.empty() && controller != self_.instance_id)
--- a/src/ownership/tests/cluster.hpp
+++ b/src/ownership/tests/cluster.hpp
@@ -6,11 +6,11 @@
 #include "membership/feed_order.hpp"
 #include "membership/registration.hpp"
 #include "ownership/ownership.hpp"
-#include "store/http_table_store.hpp"
 #include "replica/peer_source.hpp"
 #include "standins/backend/backend_service.hpp"
 #include "standins/backend/registration.hpp"
 #include "standins/platform/platform_service.hpp"
+#include "store/http_table_store.hpp"
 #include "wire/peer_network.hpp"
 
 #include <functional>
--- a/src/ownership/tests/map_tests.cpp
+++ b/src/ownership/tests/map_tests.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 store::row make_row(const std::string& id, std::vector<slice> slices, std::int64_t revision,
-                       const std::string& service = "fleetdesk")
+                    const std::string& service = "fleetdesk")
 {
     backend_server server;
     server.id = id;
--- a/src/ownership/tests/simulation_nodes.hpp
+++ b/src/ownership/tests/simulation_nodes.hpp
@@ -111,8 +111,7 @@
                 result.conflicts.push_back(held == rows.end() ? store::row() : held->second);
             }
         }
-        const auto own =
-            std::ranges::find(result.conflicts, request.operation_id, &store::row::operation_id);
+        const auto own = std::ranges::find(result.conflicts, request.operation_id, &store::row::operation_id);
         if (own != result.conflicts.end())
         {
             return {true, own->revision, {}};
--- a/src/replica/feed.hpp
+++ b/src/replica/feed.hpp
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "core/asio.hpp"
-#include "store/itable_store.hpp"
 #include "replica/replica.hpp"
+#include "store/itable_store.hpp"
 
 #include <atomic>
 #include <functional>
--- a/src/routing/ientry.hpp
+++ b/src/routing/ientry.hpp
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "core/asio.hpp"
-#include "http/http_types.hpp"
 #include "core/cancellation.hpp"
+#include "http/http_types.hpp"
 
 #include <memory>
 
--- a/src/routing/internal/backend_channel.hpp
+++ b/src/routing/internal/backend_channel.hpp
@@ -1,13 +1,13 @@
 /// Everything the front keeps for one backend server.
 #pragma once
 
+#include "core/cancellation.hpp"
 #include "ownership/iownership.hpp"
 #include "routing/counters.hpp"
 #include "routing/hooks.hpp"
 #include "routing/internal/connection_pool.hpp"
 #include "routing/internal/retry_budget.hpp"
 #include "routing/internal/slot_gate.hpp"
-#include "core/cancellation.hpp"
 #include "wire/frame_types.hpp"
 
 #include <memory>
--- a/src/routing/internal/slot_gate.hpp
+++ b/src/routing/internal/slot_gate.hpp
@@ -2,10 +2,10 @@
 #pragma once
 
 #include "core/asio.hpp"
+#include "core/cancellation.hpp"
 #include "core/clock.hpp"
 #include "routing/counters.hpp"
 #include "routing/internal/fair_queue.hpp"
-#include "core/cancellation.hpp"
 
 #include <memory>
 #include <string>
--- a/src/settings/internal/edge_settings.cpp
+++ b/src/settings/internal/edge_settings.cpp
@@ -34,7 +34,8 @@
     };
     result.repeat_ratio = number(names.repeat_ratio, result.repeat_ratio);
     result.repeat_slack = number(names.repeat_slack, result.repeat_slack);
-    const auto window_s = number(names.repeat_window_s, static_cast<double>(result.repeat_window.ms) / ms_per_s);
+    const auto window_s =
+        number(names.repeat_window_s, static_cast<double>(result.repeat_window.ms) / ms_per_s);
     result.repeat_window.ms = static_cast<std::int64_t>(window_s * ms_per_s);
     const auto grace_s = number(names.grace_s, static_cast<double>(result.grace.ms) / ms_per_s);
     result.grace.ms = static_cast<std::int64_t>(grace_s * ms_per_s);
@@ -44,7 +45,8 @@
 
 } // namespace
 
-edge_settings parse_edge_settings(const std::string& toml_text, const std::string& name, const bound_names& names)
+edge_settings parse_edge_settings(const std::string& toml_text, const std::string& name,
+                                  const bound_names& names)
 {
     const auto object = internal::parse_toml(toml_text, name);
     document::field_reader reader(object);
--- /dev/null
+++ b/src/settings/tests/edge_settings_tests.cpp
@@ -0,0 +1,55 @@
+#include "document/document_types.hpp"
+#include "settings/edge_settings.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace briarfold;
+using namespace briarfold::settings;
+
+namespace {
+
+const std::string text = R"(
+name = "edge-a-1"
+zone = "a"
+frontend = "10.0.0.1:80"
+readiness = "10.0.0.1:81"
+peer = "10.0.0.1:7000"
+metrics = "10.0.0.1:7001"
+store = "10.0.9.9:8142"
+cpu = 0.2
+
+[bounds]
+ratio = 0.3
+other-bound = 12
+)";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(edge_settings_cases)
+
+// Guards against bounds that are ignored because the deployment names them differently.
+BOOST_AUTO_TEST_CASE(bounds_are_read_by_their_names)
+{
+    bound_names names;
+    names.repeat_ratio = "ratio";
+    const auto settings = parse_edge_settings(text, "test", names);
+    BOOST_CHECK_EQUAL(settings.repeat_ratio, 0.3);
+    BOOST_CHECK_EQUAL(settings.name, "edge-a-1");
+    BOOST_CHECK_EQUAL(settings.cpu, 0.2);
+}
+
+// Guards against a start with bad settings that reports only the first error.
+BOOST_AUTO_TEST_CASE(every_error_is_listed)
+{
+    try
+    {
+        parse_edge_settings("name = \"x\"\nzone = 5\nfrontend = \"nowhere\"\nunknown = 1\n", "test");
+        BOOST_ERROR("bad settings were accepted");
+    }
+    catch (const document::invalid_document& failure)
+    {
+        BOOST_CHECK_GE(failure.errors().size(), 5U);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/store/tests/table_store_tests.cpp
+++ b/src/store/tests/table_store_tests.cpp
@@ -1,9 +1,9 @@
 #include "core/ids.hpp"
 #include "http/client_connection.hpp"
 #include "http/server.hpp"
+#include "standins/platform/platform_service.hpp"
 #include "store/http_object_store.hpp"
 #include "store/http_table_store.hpp"
-#include "standins/platform/platform_service.hpp"
 
 #include <boost/test/unit_test.hpp>
 
--- a/src/wire/iforwarder.hpp
+++ b/src/wire/iforwarder.hpp
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "core/asio.hpp"
-#include "core/error.hpp"
 #include "core/cancellation.hpp"
+#include "core/error.hpp"
 #include "wire/frame_types.hpp"
 
 #include <memory>
--- a/src/wire/internal/peer_link.hpp
+++ b/src/wire/internal/peer_link.hpp
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "core/asio.hpp"
+#include "core/cancellation.hpp"
 #include "core/clock.hpp"
 #include "http/http_types.hpp"
-#include "core/cancellation.hpp"
 #include "wire/internal/codec.hpp"
 
 #include <functional>
--- a/src/wire/internal/peer_network.cpp
+++ b/src/wire/internal/peer_network.cpp
@@ -244,9 +244,9 @@
     const internal::append_call append = [shared](std::string& out, std::uint64_t id, core::duration) {
         internal::append_text(out, internal::frame_type::message, id, *shared);
     };
-    auto answer = co_await asio::co_spawn(
-        link->strand(), link->exchange(append, core::clock::now() + timeout, {}, nullptr),
-        asio::use_awaitable);
+    auto answer = co_await asio::co_spawn(link->strand(),
+                                          link->exchange(append, core::clock::now() + timeout, {}, nullptr),
+                                          asio::use_awaitable);
     co_return std::move(answer.text);
 }
 
--- a/src/wire/internal/peer_session.cpp
+++ b/src/wire/internal/peer_session.cpp
@@ -1,8 +1,9 @@
 #include "wire/internal/peer_session.hpp"
 
-#include <openssl/crypto.h>
 #include <spdlog/spdlog.h>
 
+#include <openssl/crypto.h>
+
 namespace briarfold::wire::internal {
 
 namespace {
--- a/src/wire/peer_network.hpp
+++ b/src/wire/peer_network.hpp
@@ -27,8 +27,8 @@
 };
 
 /// Serves one forwarded request. It reports failures in the result; an exception becomes outcome unknown.
-using forward_handler =
-    std::function<core::asio::awaitable<forward_result>(forward_request, std::shared_ptr<core::cancellation>)>;
+using forward_handler = std::function<core::asio::awaitable<forward_result>(
+    forward_request, std::shared_ptr<core::cancellation>)>;
 
 /// Answers one message of the router `from`. After an exception the sender gets no answer.
 using message_handler = std::function<core::asio::awaitable<std::string>(std::string from, std::string text)>;
