--- a/src/leader/internal/front_assignment.cpp
+++ b/src/leader/internal/front_assignment.cpp
@@ -9,6 +9,8 @@
 /// Backend servers of a service without key ownership that share one front, and so one queue: enough for good
 /// sharing of slots, few enough for the processor of a small instance.
 constexpr std::size_t most_group = 8;
+/// Guards against a division by zero for a router that states no share.
+constexpr double least_cpu = 0.01;
 
 } // namespace
 
@@ -57,7 +59,7 @@
         constexpr double joins_group_gain = 10000;
         const auto grouped = group.contains(name) ? group.at(name) : 0;
         const bool joins_group = !is_keyed && grouped > 0 && grouped < most_group;
-        const double cost = (slots[name] + server.slots) / std::max(item.cpu, 0.01) +
+        const double cost = (slots[name] + server.slots) / std::max(item.cpu, least_cpu) +
                             (item.zone == server.zone ? 0 : other_zone_cost) -
                             (joins_group ? joins_group_gain : 0);
         if (best.empty() || cost < best_cost)
@@ -69,35 +71,102 @@
     return best;
 }
 
+void leader_state::set_front(const std::string& id, const std::string& front, const char* reason,
+                             core::time_point now)
+{
+    auto& entry = entry_of(id);
+    auto& known = records_[id];
+    on_decision_("front assigned", id, {{"front", front}, {"former", entry.front}, {"reason", reason}});
+    if (!entry.front.empty())
+    {
+        // A front that is alive follows this change; a silent one may renew until its authority ends.
+        const auto renewals_end = is_alive(entry.front, now) ? now : now + settings_.authority;
+        known.foreign_hold_until =
+            std::max(known.foreign_hold_until, grants::hold_end(renewals_end, settings_.longest_hold));
+    }
+    entry.front = front;
+    ++known.front_changes;
+    raise_token(id);
+    touch(id);
+}
+
 void leader_state::assign_fronts(core::time_point now)
 {
+    if (!knows_routers_ && now - started_ < settings_.router_grace)
+    {
+        return;
+    }
     for (auto& [id, entry] : published_.entries)
     {
-        auto& known = records_[id];
         const auto router = published_.routers.find(entry.front);
         const bool is_served = router != published_.routers.end() && !router->second.is_stopping;
-        const bool is_needed = entry.is_listed || !known.next_keys.empty();
+        const bool is_needed = entry.is_listed || !records_[id].next_keys.empty();
         if (is_served || !is_needed)
         {
             continue;
         }
         const auto chosen = choose_front(entry.server, now);
-        if (chosen.empty() || chosen == entry.front)
+        if (!chosen.empty() && chosen != entry.front)
+        {
+            set_front(id, chosen, entry.front.empty() ? "new" : "router lost", now);
+        }
+    }
+}
+
+std::map<std::string, double> leader_state::front_loads() const
+{
+    std::map<std::string, double> loads;
+    for (const auto& [name, item] : published_.routers)
+    {
+        if (!item.is_stopping)
+        {
+            loads[name] = 0;
+        }
+    }
+    for (const auto& [id, entry] : published_.entries)
+    {
+        const auto router = published_.routers.find(entry.front);
+        if (router != published_.routers.end() && loads.contains(entry.front))
+        {
+            loads[entry.front] += entry.server.slots / std::max(router->second.cpu, least_cpu);
+        }
+    }
+    return loads;
+}
+
+void leader_state::balance_fronts(core::time_point now)
+{
+    const auto loads = front_loads();
+    std::string best_id;
+    std::string best_front;
+    double best_gain = 0;
+    for (const auto& [id, entry] : published_.entries)
+    {
+        const auto from = published_.routers.find(entry.front);
+        if (from == published_.routers.end() || !entry.withdrawn.empty() || !loads.contains(entry.front))
         {
             continue;
         }
-        on_decision_("front assigned", id, {{"front", chosen}, {"former", entry.front}});
-        if (!entry.front.empty())
+        const bool is_away = from->second.zone != entry.server.zone;
+        for (const auto& [name, load] : loads)
         {
-            // A front that is alive follows this change; a silent one may renew until its authority ends.
-            const auto renewals_end = is_alive(entry.front, now) ? now : now + settings_.authority;
-            known.foreign_hold_until =
-                std::max(known.foreign_hold_until, grants::hold_end(renewals_end, settings_.longest_hold));
+            const auto& to = published_.routers.at(name);
+            const bool comes_home = is_away && to.zone == entry.server.zone;
+            // A move out of the zone pays only when routers of the zone are far above the others.
+            const double factor = comes_home ? 0.5 : to.zone == from->second.zone ? 1 : 3;
+            const double step = entry.server.slots / std::max(to.cpu, least_cpu);
+            const double gain = loads.at(entry.front) - load - factor * 2 * step;
+            if (name != entry.front && is_alive(name, now) && gain > best_gain)
+            {
+                best_gain = gain;
+                best_id = id;
+                best_front = name;
+            }
         }
-        entry.front = chosen;
-        ++known.front_changes;
-        raise_token(id);
-        touch(id);
+    }
+    if (!best_id.empty())
+    {
+        set_front(best_id, best_front, "balance", now);
     }
 }
 
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -17,7 +17,7 @@
 leader_state::leader_state(leader_settings settings, directory::router self, std::int64_t term,
                            core::time_point now, decision_hook on_decision)
     : settings_(settings), self_(self.name), on_decision_(std::move(on_decision)), started_(now),
-      last_registration_(now), last_plan_(now), last_decay_(now)
+      last_registration_(now), last_plan_(now), last_decay_(now), last_balance_(now)
 {
     published_.term = term;
     published_.revision = 1;
@@ -62,6 +62,7 @@
     {
         published_.routers[known.name] = known;
         peers_[known.name] = {now};
+        knows_routers_ = true;
     }
 }
 
@@ -330,6 +331,11 @@
 {
     drop_routers(now);
     assign_fronts(now);
+    if (now - last_balance_ >= settings_.balance_interval)
+    {
+        last_balance_ = now;
+        balance_fronts(now);
+    }
     withdraw_lost(now);
     assign_first(now);
     assign_free(now);
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -19,6 +19,11 @@
     core::duration most_settle{2500};
     /// A router is lost after this time without a report: three reports and a retransmission.
     core::duration router_silence{1300};
+    /// A leader that knows no other router waits this long for them before it assigns their backend servers:
+    /// after a loss of all routers they start within some tenths of a second of each other.
+    core::duration router_grace{900};
+    /// Interval between two moves of fronts that even out the routers' loads.
+    core::duration balance_interval{250};
     /// A backend server that its front cannot reach for this time loses its keys.
     core::duration unreachable_limit{900};
     /// Interval between two plans of moves; a move takes about one request's time.
@@ -106,6 +111,11 @@
     void withdraw(const std::string& id, const keyspace::key_set& keys, const char* reason);
     void drop_routers(core::time_point now);
     void assign_fronts(core::time_point now);
+    /// Moves one backend server to a router with less to do, or back into its zone.
+    void balance_fronts(core::time_point now);
+    void set_front(const std::string& id, const std::string& front, const char* reason, core::time_point now);
+    /// Slots of the backend servers of each router for its share of a processor.
+    std::map<std::string, double> front_loads() const;
     std::string choose_front(const directory::backend_server& server, core::time_point now) const;
     void withdraw_lost(core::time_point now);
     void assign_first(core::time_point now);
@@ -145,6 +155,8 @@
     core::time_point last_registration_;
     core::time_point last_plan_;
     core::time_point last_decay_;
+    core::time_point last_balance_;
+    bool knows_routers_ = false;
 };
 
 } // namespace briarfold::leader
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -215,6 +215,31 @@
     BOOST_CHECK_GT(state->foreign_hold(ids.front(), now).ms, grants::long_hold.ms);
 }
 
+// Guards against a leader that takes all backend servers for itself when all routers start anew and it is
+// first.
+BOOST_AUTO_TEST_CASE(the_first_router_up_does_not_keep_all_fronts)
+{
+    for (std::size_t i = 0; i < 12; ++i)
+    {
+        state->on_registered(make_server("s" + std::to_string(i), i % 2 == 0 ? "a" : "b"), now);
+    }
+    pass(500, {"r1"});
+    for (const auto& [id, item] : state->current().entries)
+    {
+        BOOST_CHECK(item.front.empty());
+    }
+    pass(600, {"r1"});
+    pass(8000, {"r1", "r2", "r3"});
+    std::map<std::string, int> fronts;
+    for (const auto& [id, item] : state->current().entries)
+    {
+        ++fronts[item.front];
+    }
+    BOOST_CHECK_LE(fronts["r1"], 5);
+    BOOST_CHECK_GE(fronts["r2"], 3);
+    BOOST_CHECK_GE(fronts["r3"], 3);
+}
+
 // Guards against a stopping router that remains a front until it ends.
 BOOST_AUTO_TEST_CASE(a_stopping_router_loses_its_fronts_at_once)
 {
