Use linear key sets, shift borders instead of cutting ranges, and gather publishing

Cause: with many ranges the leader spent its 0.2 cores on set operations of quadratic cost at each tick, and each change was pushed to every router.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,9 +1,12 @@
 #!/usr/bin/env bash
-# Runs clang-tidy over the given files, or over every .cpp file. Needs a configured build folder.
+# Runs clang-tidy over the given files, or over every .cpp file. Needs a configured build folder. A file that was clean
+# is not read again while it, all headers, the flags and the checks are the same.
 set -euo pipefail
 build=${1:?usage: lint.sh BUILD_FOLDER [FILE...]}
 database=$(mktemp -d)
 trap 'rm -rf "$database"' EXIT
+cache=${LINT_CACHE:-${XDG_CACHE_HOME:-$HOME/.cache}/briarfold-lint}
+mkdir -p "$cache"
 # clang has no -fcoroutines; coroutines are part of its C++20.
 sed 's/ -fcoroutines//' "$build/compile_commands.json" >"$database/compile_commands.json"
 if [ $# -gt 1 ]; then
@@ -11,8 +14,22 @@
 else
     files=$(git ls-files --cached --others --exclude-standard "*.cpp")
 fi
-# clang needs the two definitions to see coroutine support that g++ announces by itself.
-printf '%s\n' "$files" | xargs -P "${JOBS:-$(nproc)}" -n 2 clang-tidy-16 -p "$database" --quiet --warnings-as-errors='*' \
-    --extra-arg=-DBOOST_ASIO_HAS_CO_AWAIT=1 --extra-arg=-DBOOST_ASIO_HAS_STD_COROUTINE=1 \
-    --extra-arg=-Wno-unknown-warning-option 2> >(grep -v 'warnings\? generated\|Suppressed\|Use -header-filter\|^$' >&2 || true)
+# Flags without the folder names, so that another checkout of the same sources has the same key.
+common=$( (clang-tidy-16 --version; cat .clang-tidy; git ls-files --cached --others --exclude-standard '*.hpp' | sort |
+    xargs cat; sed "s#$PWD##g; s#$(realpath "$build")##g" "$database/compile_commands.json" | sort -u) | sha256sum | cut -d' ' -f1)
+export common cache database
+check_file()
+{
+    local key
+    key=$( (echo "$common $1"; cat "$1") | sha256sum | cut -d' ' -f1)
+    if [ -e "$cache/$key" ]; then
+        return 0
+    fi
+    # clang needs the two definitions to see coroutine support that g++ announces by itself.
+    clang-tidy-16 -p "$database" --quiet --warnings-as-errors='*' --extra-arg=-DBOOST_ASIO_HAS_CO_AWAIT=1 \
+        --extra-arg=-DBOOST_ASIO_HAS_STD_COROUTINE=1 --extra-arg=-Wno-unknown-warning-option "$1" \
+        2> >(grep -v 'warnings\? generated\|Suppressed\|Use -header-filter\|^$' >&2 || true) && touch "$cache/$key"
+}
+export -f check_file
+printf '%s\n' "$files" | xargs -P "${JOBS:-$(nproc)}" -I{} bash -c 'check_file {}'
 echo "lint: clean"
--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -14,6 +14,9 @@
 using namespace core::literals;
 
 constexpr core::duration tick_interval{50};
+/// A move of keys takes a few hundred milliseconds, so these add little to it.
+constexpr core::duration publish_interval{40};
+constexpr core::duration write_interval{60};
 constexpr core::duration store_timeout{1000};
 /// A read of changes that waits longer would notice a silent store too late for a change of leader.
 constexpr core::duration feed_wait{1500};
@@ -303,22 +306,31 @@
         return;
     }
     state_->tick(clock::now());
-    if (!is_writing_)
+    const auto now = clock::now();
+    if (!is_writing_ && now - last_write_ >= write_interval)
     {
         auto rows = state_->take_write();
         if (!rows.empty())
         {
             is_writing_ = true;
+            last_write_ = now;
             asio::co_spawn(
                 executor_,
                 [self = shared_from_this(), rows = std::move(rows)] { return self->write_rows(rows); },
                 asio::detached);
         }
     }
+    // Each change makes every router read its directory anew, so changes are gathered.
+    const bool has_new_config = config_version_ != published_config_;
+    if (now - last_publish_ < publish_interval && !has_new_config)
+    {
+        return;
+    }
     const auto& current = state_->current();
     const bool is_changed = current.revision != published_revision_ || config_version_ != published_config_;
     if (is_changed)
     {
+        last_publish_ = now;
         published_revision_ = current.revision;
         published_config_ = config_version_;
         surroundings_.on_local_change(current, config_);
@@ -472,9 +484,15 @@
         const store::row row(item.at("key").get<std::string>(), item.at("version").get<std::int64_t>(), 0, "",
                              item.at("value"));
         const bool is_config = item.at("table").get<std::string>() == "config";
+        const auto seen = is_config ? config_revision_ : row_versions_[row.key];
+        if (row.version <= seen)
+        {
+            continue;
+        }
         log_.write("news of a deputy", {{"key", row.key}, {"version", row.version}, {"config", is_config}});
         if (is_config)
         {
+            config_revision_ = row.version;
             apply_config(row.value);
         }
         else
--- a/src/edge/internal/leader_service.hpp
+++ b/src/edge/internal/leader_service.hpp
@@ -34,6 +34,7 @@
     nlohmann::json answer(const nlohmann::json& message);
     void on_own_report(const leader::router_report& report);
     std::int64_t term() const { return term_; }
+    std::int64_t config_version() const { return config_version_; }
     /// When the leadership was last known to be undisputed.
     core::time_point confirmed_at() const;
     const directory::snapshot& current() const { return state_->current(); }
@@ -93,6 +94,8 @@
     core::time_point confirmed_at_;
     std::int64_t published_revision_ = 0;
     std::int64_t published_config_ = 0;
+    core::time_point last_publish_;
+    core::time_point last_write_;
     bool is_started_ = false;
     bool is_stopped_ = false;
     bool is_writing_ = false;
--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -461,7 +461,9 @@
         {
             return;
         }
-        if (!document.is_null() && document != state->config)
+        const bool is_new =
+            !document.is_null() && state->leading->config_version() != state->known_config_version;
+        if (is_new)
         {
             state->config = document;
             auto parsed = state->hooks.read_config(document);
--- a/src/keyspace/internal/key_range.cpp
+++ b/src/keyspace/internal/key_range.cpp
@@ -7,7 +7,10 @@
 
 key_set normalized(key_set ranges)
 {
-    std::ranges::sort(ranges);
+    if (!std::ranges::is_sorted(ranges))
+    {
+        std::ranges::sort(ranges);
+    }
     key_set joined;
     for (const auto& range : ranges)
     {
@@ -32,34 +35,59 @@
 
 key_set without(const key_set& from, const key_set& removed)
 {
-    key_set left = normalized(from);
-    for (const auto& hole : removed)
+    const auto ranges = normalized(from);
+    const auto holes = normalized(removed);
+    key_set left;
+    auto hole = holes.begin();
+    for (auto range : ranges)
     {
-        key_set next;
-        for (const auto& range : left)
+        while (hole != holes.end() && hole->last < range.first)
         {
-            if (range.last < hole.first || hole.last < range.first)
-            {
-                next.push_back(range);
-                continue;
-            }
-            if (range.first < hole.first)
-            {
-                next.push_back({range.first, hole.first - 1});
-            }
-            if (hole.last < range.last)
+            ++hole;
+        }
+        bool is_used_up = false;
+        for (auto next = hole; next != holes.end() && next->first <= range.last; ++next)
+        {
+            if (range.first < next->first)
             {
-                next.push_back({hole.last + 1, range.last});
+                left.push_back({range.first, next->first - 1});
             }
+            is_used_up = next->last >= range.last;
+            range.first = next->last + 1;
+        }
+        if (!is_used_up)
+        {
+            left.push_back(range);
         }
-        left = std::move(next);
     }
     return left;
 }
 
 key_set common(const key_set& a, const key_set& b)
 {
-    return without(a, complement(b));
+    const auto first = normalized(a);
+    const auto second = normalized(b);
+    key_set shared;
+    auto x = first.begin();
+    auto y = second.begin();
+    while (x != first.end() && y != second.end())
+    {
+        const auto begin = std::max(x->first, y->first);
+        const auto end = std::min(x->last, y->last);
+        if (begin <= end)
+        {
+            shared.push_back({begin, end});
+        }
+        if (x->last < y->last)
+        {
+            ++x;
+        }
+        else
+        {
+            ++y;
+        }
+    }
+    return shared;
 }
 
 key_set complement(const key_set& ranges)
--- a/src/keyspace/internal/move_planner.cpp
+++ b/src/keyspace/internal/move_planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <numeric>
 
 namespace briarfold::keyspace {
@@ -10,6 +11,10 @@
 
 /// Load that a key without measured traffic counts for, so that idle ranges are spread too.
 constexpr double idle_key_load = 1e-6;
+/// A shift of a border is preferred when it moves at least this share of what another move would.
+constexpr double least_shift_share = 0.4;
+/// Utilization over the mean up to which a neighbour receives free keys, so that ranges join.
+constexpr double neighbour_tolerance = 1.1;
 
 double load_at(const key_loads& loads, std::uint32_t key)
 {
@@ -76,6 +81,36 @@
     return best;
 }
 
+/// Holders that own the keys beside a range, by their position in the list.
+class neighbours
+{
+public:
+    template <class Holders>
+    explicit neighbours(const Holders& all)
+    {
+        for (std::size_t i = 0; i < all.size(); ++i)
+        {
+            for (const auto& range : all[i].info.keys)
+            {
+                by_first_[range.first] = i;
+                by_last_[range.last] = i;
+            }
+        }
+    }
+
+    /// The owner of the key below or above the range.
+    std::optional<std::size_t> beside(const key_range& range, bool is_below) const
+    {
+        const auto& owners = is_below ? by_last_ : by_first_;
+        const auto position = owners.find(is_below ? range.first - 1 : range.last + 1);
+        return position == owners.end() ? std::nullopt : std::optional(position->second);
+    }
+
+private:
+    std::map<std::uint32_t, std::size_t> by_first_;
+    std::map<std::uint32_t, std::size_t> by_last_;
+};
+
 struct loaded_holder
 {
     holder info;
@@ -134,6 +169,35 @@
     return most;
 }
 
+/// The largest part at the border to a neighbour that has room for it.
+std::optional<std::pair<std::size_t, candidate>> best_shift(const loaded_holder& giver,
+                                                            const std::vector<loaded_holder>& all,
+                                                            const key_loads& loads, double excess,
+                                                            double mean)
+{
+    const neighbours around(all);
+    std::optional<std::pair<std::size_t, candidate>> best;
+    for (const auto& range : giver.info.keys)
+    {
+        for (const bool is_below : {true, false})
+        {
+            const auto other = around.beside(range, is_below);
+            if (!other || !all[*other].info.accepts || &all[*other] == &giver)
+            {
+                continue;
+            }
+            const auto& taker = all[*other];
+            const double room = (mean - taker.utilization()) * taker.info.capacity;
+            const auto part = end_part(range, loads, std::min(excess, room), is_below);
+            if (part && (!best || part->load > best->second.load))
+            {
+                best = std::pair(*other, *part);
+            }
+        }
+    }
+    return best;
+}
+
 } // namespace
 
 double load_of(const key_set& keys, const key_loads& loads)
@@ -160,16 +224,24 @@
         }
         const double excess = (giver->utilization() - mean) * giver->info.capacity;
         const double room = (mean - taker->utilization()) * taker->info.capacity;
-        const auto part = best_part(giver->info.keys, loads, std::min(excess, room));
-        if (!part || part->load < settings.least_amount * taker->info.capacity)
+        auto part = best_part(giver->info.keys, loads, std::min(excess, room));
+        auto* receiver = taker;
+        // A shifted border keeps the number of ranges, each of which has to be renewed by itself.
+        const auto shift = best_shift(*giver, all, loads, excess, mean);
+        if (shift && (!part || shift->second.load > least_shift_share * part->load))
+        {
+            receiver = &all[shift->first];
+            part = shift->second;
+        }
+        if (!part || part->load < settings.least_amount * receiver->info.capacity)
         {
             giver->is_done = true;
             continue;
         }
-        moves.push_back({giver->info.id, part->range, taker->info.id});
+        moves.push_back({giver->info.id, part->range, receiver->info.id});
         giver->info.keys = without(giver->info.keys, {part->range});
         giver->load -= part->load;
-        taker->load += part->load;
+        receiver->load += part->load;
     }
     return moves;
 }
@@ -183,8 +255,28 @@
         std::accumulate(all.begin(), all.end(), 0.0, [](double sum, const loaded_holder& item) {
             return sum + (item.info.accepts ? item.info.capacity : 0);
         });
+    const neighbours around(all);
+    const double mean =
+        (free_load + std::accumulate(all.begin(), all.end(), 0.0,
+                                     [](double sum, const loaded_holder& item) { return sum + item.load; })) /
+        std::max(capacity, 0.1);
     for (auto rest : free)
     {
+        const double load = load_of_range(rest, loads);
+        const auto joins = [&](bool is_below) -> loaded_holder* {
+            const auto other = around.beside(rest, is_below);
+            const bool fits = other && all[*other].info.accepts &&
+                              (all[*other].load + load) / std::max(all[*other].info.capacity, 0.1) <=
+                                  neighbour_tolerance * mean;
+            return fits ? &all[*other] : nullptr;
+        };
+        auto* const below = joins(true);
+        if (auto* const neighbour = below != nullptr ? below : joins(false))
+        {
+            placed.push_back({rest, neighbour->info.id});
+            neighbour->load += load;
+            continue;
+        }
         while (true)
         {
             auto* const taker = least_utilized(all);
--- a/src/leader/internal/front_assignment.cpp
+++ b/src/leader/internal/front_assignment.cpp
@@ -137,6 +137,12 @@
 void leader_state::balance_fronts(core::time_point now)
 {
     const auto loads = front_loads();
+    if (loads.size() < 2)
+    {
+        return;
+    }
+    const auto busiest =
+        std::ranges::max_element(loads, {}, [](const auto& item) { return item.second; })->first;
     std::string best_id;
     std::string best_front;
     double best_gain = 0;
@@ -148,6 +154,10 @@
             continue;
         }
         const bool is_away = from->second.zone != entry.server.zone;
+        if (!is_away && entry.front != busiest)
+        {
+            continue;
+        }
         for (const auto& [name, load] : loads)
         {
             const auto& to = published_.routers.at(name);
--- a/src/leader/internal/key_assignment.cpp
+++ b/src/leader/internal/key_assignment.cpp
@@ -149,8 +149,14 @@
         {
             continue;
         }
-        const auto others = holders(entry.server.service, now);
-        if (has_left || std::ranges::any_of(others, &keyspace::holder::accepts))
+        if (keyspace::covers(entry.withdrawn, entry.keys))
+        {
+            continue;
+        }
+        const bool has_others = std::ranges::any_of(published_.entries, [&](const auto& other) {
+            return other.second.server.service == entry.server.service && accepts_keys(other.first, now);
+        });
+        if (has_left || has_others)
         {
             withdraw(id, entry.keys,
                      has_left                   ? "gone"
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -338,7 +338,11 @@
     }
     withdraw_lost(now);
     assign_first(now);
-    assign_free(now);
+    if (now - last_free_check_ >= settings_.free_check_interval)
+    {
+        last_free_check_ = now;
+        assign_free(now);
+    }
     if (now - last_plan_ >= settings_.plan_interval)
     {
         last_plan_ = now;
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -22,6 +22,8 @@
     /// A leader that knows no other router waits this long for them before it assigns their backend servers:
     /// after a loss of all routers they start within some tenths of a second of each other.
     core::duration router_grace{900};
+    /// Interval between two searches for keys without an owner.
+    core::duration free_check_interval{200};
     /// Interval between two moves of fronts that even out the routers' loads.
     core::duration balance_interval{250};
     /// A backend server that its front cannot reach for this time loses its keys.
@@ -156,6 +158,7 @@
     core::time_point last_plan_;
     core::time_point last_decay_;
     core::time_point last_balance_;
+    core::time_point last_free_check_;
     bool knows_routers_ = false;
 };
 
