--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -19,7 +19,7 @@
 constexpr core::duration write_interval{60};
 constexpr core::duration store_timeout{1000};
 /// A read of changes that waits longer would notice a silent store too late for a change of leader.
-constexpr core::duration feed_wait{1500};
+constexpr core::duration feed_wait{1000};
 /// Changes of the registry are gathered, since each answer wakes all routers.
 constexpr core::duration gather{120};
 constexpr core::duration retry_pause{200};
@@ -29,8 +29,8 @@
 /// Without the store the leadership counts as undisputed for this time, or while every router follows it.
 constexpr core::duration storeless_leadership{10000};
 constexpr core::duration vanish_doubt{2200};
-/// One deputy may be cut off from the store together with the leader.
-constexpr std::size_t deputy_count = 2;
+/// A third of the routers may be turned away by the store, the leader and some deputies among them.
+constexpr std::size_t deputy_count = 3;
 
 } // namespace
 
--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -33,6 +33,8 @@
 constexpr core::duration news_delay{150};
 /// A leader that cannot read the store for this time is replaced by one that can.
 constexpr core::duration store_patience{300};
+/// Deputies come first; each step of the others is longer than one try.
+constexpr std::int64_t store_steps = 3;
 /// From then on no router may be able to take over, so grants last longer.
 constexpr core::duration long_hold_after{800};
 
@@ -219,6 +221,12 @@
                 executor, [self_reference] { return self_reference->watch_as_deputy("registry"); },
                 asio::detached);
         }
+        // The leader may be turned away together with its deputies, so every router looks, one after the other.
+        const auto patience = store_patience + election_delay() * store_steps;
+        if (!leading && !is_stopping && leader_store_failing > patience)
+        {
+            co_await elect("the leader cannot read the store");
+        }
         boost::system::error_code ignored;
         const auto wait = is_report_wanted ? report_gather : report_interval;
         report_timer.expires_after(std::chrono::milliseconds(wait.ms));
@@ -230,8 +238,9 @@
 {
     constexpr std::uint64_t most_steps = 12;
     const auto rank = core::text_hash(settings.name + std::to_string(known.term)) % most_steps;
-    const bool is_heir = !known.deputies.empty() && known.deputies.front() == settings.name;
-    return is_heir ? core::duration{0} : election_step * static_cast<std::int64_t>(rank + 1);
+    const auto place = std::ranges::find(known.deputies, settings.name);
+    const bool is_listed = place != known.deputies.end();
+    return is_listed ? election_step * (place - known.deputies.begin()) : election_step * static_cast<std::int64_t>(rank + known.deputies.size() + 1);
 }
 
 leader::router_report member::state::make_report()
@@ -557,11 +566,6 @@
             health.on_failure(clock::now());
             pause = retry_pause;
         }
-        const bool is_heir = !known.deputies.empty() && known.deputies.front() == settings.name;
-        if (is_heir && !health.is_failing() && leader_store_failing > store_patience)
-        {
-            co_await elect("the leader cannot read the store");
-        }
         if (pause.ms > 0)
         {
             co_await core::pause_for(pause);
