--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -83,6 +83,15 @@
     }
 }
 
+void member::kill()
+{
+    state_->is_ended = true;
+    state_->step_down("this router ends");
+    state_->report_timer.cancel();
+    state_->network.reset();
+    state_->surroundings = {};
+}
+
 void member::report_soon()
 {
     state_->is_report_wanted = true;
@@ -136,7 +145,7 @@
 
 asio::awaitable<std::string> member::state::learn_secret()
 {
-    while (true)
+    while (!is_ended)
     {
         try
         {
@@ -174,12 +183,17 @@
         }
         co_await core::pause_for(retry_pause);
     }
+    co_return "";
 }
 
 asio::awaitable<void> member::state::run()
 {
     const auto self_reference = shared_from_this();
     const auto secret = co_await learn_secret();
+    if (is_ended)
+    {
+        co_return;
+    }
     wire::peer_settings peers(settings.peer, secret, settings.name);
     // A small share of a processor may be used up for most of a second.
     peers.pong_limit = core::duration{900};
@@ -195,10 +209,14 @@
         });
     surroundings.on_network(network);
     last_contact = clock::now() - leader_silence;
-    while (true)
+    while (!is_ended)
     {
         is_report_wanted = false;
         co_await report();
+        if (is_ended)
+        {
+            co_return;
+        }
         const auto now = clock::now();
         const bool is_lost = !leading && (now - last_contact > leader_silence + election_delay() ||
                                           failed_reports >= refusals_of_lost_leader || leader.name.empty());
@@ -221,7 +239,8 @@
                 executor, [self_reference] { return self_reference->watch_as_deputy("registry"); },
                 asio::detached);
         }
-        // The leader may be turned away together with its deputies, so every router looks, one after the other.
+        // The leader may be turned away together with its deputies, so every router looks, one after the
+        // other.
         const auto patience = store_patience + election_delay() * store_steps;
         if (!leading && !is_stopping && leader_store_failing > patience)
         {
@@ -240,7 +259,8 @@
     const auto rank = core::text_hash(settings.name + std::to_string(known.term)) % most_steps;
     const auto place = std::ranges::find(known.deputies, settings.name);
     const bool is_listed = place != known.deputies.end();
-    return is_listed ? election_step * (place - known.deputies.begin()) : election_step * static_cast<std::int64_t>(rank + known.deputies.size() + 1);
+    return is_listed ? election_step * (place - known.deputies.begin())
+                     : election_step * static_cast<std::int64_t>(rank + known.deputies.size() + 1);
 }
 
 leader::router_report member::state::make_report()
@@ -274,9 +294,10 @@
     add_news(message);
     const auto sent = clock::now();
     const auto asked = leader;
+    const auto link = network;
     try
     {
-        const auto text = co_await network->send_message(asked.peer, message.dump(), report_timeout);
+        const auto text = co_await link->send_message(asked.peer, message.dump(), report_timeout);
         const auto reply = json::parse(text);
         if (reply.value("kind", "") == "update")
         {
@@ -314,7 +335,7 @@
 void member::state::apply_update(const json& message)
 {
     const auto term = message.at("term").get<std::int64_t>();
-    if (term < known.term)
+    if (term < known.term || is_ended)
     {
         return;
     }
@@ -401,7 +422,7 @@
 asio::awaitable<void> member::state::elect(const char* reason)
 {
     const auto self_reference = shared_from_this();
-    if (is_electing || leading)
+    if (is_electing || leading || is_ended)
     {
         co_return;
     }
--- a/src/edge/internal/member_state.hpp
+++ b/src/edge/internal/member_state.hpp
@@ -50,6 +50,7 @@
     core::time_point last_contact;
     core::duration leader_store_failing;
     bool is_stopping = false;
+    bool is_ended = false;
     bool is_electing = false;
     struct news_item
     {
--- a/src/edge/internal/router_node.cpp
+++ b/src/edge/internal/router_node.cpp
@@ -62,6 +62,7 @@
     std::optional<http::server> metrics_server;
     std::optional<core::time_point> stopping_since;
     bool was_ready = false;
+    bool is_ended = false;
 };
 
 router_node::state::state(asio::io_context& context, settings::edge_settings values, protocol names,
@@ -236,7 +237,7 @@
 asio::awaitable<void> router_node::state::run_ticks()
 {
     const auto self = shared_from_this();
-    while (true)
+    while (!is_ended)
     {
         front.tick();
         const auto wait = front.queued() > 0 ? busy_tick : idle_tick;
@@ -247,7 +248,7 @@
 asio::awaitable<void> router_node::state::run_flushes()
 {
     const auto self = shared_from_this();
-    while (true)
+    while (!is_ended)
     {
         log.flush();
         co_await core::pause_for(flush_interval);
@@ -290,7 +291,10 @@
     state_->start();
 }
 
-router_node::~router_node() = default;
+router_node::~router_node()
+{
+    kill();
+}
 
 void router_node::stop(std::function<void()> on_done)
 {
@@ -308,6 +312,16 @@
         asio::detached);
 }
 
+void router_node::kill()
+{
+    state_->is_ended = true;
+    state_->frontend.reset();
+    state_->readiness.reset();
+    state_->metrics_server.reset();
+    state_->member.kill();
+    state_->network.reset();
+}
+
 void router_node::reload(settings::edge_settings settings)
 {
     const bool needs_restart = settings.frontend != state_->settings.frontend ||
--- a/src/edge/member.hpp
+++ b/src/edge/member.hpp
@@ -51,6 +51,8 @@
     void start();
     /// Hands over the leadership and tells the leader that this router stops.
     void begin_stop();
+    /// Ends all activity at once.
+    void kill();
     void report_soon();
     /// Asks the leader at once whether the assignments hold.
     void confirm_soon();
--- a/src/edge/router_node.hpp
+++ b/src/edge/router_node.hpp
@@ -22,6 +22,8 @@
 
     /// Serves on while callers and the leader turn to other routers, then calls `on_done`.
     void stop(std::function<void()> on_done);
+    /// Ends at once, as by the loss of the machine: closes all sockets and answers nobody.
+    void kill();
     /// Takes over those settings that may change while it runs.
     void reload(settings::edge_settings settings);
 
--- /dev/null
+++ b/standins/edge/tests/edge_cluster.hpp
@@ -0,0 +1,232 @@
+/// Several edge routers, a metadata store and backend servers in one process, over loopback.
+#pragma once
+
+#include "edge/router_node.hpp"
+#include "http/client_connection.hpp"
+#include "platform/protocol_adapter.hpp"
+#include "platform/row_table.hpp"
+#include "standins/edge/keyed_backend.hpp"
+#include "standins/edge/metadata_store.hpp"
+
+#include <memory>
+
+namespace briarfold::standins {
+
+struct call_record
+{
+    std::string attempt;
+    unsigned status = 0;
+    std::string body;
+    bool is_idempotent = false;
+};
+
+/// Addresses are 127.0.0.1 with ports that the system chose.
+class edge_cluster
+{
+public:
+    edge_cluster(std::size_t routers, std::size_t backends) : store(context.get_executor(), {"127.0.0.1", 0})
+    {
+        for (std::size_t i = 0; i < backends; ++i)
+        {
+            this->backends.push_back(std::make_unique<keyed_backend>(
+                context.get_executor(), http::endpoint("127.0.0.1", 0), "b" + std::to_string(i), "keyed",
+                i % 2 == 0 ? "a" : "b", 2, core::duration{20}));
+            store.put("servers", this->backends.back()->id(), this->backends.back()->registration());
+        }
+        put_config(1);
+        for (std::size_t i = 0; i < routers; ++i)
+        {
+            names.push_back("r" + std::to_string(i));
+            settings.push_back(make_settings(i));
+            logs.push_back(nullptr);
+            nodes.push_back(nullptr);
+            start_router(i);
+        }
+    }
+
+    void put_config(int version, const std::string& prefix = "/keyed/")
+    {
+        store.put("op", "config",
+                  {{"version", "r" + std::to_string(version)},
+                   {"backends", {{{"name", "keyed"}, {"sharded", true}, {"warm-s", 1.0}}}},
+                   {"hosts",
+                    {{{"hostname", "h.example"},
+                      {"paths",
+                       {{{"name", "read"},
+                         {"prefix", prefix},
+                         {"type", "safe"},
+                         {"timeout-ms", 2000},
+                         {"slo-ms", 500},
+                         {"priority", 1},
+                         {"backend", "keyed"},
+                         {"max-attempts", 2}},
+                        {{"name", "write"},
+                         {"prefix", "/write/"},
+                         {"type", "unsafe"},
+                         {"timeout-ms", 2000},
+                         {"slo-ms", 500},
+                         {"priority", 0},
+                         {"backend", "keyed"},
+                         {"max-attempts", 2}}}}}}}});
+    }
+
+    void start_router(std::size_t i)
+    {
+        auto& lines = logged;
+        logs[i] = std::make_unique<edge::event_log>(edge::event_log_settings{names[i]},
+                                                    [&lines](const char* data, std::size_t size) {
+                                                        lines.append(data, size);
+                                                        return size;
+                                                    });
+        const auto pool = std::make_shared<store::connection_pool>(context.get_executor(),
+                                                                   http::endpoint("127.0.0.1", store.port()));
+        edge::store_tables tables;
+        tables.own = std::make_shared<platform::row_table>(pool, "briarfold");
+        tables.config = std::make_shared<platform::row_table>(pool, "op");
+        tables.registry = std::make_shared<platform::row_table>(pool, "servers");
+        nodes[i] = std::make_unique<edge::router_node>(context, settings[i], platform::make_protocol(),
+                                                       tables, *logs[i]);
+    }
+
+    /// Runs the event loop.
+    void run_for(std::int64_t ms)
+    {
+        context.restart();
+        context.run_for(std::chrono::milliseconds(ms));
+    }
+
+    /// Until every router is ready, at most ten seconds. Returns whether they are.
+    bool await_ready()
+    {
+        for (int i = 0; i < 100; ++i)
+        {
+            run_for(100);
+            std::size_t ready = 0;
+            for (const auto& item : settings)
+            {
+                ready += probe(item.readiness) == 200 ? 1 : 0;
+            }
+            if (ready == settings.size())
+            {
+                run_for(1500);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    unsigned probe(http::endpoint peer)
+    {
+        unsigned status = 0;
+        core::asio::co_spawn(
+            context,
+            [&status, peer]() -> core::asio::awaitable<void> {
+                try
+                {
+                    http::request message("GET", "/-/readyz");
+                    status = (co_await http::fetch(peer, std::move(message), core::duration{200})).status;
+                }
+                catch (const core::error&)
+                {
+                    status = 0;
+                }
+            },
+            core::asio::detached);
+        run_for(60);
+        return status;
+    }
+
+    /// Sends requests one after the other from `clients` clients for `ms`.
+    void load(std::size_t clients, std::int64_t ms)
+    {
+        const auto end = core::clock::now() + core::duration{ms};
+        for (std::size_t i = 0; i < clients; ++i)
+        {
+            core::asio::co_spawn(context, client(i, end), core::asio::detached);
+        }
+    }
+
+    core::asio::awaitable<void> client(std::size_t number, core::time_point end)
+    {
+        std::size_t turn = number;
+        while (core::clock::now() < end)
+        {
+            call_record record;
+            record.attempt = "q" + std::to_string(number) + "-" + std::to_string(++turn);
+            record.is_idempotent = turn % 2 == 0;
+            http::request message(record.is_idempotent ? "GET" : "POST",
+                                  record.is_idempotent ? "/keyed/x" : "/write/x");
+            message.headers.emplace_back("Host", "h.example");
+            message.headers.emplace_back("Briarfold-Attempt-Id", record.attempt);
+            message.headers.emplace_back("Briarfold-Deadline-Ms", "2000");
+            constexpr std::size_t key_step = 7919;
+            message.headers.emplace_back("Briarfold-Shard-Key",
+                                         std::to_string(turn * key_step % keyspace::key_count));
+            const auto peer = settings[turn % settings.size()].frontend;
+            try
+            {
+                const auto answer = co_await http::fetch(peer, std::move(message), core::duration{3000});
+                record.status = answer.status;
+                record.body = answer.body;
+            }
+            catch (const core::error&)
+            {
+                record.status = 0;
+            }
+            records.push_back(record);
+            const std::chrono::milliseconds pause(10);
+            core::asio::steady_timer timer(context, pause);
+            co_await timer.async_wait(core::asio::use_awaitable);
+        }
+    }
+
+    std::size_t count(unsigned status) const
+    {
+        return static_cast<std::size_t>(std::ranges::count(records, status, &call_record::status));
+    }
+
+    /// Runs of an attempt at all backend servers.
+    int runs(const std::string& attempt) const
+    {
+        int sum = 0;
+        for (const auto& item : backends)
+        {
+            const auto position = item->runs().find(attempt);
+            sum += position == item->runs().end() ? 0 : position->second;
+        }
+        return sum;
+    }
+
+    core::asio::io_context context;
+    metadata_store store;
+    std::vector<std::unique_ptr<keyed_backend>> backends;
+    std::vector<std::string> names;
+    std::vector<settings::edge_settings> settings;
+    std::string logged;
+    std::vector<std::unique_ptr<edge::event_log>> logs;
+    std::vector<std::unique_ptr<edge::router_node>> nodes;
+    std::vector<call_record> records;
+
+private:
+    unsigned short free_port()
+    {
+        core::asio::ip::tcp::acceptor acceptor(context, {core::asio::ip::make_address("127.0.0.1"), 0});
+        return acceptor.local_endpoint().port();
+    }
+
+    settings::edge_settings make_settings(std::size_t i)
+    {
+        settings::edge_settings value;
+        value.name = names[i];
+        value.zone = i % 2 == 0 ? "a" : "b";
+        value.frontend = {"127.0.0.1", free_port()};
+        value.readiness = {"127.0.0.1", free_port()};
+        value.peer = {"127.0.0.1", free_port()};
+        value.metrics = {"127.0.0.1", free_port()};
+        value.store = {"127.0.0.1", store.port()};
+        value.repeat_slack = 60;
+        return value;
+    }
+};
+
+} // namespace briarfold::standins
--- /dev/null
+++ b/standins/edge/tests/edge_cluster_tests.cpp
@@ -0,0 +1,170 @@
+#include "standins/edge/tests/edge_cluster.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace briarfold;
+using namespace briarfold::standins;
+
+namespace {
+
+/// The promises that hold in every case: own and whole answers, at most one run of a request that is not
+/// idempotent, no run after a refusal, slots never exceeded.
+void check_promises(const edge_cluster& cluster)
+{
+    for (const auto& record : cluster.records)
+    {
+        const int runs = cluster.runs(record.attempt);
+        if (record.status == 200)
+        {
+            BOOST_CHECK_MESSAGE(record.body.ends_with(" to " + record.attempt),
+                                record.attempt << ": " << record.body);
+            BOOST_CHECK_GE(runs, 1);
+        }
+        if (!record.is_idempotent)
+        {
+            BOOST_CHECK_MESSAGE(runs <= 1, record.attempt << " ran " << runs << " times");
+            BOOST_CHECK_MESSAGE(record.status != 503 || runs == 0, record.attempt << " was refused and ran");
+        }
+    }
+    for (const auto& item : cluster.backends)
+    {
+        BOOST_CHECK_LE(item->most_running(), 2);
+    }
+}
+
+/// No key is held by two backend servers at the same time.
+void check_owners(const edge_cluster& cluster)
+{
+    for (std::size_t i = 0; i < cluster.backends.size(); ++i)
+    {
+        for (std::size_t j = i + 1; j < cluster.backends.size(); ++j)
+        {
+            for (const auto& a : cluster.backends[i]->spans())
+            {
+                for (const auto& b : cluster.backends[j]->spans())
+                {
+                    const bool share_keys = a.first <= b.last && b.first <= a.last;
+                    const bool share_time = a.from < b.until && b.from < a.until;
+                    BOOST_CHECK_MESSAGE(!(share_keys && share_time),
+                                        "b" << i << " and b" << j << " held keys "
+                                            << std::max(a.first, b.first) << " to "
+                                            << std::min(a.last, b.last));
+                }
+            }
+        }
+    }
+}
+
+double served_share(const edge_cluster& cluster)
+{
+    return static_cast<double>(cluster.count(200)) / static_cast<double>(cluster.records.size());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(edge_clusters)
+
+// Guards against a path that does not work end to end: registration, assignment, grants, forwarding, answers.
+BOOST_AUTO_TEST_CASE(requests_are_served_on_a_calm_day)
+{
+    edge_cluster cluster(3, 4);
+    BOOST_REQUIRE(cluster.await_ready());
+    cluster.load(6, 1500);
+    cluster.run_for(2500);
+    BOOST_CHECK_GT(cluster.records.size(), 150U);
+    BOOST_CHECK_EQUAL(cluster.count(200), cluster.records.size());
+    check_promises(cluster);
+    check_owners(cluster);
+}
+
+// Guards against keys that two backend servers hold while one of them drains, and against requests that fail
+// meanwhile.
+BOOST_AUTO_TEST_CASE(a_draining_backend_server_hands_its_keys_over)
+{
+    edge_cluster cluster(3, 4);
+    BOOST_REQUIRE(cluster.await_ready());
+    cluster.load(6, 2500);
+    cluster.run_for(500);
+    cluster.store.put("servers", "b1", cluster.backends[1]->registration(true));
+    cluster.run_for(1500);
+    const auto runs = cluster.backends[1]->runs().size();
+    cluster.run_for(1500);
+    BOOST_CHECK_EQUAL(cluster.backends[1]->runs().size(), runs);
+    BOOST_CHECK_GT(served_share(cluster), 0.99);
+    check_promises(cluster);
+    check_owners(cluster);
+}
+
+// Guards against keys without service after a router was lost while the store is away.
+BOOST_AUTO_TEST_CASE(a_lost_router_is_replaced_while_the_store_is_away)
+{
+    edge_cluster cluster(4, 4);
+    BOOST_REQUIRE(cluster.await_ready());
+    cluster.store.set_mode(store_mode::busy);
+    std::size_t victim = 0;
+    for (std::size_t i = 0; i < cluster.names.size(); ++i)
+    {
+        const bool leads = cluster.logged.find("\"event\":\"leadership taken\",\"former\":\"\",\"node\":\"" +
+                                               cluster.names[i]) != std::string::npos;
+        victim = leads ? victim : i;
+    }
+    cluster.nodes[victim]->kill();
+    cluster.settings.erase(cluster.settings.begin() + static_cast<std::ptrdiff_t>(victim));
+    cluster.run_for(2500);
+    cluster.load(6, 1500);
+    cluster.run_for(3500);
+    BOOST_CHECK_GT(served_share(cluster), 0.99);
+    check_promises(cluster);
+    check_owners(cluster);
+}
+
+// Guards against a write of assignments whose answer is lost and that is taken for failed or for another
+// leader's.
+BOOST_AUTO_TEST_CASE(lost_answers_of_the_store_do_no_harm)
+{
+    edge_cluster cluster(3, 4);
+    BOOST_REQUIRE(cluster.await_ready());
+    cluster.load(6, 4000);
+    cluster.store.set_mode(store_mode::losing_answers);
+    cluster.store.put("servers", "b2", cluster.backends[2]->registration(true));
+    cluster.run_for(2500);
+    cluster.store.set_mode(store_mode::serving);
+    cluster.run_for(4500);
+    BOOST_CHECK_GT(served_share(cluster), 0.7);
+    check_promises(cluster);
+    check_owners(cluster);
+}
+
+// Guards against a configuration that does not reach every router, or one that goes back.
+BOOST_AUTO_TEST_CASE(a_configuration_is_in_force_everywhere)
+{
+    edge_cluster cluster(4, 2);
+    BOOST_REQUIRE(cluster.await_ready());
+    cluster.store.compact();
+    cluster.put_config(9, "/other/");
+    cluster.run_for(800);
+    cluster.load(4, 800);
+    cluster.run_for(1500);
+    for (const auto& record : cluster.records)
+    {
+        BOOST_CHECK_EQUAL(record.status, record.is_idempotent ? 404U : 200U);
+    }
+}
+
+// Guards against a second run of a request whose answer was lost, and against a refusal of one that ran.
+BOOST_AUTO_TEST_CASE(lost_answers_of_backend_servers_are_reported_as_unknown)
+{
+    edge_cluster cluster(3, 3);
+    BOOST_REQUIRE(cluster.await_ready());
+    for (const auto& item : cluster.backends)
+    {
+        item->lose_answers(5);
+    }
+    cluster.load(4, 2500);
+    cluster.run_for(6000);
+    check_promises(cluster);
+    check_owners(cluster);
+    BOOST_CHECK_GT(cluster.count(504) + cluster.count(502), 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
