Refuse callers of an unreachable backend server at once

Change: the directory says that a backend server is unreachable; entries and its front refuse with the time after which its grants have ended. The linter keeps clean files by their own headers.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Runs clang-tidy over the given files, or over every .cpp file. Needs a configured build folder. A file that was clean
-# is not read again while it, all headers, the flags and the checks are the same.
+# Runs clang-tidy over the given files, or over every .cpp file. Needs a built build folder. A file that was clean is not
+# read again while it, the project's headers that it includes, its flags and the checks are the same.
 set -euo pipefail
 build=${1:?usage: lint.sh BUILD_FOLDER [FILE...]}
 database=$(mktemp -d)
@@ -14,14 +14,21 @@
 else
     files=$(git ls-files --cached --others --exclude-standard "*.cpp")
 fi
-# Flags without the folder names, so that another checkout of the same sources has the same key.
-common=$( (clang-tidy-16 --version; cat .clang-tidy; git ls-files --cached --others --exclude-standard '*.hpp' | sort |
-    xargs cat; sed "s#$PWD##g; s#$(realpath "$build")##g" "$database/compile_commands.json" | sort -u) | sha256sum | cut -d' ' -f1)
-export common cache database
+# Lines "FILE HEADER": the headers of this folder that the compiler read for each file.
+root=$PWD
+ninja -C "$build" -t deps | awk -v root="$root/" '
+    /^[^ ].*: #deps/ { source = ""; next }
+    /^ / { path = $1; sub(/^\.\.\//, root, path); if (index(path, root) != 1) next
+           path = substr(path, length(root) + 1); if (source == "") source = path; print source, path }' \
+    >"$database/headers"
+common=$( (clang-tidy-16 --version; cat .clang-tidy) | sha256sum | cut -d' ' -f1)
+export common cache database root
 check_file()
 {
     local key
-    key=$( (echo "$common $1"; cat "$1") | sha256sum | cut -d' ' -f1)
+    # Without the folder's name, so that another checkout of the same sources has the same key.
+    key=$( (echo "$common $1"; cat "$1"; awk -v file="$1" '$1 == file { print $2 }' "$database/headers" | sort -u | xargs -r cat
+        grep -F "$1" "$database/compile_commands.json" | sed "s#$root##g") | sha256sum | cut -d' ' -f1)
     if [ -e "$cache/$key" ]; then
         return 0
     fi
--- a/src/directory/directory_types.hpp
+++ b/src/directory/directory_types.hpp
@@ -45,6 +45,8 @@
     backend_server server;
     /// Whether the registry still lists it. An entry that is not listed stays until its keys are free.
     bool is_listed = true;
+    /// Whether its front cannot reach it, so that its keys have no service until their grants end.
+    bool is_unreachable = false;
     /// Name of the router that grants its keys and sends its requests; empty when none is assigned.
     std::string front;
     /// Keys that it holds or is to hold; empty for a service without key ownership.
--- a/src/directory/internal/directory_json.cpp
+++ b/src/directory/internal/directory_json.cpp
@@ -54,9 +54,9 @@
 {
     const auto& s = value.server;
     return json::array({s.id, s.born_ms, s.service, to_text(s.address), s.zone, s.slots, s.is_draining,
-                        s.warmup_left.ms, value.is_listed, value.front, to_json(value.keys),
-                        to_json(value.withdrawn), handovers_to_json(value.handovers), value.foreign_hold.ms,
-                        value.token_base, value.revision});
+                        s.warmup_left.ms, value.is_listed, value.is_unreachable, value.front,
+                        to_json(value.keys), to_json(value.withdrawn), handovers_to_json(value.handovers),
+                        value.foreign_hold.ms, value.token_base, value.revision});
 }
 
 entry entry_from_json(const json& value)
@@ -73,6 +73,7 @@
     result.server.is_draining = take().get<bool>();
     result.server.warmup_left.ms = take().get<std::int64_t>();
     result.is_listed = take().get<bool>();
+    result.is_unreachable = take().get<bool>();
     result.front = take().get<std::string>();
     result.keys = keys_from_json(take());
     result.withdrawn = keys_from_json(take());
--- a/src/edge/entry.hpp
+++ b/src/edge/entry.hpp
@@ -57,6 +57,8 @@
     {
         std::string backend_server;
         std::string front;
+        /// The keys are known to have no service for a while.
+        bool is_out_of_service = false;
     };
 
     /// Keys of one backend server that may be served now.
@@ -66,6 +68,7 @@
         std::string backend_server;
         std::string front;
         bool is_withdrawn = false;
+        bool is_unreachable = false;
     };
 
     core::asio::awaitable<http::response> route(call& item, std::shared_ptr<core::cancellation> departure);
--- a/src/edge/event_log.hpp
+++ b/src/edge/event_log.hpp
@@ -19,7 +19,7 @@
     double lines_per_s = 60;
     double burst_lines = 600;
     /// Bytes that wait while nobody reads.
-    std::size_t buffer_bytes = 256 * 1024;
+    std::size_t buffer_bytes = std::size_t{256} << 10U;
 };
 
 /// Lines wait in memory and are written by `flush`. What the rate or a full buffer leaves out is counted and
--- a/src/edge/internal/entry.cpp
+++ b/src/edge/internal/entry.cpp
@@ -92,11 +92,11 @@
         auto& ranges = owners_[item.server.service];
         for (const auto& range : keyspace::without(item.keys, item.withdrawn))
         {
-            ranges.push_back({range, id, item.front, false});
+            ranges.push_back({range, id, item.front, false, item.is_unreachable});
         }
         for (const auto& range : item.withdrawn)
         {
-            ranges.push_back({range, id, item.front, true});
+            ranges.push_back({range, id, item.front, true, item.is_unreachable});
         }
         if (item.is_listed && !item.server.is_draining)
         {
@@ -139,11 +139,11 @@
         return std::nullopt;
     }
     const auto& owner = *std::prev(next);
-    if (!owner.range.contains(key) || owner.is_withdrawn)
+    if (!owner.range.contains(key) || (owner.is_withdrawn && !owner.is_unreachable))
     {
         return std::nullopt;
     }
-    return destination{owner.backend_server, owner.front};
+    return destination{owner.backend_server, owner.front, owner.is_unreachable};
 }
 
 std::optional<entry::destination> entry::find_group(const call& item) const
@@ -166,7 +166,7 @@
             load + (zone != router_zones_.end() && zone->second == zone_ ? 0 : other_zone_cost);
         if (!best || cost < best_cost)
         {
-            best = destination{"", front};
+            best = destination{"", front, false};
             best_cost = cost;
         }
     }
@@ -350,6 +350,13 @@
             co_await await_change(limit);
             continue;
         }
+        if (to->is_out_of_service)
+        {
+            const auto third = core::duration{(item.give_up - now).ms / 3};
+            co_return refuse(item, item.may_have_run ? status_bad_gateway : status_unavailable,
+                             std::min(ownerless_retry, third),
+                             "the backend server of the key is unreachable");
+        }
         auto result = co_await send(item, *to, departure);
         const bool is_moved = result.outcome == wire::outcome::refused_not_run &&
                               (result.not_run_reason == "moved" || result.not_run_reason == "link");
--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -18,6 +18,8 @@
 constexpr core::duration grant_timeout{500};
 /// Work may run for up to about 2 s before a release is answered.
 constexpr core::duration release_timeout{3000};
+/// Keys of a silent backend server are granted elsewhere when their grants have ended.
+constexpr core::duration unreachable_retry{1200};
 constexpr core::duration probe_interval{700};
 constexpr core::duration probe_timeout{300};
 
@@ -217,6 +219,25 @@
     }
 }
 
+void front::state::refuse_waiting(fronted_server& server)
+{
+    if (!server.is_keyed())
+    {
+        return;
+    }
+    auto& pool = *server.pool;
+    auto waiting = pool.queue.extract([](const auto&) { return true; });
+    waiting.insert(waiting.end(), pool.parked.begin(), pool.parked.end());
+    pool.parked.clear();
+    for (const auto& item : waiting)
+    {
+        auto refusal = make_result(wire::outcome::refused_not_run, status_unavailable,
+                                   "the backend server is unreachable", "unreachable");
+        refusal.retry_after = unreachable_retry;
+        end_waiting(pool, item, std::move(refusal));
+    }
+}
+
 void front::state::note_contact(fronted_server& server, bool is_reached, const std::string& reason)
 {
     constexpr int failures_of_unreachable = 2;
@@ -236,6 +257,7 @@
         server.link->close_idle();
         log.write("backend server unreachable",
                   {{"backend_server", server.entry.server.id}, {"reason", reason}});
+        refuse_waiting(server);
         surroundings.report_soon();
     }
 }
--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -142,6 +142,14 @@
 std::optional<wire::forward_result> front::state::admit(const std::shared_ptr<job>& item, work_pool& pool)
 {
     const auto now = clock::now();
+    const auto& first = pool.servers.front();
+    if (first->is_keyed() && first->unreachable_since)
+    {
+        auto refusal = make_result(wire::outcome::refused_not_run, status_unavailable,
+                                   "the backend server is unreachable", "unreachable");
+        refusal.retry_after = {std::max<std::int64_t>(item->request.deadline.ms / 3, 0)};
+        return refusal;
+    }
     const auto offer = pool.queue.offer(item->waiting, slots_of(pool, now), now);
     if (offer.is_accepted)
     {
--- a/src/edge/internal/front_state.hpp
+++ b/src/edge/internal/front_state.hpp
@@ -42,6 +42,8 @@
     void end_waiting(work_pool& pool, const dispatch::waiting_request& waiting, wire::forward_result result);
     void log_result(const job& item, const wire::forward_result& result);
     double slack_share() const;
+    /// Ends the requests that wait for a backend server which does not answer.
+    void refuse_waiting(fronted_server& server);
     void note_contact(fronted_server& server, bool is_reached, const std::string& reason);
 
     // Grants.
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -201,6 +201,11 @@
         }
         auto& known = records_[id];
         const bool is_unreachable = std::ranges::find(report.unreachable, id) != report.unreachable.end();
+        if (entry.is_unreachable != is_unreachable)
+        {
+            entry.is_unreachable = is_unreachable;
+            touch(id);
+        }
         if (!is_unreachable)
         {
             known.unreachable_since.reset();
--- a/standins/edge/tests/edge_cluster.hpp
+++ b/standins/edge/tests/edge_cluster.hpp
@@ -18,6 +18,8 @@
     unsigned status = 0;
     std::string body;
     bool is_idempotent = false;
+    core::time_point sent;
+    core::duration elapsed;
 };
 
 /// Addresses are 127.0.0.1 with ports that the system chose.
@@ -163,6 +165,7 @@
             message.headers.emplace_back("Briarfold-Shard-Key",
                                          std::to_string(turn * key_step % keyspace::key_count));
             const auto peer = settings[turn % settings.size()].frontend;
+            record.sent = core::clock::now();
             try
             {
                 const auto answer = co_await http::fetch(peer, std::move(message), core::duration{3000});
@@ -173,6 +176,7 @@
             {
                 record.status = 0;
             }
+            record.elapsed = core::clock::now() - record.sent;
             records.push_back(record);
             const std::chrono::milliseconds pause(10);
             core::asio::steady_timer timer(context, pause);
--- a/standins/edge/tests/edge_cluster_tests.cpp
+++ b/standins/edge/tests/edge_cluster_tests.cpp
@@ -167,4 +167,31 @@
     BOOST_CHECK_GT(cluster.count(504) + cluster.count(502), 0U);
 }
 
+// Guards against callers that are held although the backend server of their key is known not to answer, and
+// against keys that stay without service longer than the bound of their last grant.
+BOOST_AUTO_TEST_CASE(callers_of_a_crashed_backend_server_are_refused_at_once)
+{
+    edge_cluster cluster(3, 4);
+    BOOST_REQUIRE(cluster.await_ready());
+    const auto crashed = core::clock::now();
+    cluster.backends[1]->crash();
+    cluster.load(6, 9000);
+    cluster.run_for(11000);
+    const auto known = crashed + core::duration{1500};
+    const auto free = crashed + core::duration{6500};
+    for (const auto& record : cluster.records)
+    {
+        if (record.sent > known && record.status == 503)
+        {
+            BOOST_CHECK_MESSAGE(record.elapsed.ms < 200,
+                                record.attempt << " was held for " << record.elapsed.ms << " ms");
+        }
+        if (record.sent > free)
+        {
+            BOOST_CHECK_EQUAL(record.status, 200U);
+        }
+    }
+    check_promises(cluster);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
