--- a/src/admin/admin_api.hpp
+++ b/src/admin/admin_api.hpp
@@ -1,4 +1,4 @@
-/// HTTP admin API of a router. docs/operators.md lists the requests.
+/// HTTP admin API of a router. docs/OPERATIONS.md lists the requests.
 #pragma once
 
 #include "admin/backend_server_admin.hpp"
--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -581,7 +581,7 @@
                 service_versions_[row.service] = result.revision;
             }
             is_writing_ = false;
-            state_->on_written(result.revision, now);
+            state_->on_written(result.revision);
             log_.write("assignments written", {{"rows", rows.size()}, {"version", result.revision}});
             after_change();
             co_return;
--- a/src/edge/internal/router_node.cpp
+++ b/src/edge/internal/router_node.cpp
@@ -322,7 +322,7 @@
     state_->network.reset();
 }
 
-void router_node::reload(settings::edge_settings settings)
+void router_node::reload(const settings::edge_settings& settings)
 {
     const bool needs_restart = settings.frontend != state_->settings.frontend ||
                                settings.peer != state_->settings.peer ||
--- a/src/edge/router_node.hpp
+++ b/src/edge/router_node.hpp
@@ -25,7 +25,7 @@
     /// Ends at once, as by the loss of the machine: closes all sockets and answers nobody.
     void kill();
     /// Takes over those settings that may change while it runs.
-    void reload(settings::edge_settings settings);
+    void reload(const settings::edge_settings& settings);
 
 private:
     struct state;
--- a/src/grants/internal/server_grants.cpp
+++ b/src/grants/internal/server_grants.cpp
@@ -207,7 +207,7 @@
     }
 }
 
-void server_grants::on_released(const grant_call& call, std::string handover, core::time_point now)
+void server_grants::on_released(const grant_call& call, const std::string& handover, core::time_point now)
 {
     split_at(call.range);
     for (auto& item : pieces_)
--- a/src/grants/server_grants.hpp
+++ b/src/grants/server_grants.hpp
@@ -57,7 +57,7 @@
     void on_granted(const grant_call& call, core::time_point now);
     /// The backend server has seen a higher token.
     void on_superseded(const grant_call& call, core::time_point now);
-    void on_released(const grant_call& call, std::string handover, core::time_point now);
+    void on_released(const grant_call& call, const std::string& handover, core::time_point now);
     /// The call was not sent: no connection was open.
     void on_not_sent(const grant_call& call, core::time_point now);
     /// No call can be made now: the backend server accepts no connection.
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -265,6 +265,7 @@
     writing_services_ = std::exchange(dirty_services_, {});
     writing_.clear();
     std::vector<assignment_row> rows;
+    rows.reserve(writing_services_.size());
     for (const auto& service : writing_services_)
     {
         rows.push_back({service, row_text(service)});
@@ -280,7 +281,7 @@
     return rows;
 }
 
-void leader_state::on_written(std::int64_t version, core::time_point now)
+void leader_state::on_written(std::int64_t version)
 {
     for (const auto& [id, written] : writing_)
     {
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -65,7 +65,7 @@
     void tick(core::time_point now);
     /// Rows to write now, at most one set at a time. Conditional on the leadership.
     std::vector<assignment_row> take_write();
-    void on_written(std::int64_t version, core::time_point now);
+    void on_written(std::int64_t version);
     void on_write_failed();
 
     const directory::snapshot& current() const { return published_; }
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -77,7 +77,7 @@
         if (!rows.empty())
         {
             written = rows;
-            state->on_written(++version, now);
+            state->on_written(++version);
         }
         return rows.size();
     }
--- a/standins/edge/keyed_backend.cpp
+++ b/standins/edge/keyed_backend.cpp
@@ -30,7 +30,7 @@
     : executor_(executor), id_(std::move(id)), service_(std::move(service)), zone_(std::move(zone)),
       slots_(slots), work_(work), born_ms_(clock::wall().ms), address_(local)
 {
-    server_.emplace(executor, local, http::handler([this](http::request message, http::endpoint) {
+    server_.emplace(executor, local, http::handler([this](http::request message, const http::endpoint&) {
                         return handle(std::move(message));
                     }));
     address_.port = server_->port();
--- a/standins/edge/metadata_store.cpp
+++ b/standins/edge/metadata_store.cpp
@@ -60,7 +60,7 @@
 metadata_store::metadata_store(const asio::any_io_executor& executor, const http::endpoint& local)
     : executor_(executor)
 {
-    server_.emplace(executor, local, http::handler([this](http::request message, http::endpoint) {
+    server_.emplace(executor, local, http::handler([this](http::request message, const http::endpoint&) {
                         return handle(std::move(message));
                     }));
 }
--- a/standins/edge/tests/edge_cluster.hpp
+++ b/standins/edge/tests/edge_cluster.hpp
@@ -117,7 +117,7 @@
         return false;
     }
 
-    unsigned probe(http::endpoint peer)
+    unsigned probe(const http::endpoint& peer)
     {
         unsigned status = 0;
         core::asio::co_spawn(
