Handle a lost grant call as one that was not sent, and more; drop two unused members

on_lost repeated on_not_sent. bound() and pieces() had no caller. A comment in the leader named another case than the code's. No change of behaviour.

--- a/src/grants/internal/server_grants.cpp
+++ b/src/grants/internal/server_grants.cpp
@@ -253,23 +253,14 @@
 {
     // The next call needs a higher token, since the lost one may be applied after it.
     token_step_ = std::min(token_step_ + 1, most_token_step);
-    if (call.kind == call_kind::grant)
+    on_not_sent(call, now);
+    if (call.kind != call_kind::grant)
     {
-        end_call(call.range);
+        return;
     }
-    split_at(call.range);
     for (auto& item : pieces_)
     {
-        if (!keyspace::covers({call.range}, {item.range}))
-        {
-            continue;
-        }
-        item.retry_at = now + retry_pause;
-        if (item.release == release_state::under_way && call.kind == call_kind::release)
-        {
-            item.release = release_state::wanted;
-        }
-        if (call.kind == call_kind::grant)
+        if (keyspace::covers({call.range}, {item.range}))
         {
             item.unanswered_bound = std::max(item.unanswered_bound, hold_end(now, call.hold));
         }
@@ -327,14 +318,4 @@
     return due;
 }
 
-core::time_point server_grants::bound() const
-{
-    core::time_point latest;
-    for (const auto& item : pieces_)
-    {
-        latest = std::max(latest, free_at(item));
-    }
-    return latest;
-}
-
 } // namespace briarfold::grants
--- a/src/grants/server_grants.hpp
+++ b/src/grants/server_grants.hpp
@@ -72,9 +72,6 @@
     std::vector<freed_keys> freed(core::time_point now) const;
     /// When the next call is due.
     core::time_point next_due(core::time_point now) const;
-    /// Latest end of any grant.
-    core::time_point bound() const;
-    std::size_t pieces() const { return pieces_.size(); }
 
 private:
     enum class release_state
--- a/src/leader/internal/key_assignment.cpp
+++ b/src/leader/internal/key_assignment.cpp
@@ -89,7 +89,7 @@
     }
     auto& known = records_[report.backend_server];
     const auto& entry = position->second;
-    // Grants of an earlier front may outlast those of the present one, which cannot know them.
+    // A front repeats its report until the directory shows that the keys are gone.
     const auto fresh = keyspace::without(
         keyspace::common(keyspace::common({report.range}, entry.withdrawn), known.next_keys), known.freed);
     for (const auto& range : fresh)
