--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -3,6 +3,7 @@
 #include "core/error.hpp"
 #include "http/internal/beast_message.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <cerrno>
 #include <mutex>
@@ -56,7 +57,7 @@
         endpoint caller;
         bool is_busy = false;
         /// Since when the session waits for the caller; 0 while a request is being answered.
-        std::atomic<std::int64_t> waiting_since_ms{0};
+        std::int64_t waiting_since_ms = 0;
     };
 
     state(const asio::any_io_executor& base, watched_handler request_handler, server_limits sizes,
@@ -77,8 +78,14 @@
     /// Raises `departure` when the caller closes the connection while its request is being answered.
     static void watch_departure(const std::shared_ptr<session>& connection,
                                 const std::shared_ptr<core::cancellation>& departure);
+    /// Ends the session's wait for a request. A request that was already read is still answered, whether or
+    /// not its coroutine has resumed.
+    static void end_wait(const std::shared_ptr<session>& connection);
+    /// Ends the session's read or write when it has waited for the caller for longer than `idle`.
+    static void end_overdue_wait(const std::shared_ptr<session>& connection, core::duration idle);
     void close_acceptor();
-    void close_sessions(bool only_idle);
+    void close_idle_sessions();
+    void close_all_sessions();
 
     asio::any_io_executor executor;
     asio::ip::tcp::acceptor acceptor;
@@ -131,7 +138,7 @@
 {
     state_->is_stopping = true;
     state_->close_acceptor();
-    state_->close_sessions(false);
+    state_->close_all_sessions();
 }
 
 unsigned short server::port() const
@@ -157,7 +164,7 @@
 
 void server::close_idle()
 {
-    state_->close_sessions(true);
+    state_->close_idle_sessions();
 }
 
 std::size_t server::connections() const
@@ -170,7 +177,7 @@
 {
     state_->is_stopping = true;
     state_->close_acceptor();
-    state_->close_sessions(true);
+    state_->close_idle_sessions();
 }
 
 void server::state::close_acceptor()
@@ -182,16 +189,43 @@
     });
 }
 
-void server::state::close_sessions(bool only_idle)
+void server::state::end_wait(const std::shared_ptr<session>& connection)
+{
+    asio::post(connection->stream.get_executor(), [connection] {
+        if (connection->is_busy)
+        {
+            return;
+        }
+        error_code ignored;
+        connection->stream.socket().cancel(ignored);
+    });
+}
+
+void server::state::end_overdue_wait(const std::shared_ptr<session>& connection, core::duration idle)
+{
+    asio::post(connection->stream.get_executor(), [connection, idle] {
+        const auto since = connection->waiting_since_ms;
+        if (since == 0 || core::clock::now().ms - since <= idle.ms)
+        {
+            return;
+        }
+        error_code ignored;
+        connection->stream.socket().cancel(ignored);
+    });
+}
+
+void server::state::close_idle_sessions()
+{
+    const std::scoped_lock lock(mutex);
+    std::ranges::for_each(sessions, end_wait);
+}
+
+void server::state::close_all_sessions()
 {
     const std::scoped_lock lock(mutex);
     for (const auto& connection : sessions)
     {
-        asio::post(connection->stream.get_executor(), [connection, only_idle] {
-            if (only_idle && connection->is_busy)
-            {
-                return;
-            }
+        asio::post(connection->stream.get_executor(), [connection] {
             error_code ignored;
             connection->stream.socket().close(ignored);
         });
@@ -241,18 +275,10 @@
         error_code ignored;
         sweep_timer.expires_after(interval);
         co_await sweep_timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        const auto now = core::clock::now();
         const std::scoped_lock lock(mutex);
         for (const auto& connection : sessions)
         {
-            const auto since = connection->waiting_since_ms.load();
-            if (since != 0 && now.ms - since > limits.idle.ms)
-            {
-                asio::post(connection->stream.get_executor(), [connection] {
-                    error_code closed;
-                    connection->stream.socket().close(closed);
-                });
-            }
+            end_overdue_wait(connection, limits.idle);
         }
     }
 }
--- a/src/http/tests/http_tests.cpp
+++ b/src/http/tests/http_tests.cpp
@@ -2,9 +2,11 @@
 #include "http/client_connection.hpp"
 #include "http/server.hpp"
 
+#include <boost/algorithm/string/split.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <future>
+#include <ranges>
 #include <thread>
 
 using namespace briarfold;
@@ -86,6 +88,44 @@
     });
 }
 
+// Guards against a request that was read and handled, and whose connection was closed as idle before its
+// coroutine went on. Closes at every step of an exchange.
+BOOST_AUTO_TEST_CASE(closing_idle_connections_answers_requests_already_read)
+{
+    constexpr int most_steps = 60;
+    for (const int steps : std::views::iota(0, most_steps))
+    {
+        asio::io_context context;
+        int handled = 0;
+        http::server server(
+            context.get_executor(), {"127.0.0.1", 0},
+            [&handled](http::request message, http::endpoint caller) -> asio::awaitable<http::response> {
+                ++handled;
+                return echo(std::move(message), std::move(caller));
+            });
+        asio::io_context caller_context;
+        asio::ip::tcp::socket caller(caller_context);
+        caller.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+        const std::string get = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+        asio::write(caller, asio::buffer(get + get));
+        for (int step = 0; step < steps; ++step)
+        {
+            context.poll_one();
+        }
+        server.close_idle();
+        context.run_for(std::chrono::milliseconds(5));
+        std::string answers;
+        boost::system::error_code code;
+        caller.non_blocking(true);
+        asio::read(caller, asio::dynamic_buffer(answers), code);
+        std::vector<std::string> found;
+        const auto answered =
+            static_cast<int>(boost::algorithm::find_all(found, answers, "HTTP/1.1 200").size());
+        BOOST_TEST(answered == handled, "closed after " << steps << " steps: " << answered << " of "
+                                                        << handled << " handled requests were answered");
+    }
+}
+
 // Guards against oversized input reaching a handler.
 BOOST_AUTO_TEST_CASE(oversized_input_is_refused)
 {
