Tell the handler of a caller that left before its request was read

Change: the connection is looked at before the request is handled. Test: departure_before_the_read_is_known_to_the_handler.

--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -75,6 +75,7 @@
     asio::awaitable<void> write(session& connection, const response& answer, unsigned version,
                                 bool keep_alive, bool is_head);
     asio::awaitable<response> answer(session& connection, const internal::beast_request& incoming);
+    static bool has_departed(session& connection);
     /// Raises `departure` when the caller closes the connection while its request is being answered.
     static void watch_departure(const std::shared_ptr<session>& connection,
                                 const std::shared_ptr<core::cancellation>& departure);
@@ -352,22 +353,29 @@
     }
 }
 
+bool server::state::has_departed(session& connection)
+{
+    char byte = 0;
+    const auto received =
+        ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    // Bytes of a further request keep the socket readable, so a later close goes unnoticed.
+    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void server::state::watch_departure(const std::shared_ptr<session>& connection,
                                     const std::shared_ptr<core::cancellation>& departure)
 {
+    // A server that was short of processor time may read a request and the close behind it at once.
+    if (has_departed(*connection))
+    {
+        departure->cancel();
+        return;
+    }
     connection->stream.socket().async_wait(
         asio::ip::tcp::socket::wait_read,
         [connection, weak = std::weak_ptr(departure)](const error_code& code) {
             const auto waiting = weak.lock();
-            if (code || !waiting)
-            {
-                return;
-            }
-            char byte = 0;
-            const auto received =
-                ::recv(connection->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-            // Bytes of a further request keep the socket readable, so a later close goes unnoticed.
-            if (received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
+            if (!code && waiting && has_departed(*connection))
             {
                 waiting->cancel();
             }
--- a/src/http/tests/http_tests.cpp
+++ b/src/http/tests/http_tests.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <future>
+#include <optional>
 #include <ranges>
 #include <thread>
 
@@ -126,6 +127,28 @@
     }
 }
 
+// Guards against work for a caller that closed its connection before its request was read.
+BOOST_AUTO_TEST_CASE(departure_before_the_read_is_known_to_the_handler)
+{
+    asio::io_context context;
+    std::optional<bool> was_departed;
+    http::server server(context.get_executor(), {"127.0.0.1", 0},
+                        http::watched_handler([&was_departed](http::request message, http::endpoint caller,
+                                                              std::shared_ptr<core::cancellation> departure)
+                                                  -> asio::awaitable<http::response> {
+                            was_departed = departure->is_cancelled();
+                            return echo(std::move(message), std::move(caller));
+                        }));
+    asio::io_context caller_context;
+    asio::ip::tcp::socket caller(caller_context);
+    caller.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+    asio::write(caller, asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: a\r\n\r\n")));
+    caller.close();
+    context.run_for(std::chrono::milliseconds(50));
+    BOOST_REQUIRE(was_departed.has_value());
+    BOOST_TEST(*was_departed);
+}
+
 // Guards against oversized input reaching a handler.
 BOOST_AUTO_TEST_CASE(oversized_input_is_refused)
 {
