Pause a backend server whose address belongs to another one

Change: no request for 2.5 s after a misdirected one, in services without key ownership. Test: replaced_backend_server_gets_no_request.

--- a/src/dispatch/slot_limit.hpp
+++ b/src/dispatch/slot_limit.hpp
@@ -8,8 +8,8 @@
 namespace briarfold::dispatch {
 
 /// Load patterns: a backend server that rejects although it has free slots (fewer requests at a time), one
-/// that does not accept connections (a pause that doubles), and one that has just started (its slots one by
-/// one).
+/// that does not accept connections (a pause that doubles), one whose address another one has now (a pause
+/// until its registration lapses), and one that has just started (its slots one by one).
 class slot_limit
 {
 public:
@@ -35,6 +35,13 @@
         paused_until_ = now + std::min(doubled, longest_pause);
     }
 
+    /// Another backend server answers at its address; it rejects all requests for this one.
+    void on_replaced(core::time_point now)
+    {
+        failures_ = std::max(failures_, failures_before_pause);
+        paused_until_ = std::max(paused_until_, now + replaced_pause);
+    }
+
     bool is_paused(core::time_point now) const
     {
         return failures_ >= failures_before_pause && now < paused_until_;
@@ -52,6 +59,8 @@
     static constexpr core::duration first_pause{50};
     static constexpr core::duration longest_pause{800};
     static constexpr int most_doublings = 4;
+    /// The registration of a backend server that ended lapses after three heartbeats, 2.6 s today.
+    static constexpr core::duration replaced_pause{2500};
 
     int slots_;
     double limit_;
--- a/src/dispatch/tests/budget_tests.cpp
+++ b/src/dispatch/tests/budget_tests.cpp
@@ -72,6 +72,26 @@
     BOOST_CHECK_EQUAL(limit.slots(now), 6);
 }
 
+// Load pattern: the address of a backend server that ended belongs to another one, which rejects at once, so
+// its slots always look free. Without a pause it drew four arrivals of each request and used up the budget
+// for repeats.
+BOOST_AUTO_TEST_CASE(replaced_backend_server_gets_no_request)
+{
+    slot_limit limit(2);
+    time_point now{1000};
+    int arrivals = 0;
+    for (int i = 0; i < 200; ++i)
+    {
+        if (limit.slots(now) > 0)
+        {
+            ++arrivals;
+            limit.on_replaced(now);
+        }
+        now = now + duration{10};
+    }
+    BOOST_CHECK_EQUAL(arrivals, 1);
+}
+
 // Load pattern: backend servers differ in speed by three times; a slow one does not spoil the mean of the
 // route.
 BOOST_AUTO_TEST_CASE(speeds_are_learned)
--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -355,6 +355,12 @@
     {
         server.limit.on_rejection();
     }
+    else if (!server.is_keyed())
+    {
+        // Without keys there is one reason to be misdirected: the address belongs to another one now.
+        server.limit.on_replaced(now);
+        log.write("backend server replaced", {{"backend_server", id}, {"request", item.request.request_id}});
+    }
     if (may_repeat(item, now))
     {
         return std::nullopt;
