Explain a request from the decision logs: briarfoldctl explain

Reads the logs of several routers from files or standard input, prints the lines of one request in order with earlier lines on the backend servers it met, and names the cause.

--- a/src/ctl/internal/command_line.cpp
+++ b/src/ctl/internal/command_line.cpp
@@ -14,6 +14,9 @@
 
 namespace options = boost::program_options;
 
+/// About a file of logs for each of the largest number of routers.
+constexpr std::size_t most_logs = 2000;
+
 /// A command, the number of its arguments and its description.
 struct command_rule
 {
@@ -37,6 +40,9 @@
     {"backend leave", "ID", 1, 1, "drain: no new work, keys move away"},
     {"backend stop", "ID", 1, 1, "drain and end the process; needs --yes"},
     {"status", "", 0, 0, "routers, their revisions, contracts in force"},
+    {"explain", "REQUEST [LOG...]", 1, most_logs,
+     "what happened to a request, from the logs of edge routers (standard input without LOG); needs no "
+     "router"},
     {"owner", "SERVICE KEY", 2, 2, "the backend server that owns a key"},
     {"trace", "REQUEST_ID", 1, 1, "spans of a request on all routers"},
     {"settings", "", 0, 0, "effective settings of the router"},
@@ -218,7 +224,7 @@
     }
     read_command(result, std::move(positional));
     result.routers = parse_routers(routers);
-    if (result.routers.empty())
+    if (result.routers.empty() && result.command != "explain")
     {
         throw usage_error("--router or BRIARFOLD_ROUTERS is required");
     }
--- a/src/ctl/internal/run.cpp
+++ b/src/ctl/internal/run.cpp
@@ -1,12 +1,16 @@
 #include "ctl/run.hpp"
 
+#include "ctl/explain.hpp"
 #include "ctl/internal/printer.hpp"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
+#include <iterator>
+#include <ranges>
 #include <sstream>
 #include <thread>
 
@@ -299,6 +303,53 @@
     return code == exit_unknown ? exit_not_in_force : code;
 }
 
+exit_code explain_request(const session& s)
+{
+    const auto& request = s.call.arguments.front();
+    std::vector<std::ifstream> files;
+    for (const auto& path : s.call.arguments | std::views::drop(1))
+    {
+        files.emplace_back(path);
+        if (!files.back())
+        {
+            throw usage_error("explain: cannot read " + path);
+        }
+    }
+    std::vector<std::istream*> logs;
+    std::ranges::transform(files, std::back_inserter(logs), [](std::ifstream& file) { return &file; });
+    if (logs.empty())
+    {
+        logs.push_back(&std::cin);
+    }
+    const auto found = explain(request, logs);
+    if (found.malformed > 0)
+    {
+        s.errors << found.malformed << " lines are no JSON objects and were left out\n";
+    }
+    if (found.history.empty())
+    {
+        s.errors << "no line names the request " << request
+                 << ": successes are sampled, and lines are left out under load\n";
+        return exit_refused;
+    }
+    if (s.call.is_json)
+    {
+        const nlohmann::json document = {
+            {"cause", found.cause}, {"history", found.history}, {"background", found.background}};
+        s.out << document.dump(2) << "\n";
+        return exit_done;
+    }
+    for (const auto* const lines : {&found.background, &found.history})
+    {
+        for (const auto& line : *lines)
+        {
+            s.out << line.dump() << "\n";
+        }
+    }
+    s.out << "cause: " << found.cause << "\n";
+    return exit_done;
+}
+
 exit_code dispatch(const session& s)
 {
     using command = std::function<exit_code(const session&)>;
@@ -320,6 +371,7 @@
         {"backend join", join_backend_servers},
         {"backend leave", [](const session& x) { return change_backend_server(x, "leave"); }},
         {"backend stop", [](const session& x) { return change_backend_server(x, "stop"); }},
+        {"explain", explain_request},
         {"status", [](const session& x) { return get(x, "/v1/status"); }},
         {"owner",
          [](const session& x) {
