Send a request once to a backend server that does not hold its key

Change: such an answer is not repeated, pauses the backend server like a failure, and tells the caller to come back when the keys have moved.

--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -15,6 +15,8 @@
 constexpr unsigned status_gateway_timeout = 504;
 /// Time after the end of a request's time in which the backend server's own answer to it may still arrive.
 constexpr core::duration answer_grace{120};
+/// Keys whose owner is gone are granted to another one within about this time.
+constexpr core::duration owner_retry{1200};
 /// Sends of one request, the first included.
 constexpr int most_sends = 4;
 
@@ -361,7 +363,13 @@
         server.limit.on_replaced(now);
         log.write("backend server replaced", {{"backend_server", id}, {"request", item.request.request_id}});
     }
-    if (may_repeat(item, now))
+    else
+    {
+        // Either another one has the address, or the backend server lost its grants; both last for some time.
+        server.limit.on_failure(now);
+    }
+    const bool lacks_key = outcome.head.is_misdirected && server.is_keyed();
+    if (!lacks_key && may_repeat(item, now))
     {
         return std::nullopt;
     }
@@ -370,8 +378,13 @@
         return make_result(wire::outcome::unknown, status_bad_gateway, "rejected after a lost answer", "");
     }
     auto result =
-        make_result(wire::outcome::refused_not_run, status_unavailable, "backend server rejected", "shed");
+        make_result(wire::outcome::refused_not_run, status_unavailable,
+                    lacks_key ? "backend server does not hold the key" : "backend server rejected", "shed");
     result.peer = id;
+    if (lacks_key)
+    {
+        result.retry_after = std::min(owner_retry, core::duration{(item.waiting.give_up - now).ms / 3});
+    }
     return result;
 }
 
--- a/standins/edge/tests/edge_cluster_tests.cpp
+++ b/standins/edge/tests/edge_cluster_tests.cpp
@@ -194,6 +194,26 @@
     check_promises(cluster);
 }
 
+// Guards against a request that is sent again and again to an address that another backend server has now:
+// each arrival counts against the budget of that one's service.
+BOOST_AUTO_TEST_CASE(a_replaced_backend_server_gets_each_request_once)
+{
+    edge_cluster cluster(1, 2);
+    BOOST_REQUIRE(cluster.await_ready());
+    auto registration = cluster.backends[0]->registration();
+    registration["address"] = cluster.backends[1]->registration().at("address");
+    cluster.store.put("servers", cluster.backends[0]->id(), registration);
+    cluster.run_for(500);
+    cluster.records.clear();
+    cluster.load(4, 1500);
+    cluster.run_for(4000);
+    BOOST_CHECK_GT(cluster.count(503), 0U);
+    BOOST_CHECK_GT(cluster.backends[1]->misdirected(), 0);
+    // Pauses between them keep these far below the requests.
+    BOOST_CHECK_LE(cluster.backends[1]->misdirected(), 12);
+    check_promises(cluster);
+}
+
 // Guards against requests that a stopping router accepts and can no longer answer: work of 1.5 s is asked for
 // 0.7 s before the router ends.
 BOOST_AUTO_TEST_CASE(a_stopping_router_answers_all_it_reads)
