--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -17,7 +17,8 @@
 constexpr core::duration tick_interval{50};
 /// A move of keys takes a few hundred milliseconds, so these add little to it.
 constexpr core::duration least_publish_interval{40};
-/// Processor time to send one router an update and to read its answer, measured at 61 routers.
+/// Processor time to send one router an update and to read its answer: about that of a forwarded request, see
+/// docs/CAPACITY.md.
 constexpr double push_cost_ms = 0.1;
 /// Share of its processor that a leader spends on pushes at most.
 constexpr double push_share = 0.2;
@@ -46,8 +47,8 @@
 
 json unpack(const std::string& text)
 {
-    // Several times the largest row of the store.
-    constexpr std::size_t most_bytes = 64 * 1024 * 1024;
+    // A configuration of 1,700 routes has 300 KB; the limit guards the memory of a small instance.
+    constexpr std::size_t most_bytes = 16 * 1024 * 1024;
     return json::parse(core::decompress(core::decode_base64(text), most_bytes));
 }
 
