Read the packed configuration before it is handed on; follow the linter

Cause: the arguments of a call moved a text and read it; which came first was up to the compiler, so a leader that cannot read the store could have started without a configuration. Found by the linter.

--- a/src/core/internal/encoding.cpp
+++ b/src/core/internal/encoding.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::size_t group_bytes = 3;
 constexpr std::size_t group_digits = 4;
-constexpr std::size_t block_bytes = 64 * 1024;
+constexpr std::size_t block_bytes = std::size_t{64} * 1024;
 
 } // namespace
 
--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -48,7 +48,7 @@
 json unpack(const std::string& text)
 {
     // A configuration of 1,700 routes has 300 KB; the limit guards the memory of a small instance.
-    constexpr std::size_t most_bytes = 16 * 1024 * 1024;
+    constexpr std::size_t most_bytes = std::size_t{16} * 1024 * 1024;
     return json::parse(core::decompress(core::decode_base64(text), most_bytes));
 }
 
@@ -194,7 +194,7 @@
 }
 
 std::string leader_service::make_update(std::int64_t term, std::int64_t revision, std::int64_t config,
-                                        json fields)
+                                        const json& fields)
 {
     const auto now = clock::now();
     if (texts_revision_ != state_->current().revision || now - texts_made_ > text_lifetime)
@@ -286,7 +286,7 @@
     reply["config_revision"] = config_revision_;
     reply["registry_revision"] = registry_revision_;
     reply["store_failing"] = health_.failing_for(now).ms;
-    return is_behind ? make_update(term, revision, config, std::move(reply)) : reply.dump();
+    return is_behind ? make_update(term, revision, config, reply) : reply.dump();
 }
 
 void leader_service::on_own_report(const leader::router_report& report)
--- a/src/edge/internal/leader_service.hpp
+++ b/src/edge/internal/leader_service.hpp
@@ -75,7 +75,7 @@
     void take_news(const nlohmann::json& rows);
     /// A message with `fields` and with what a router does not know that has the given versions.
     std::string make_update(std::int64_t term, std::int64_t revision, std::int64_t config,
-                            nlohmann::json fields);
+                            const nlohmann::json& fields);
     nlohmann::json update_header() const;
     core::duration publish_interval() const;
     bool is_current() const { return !is_stopped_; }
--- a/src/edge/internal/leader_store.cpp
+++ b/src/edge/internal/leader_store.cpp
@@ -63,8 +63,8 @@
     }
     if (config_version_ == 0 && !packed_config_.empty())
     {
-        auto packed = packed_config_;
-        apply_config(unpack(packed), std::move(packed));
+        const auto packed = packed_config_;
+        apply_config(unpack(packed), packed);
     }
     config_revision_ = std::max(config_revision_, rows.revision);
     co_return rows.revision;
--- a/src/http/tests/http_tests.cpp
+++ b/src/http/tests/http_tests.cpp
@@ -132,13 +132,14 @@
 {
     asio::io_context context;
     std::optional<bool> was_departed;
-    http::server server(context.get_executor(), {"127.0.0.1", 0},
-                        http::watched_handler([&was_departed](http::request message, http::endpoint caller,
-                                                              std::shared_ptr<core::cancellation> departure)
-                                                  -> asio::awaitable<http::response> {
-                            was_departed = departure->is_cancelled();
-                            return echo(std::move(message), std::move(caller));
-                        }));
+    http::server server(
+        context.get_executor(), {"127.0.0.1", 0},
+        http::watched_handler([&was_departed](http::request message, http::endpoint caller,
+                                              const std::shared_ptr<core::cancellation>& departure)
+                                  -> asio::awaitable<http::response> {
+            was_departed = departure->is_cancelled();
+            return echo(std::move(message), std::move(caller));
+        }));
     asio::io_context caller_context;
     asio::ip::tcp::socket caller(caller_context);
     caller.connect({asio::ip::make_address("127.0.0.1"), server.port()});
--- a/src/routes/tests/route_table_tests.cpp
+++ b/src/routes/tests/route_table_tests.cpp
@@ -61,7 +61,8 @@
                 make_route("r" + std::to_string(i), "/p" + std::to_string(i) + "/", {{"a", 1}}));
         }
         route_table table;
-        BOOST_REQUIRE(table.apply(std::move(config)));
+        const bool is_applied = table.apply(std::move(config));
+        BOOST_REQUIRE(is_applied);
         const auto start = std::chrono::steady_clock::now();
         for (int i = 0; i < 20000; ++i)
         {
