Say once how a failed store call is noted, leadership is offered and a wait is ended

One function each for what stood in several places: a failed call to the store (five), the offer of the leadership (the leader's and that of a stopping router), the end of a session's wait, a caller's request in the cluster tests, the using lines of the member's files. Rows of assignments are kept as documents, which were made text and parsed again for each write and read. Drops accessors without a caller, a branch that could not matter and a template with one type.

--- a/src/directory/internal/owner_index.cpp
+++ b/src/directory/internal/owner_index.cpp
@@ -6,13 +6,11 @@
 
 namespace {
 
-template <class Number>
-void fill(std::vector<Number>& numbers, const keyspace::key_set& keys, std::size_t value)
+void fill(std::vector<std::uint16_t>& numbers, const keyspace::key_set& keys, std::uint16_t value)
 {
     for (const auto& range : keys)
     {
-        std::fill(numbers.begin() + range.first, numbers.begin() + range.last + 1,
-                  static_cast<Number>(value));
+        std::fill(numbers.begin() + range.first, numbers.begin() + range.last + 1, value);
     }
 }
 
@@ -59,9 +57,9 @@
     positions_[item.server.id] = place;
     auto& numbers = keys_[item.server.service];
     numbers.resize(keyspace::key_count);
-    const auto number = 1 + 2 * place;
+    const auto number = static_cast<owner_number>(1 + 2 * place);
     fill(numbers, keyspace::without(item.keys, item.withdrawn), number);
-    fill(numbers, item.withdrawn, number + 1);
+    fill(numbers, item.withdrawn, static_cast<owner_number>(number + 1));
 }
 
 void owner_index::collect_groups(const snapshot& known)
--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -86,7 +86,7 @@
             {
                 const auto name = row.key.substr(std::string(assignment_prefix).size());
                 assignment_versions_[name] = row.version;
-                state_->load_row({name, row.value.dump()}, row.version, now);
+                state_->load_row({name, row.value}, row.version, now);
             }
             for (const auto& [name, router] : former.routers)
             {
@@ -236,8 +236,7 @@
         const auto sent_revision = state_->current().revision;
         const auto sent_config = config_version_;
         const auto peer = router->second.peer;
-        auto message =
-            make_update(known.revision > 0 ? term_ : 0, known.revision, known.config, update_header());
+        auto message = make_update(term_, known.revision, known.config, update_header());
         try
         {
             const auto text = co_await surroundings_.send(peer, std::move(message), push_timeout);
@@ -302,7 +301,7 @@
     {
         state_->choose_deputies(clock::now());
         after_change();
-        co_await hand_over_to_stronger();
+        hand_over_to_stronger();
         if (clock::now() - confirmed_at_ > leadership_check && !is_writing_)
         {
             co_await check_leadership();
@@ -311,7 +310,7 @@
     }
 }
 
-asio::awaitable<void> leader_service::hand_over_to_stronger()
+void leader_service::hand_over_to_stronger()
 {
     const auto now = clock::now();
     const auto& current = state_->current();
@@ -319,20 +318,11 @@
     const bool is_due = now - last_handover_ > handover_interval && !health_.is_failing();
     if (!is_due || deputy == current.routers.end() || deputy->second.cpu < self_.cpu * handover_factor)
     {
-        co_return;
+        return;
     }
     last_handover_ = now;
     log_.write("leadership offered", {{"router", deputy->first}, {"cpu", deputy->second.cpu}});
-    const json message = {{"kind", "take over"}, {"term", term_}};
-    const auto peer = deputy->second.peer;
-    try
-    {
-        co_await surroundings_.send(peer, message.dump(), push_timeout);
-    }
-    catch (const core::error& failure)
-    {
-        log_.write("handover failed", {{"reason", failure.what()}});
-    }
+    surroundings_.offer_leadership(deputy->second.peer);
 }
 
 void leader_service::take_news(const json& rows)
--- a/src/edge/internal/leader_service.hpp
+++ b/src/edge/internal/leader_service.hpp
@@ -18,6 +18,8 @@
     std::function<void(routes::routing_config, const std::string& packed)> on_local_config;
     /// Sends a message to another router and returns its answer.
     std::function<core::asio::awaitable<std::string>(http::endpoint, std::string, core::duration)> send;
+    /// Asks another router to take over.
+    std::function<void(http::endpoint)> offer_leadership;
     std::function<void(const char* reason)> on_deposed;
 };
 
@@ -37,15 +39,8 @@
     std::string answer(const nlohmann::json& message);
     void on_own_report(const leader::router_report& report);
     std::int64_t term() const { return term_; }
-    std::int64_t config_version() const { return config_version_; }
     /// When the leadership was last known to be undisputed.
     core::time_point confirmed_at() const;
-    const directory::snapshot& current() const { return state_->current(); }
-    /// Until when earlier fronts' grants of this backend server may hold, from now.
-    core::duration foreign_hold(const std::string& id) const
-    {
-        return state_->foreign_hold(id, core::clock::now());
-    }
     bool is_started() const { return state_.has_value() && is_started_; }
 
 private:
@@ -70,7 +65,7 @@
     void apply_config(const nlohmann::json& document, std::string packed = {});
     void after_change();
     /// Offers the leadership to a deputy with a much larger share of a processor.
-    core::asio::awaitable<void> hand_over_to_stronger();
+    void hand_over_to_stronger();
     /// Rows that a deputy read and this leader has not.
     void take_news(const nlohmann::json& rows);
     /// A message with `fields` and with what a router does not know that has the given versions.
--- a/src/edge/internal/leader_store.cpp
+++ b/src/edge/internal/leader_store.cpp
@@ -146,11 +146,7 @@
         }
         catch (const core::error& failure)
         {
-            if (!health_.is_failing())
-            {
-                log_.write("store lost", {{"step", "registry"}, {"reason", failure.what()}});
-            }
-            health_.on_failure(clock::now());
+            note_store_failure(health_, log_, "registry", failure);
             pause = store_retry;
         }
         if (pause.ms > 0)
@@ -194,11 +190,7 @@
         }
         catch (const core::error& failure)
         {
-            if (!health_.is_failing())
-            {
-                log_.write("store lost", {{"step", "configuration"}, {"reason", failure.what()}});
-            }
-            health_.on_failure(clock::now());
+            note_store_failure(health_, log_, "configuration", failure);
             has_failed = true;
         }
         if (has_failed)
@@ -224,11 +216,7 @@
     }
     catch (const core::error& failure)
     {
-        if (!health_.is_failing())
-        {
-            log_.write("store lost", {{"step", "leadership"}, {"reason", failure.what()}});
-        }
-        health_.on_failure(clock::now());
+        note_store_failure(health_, log_, "leadership", failure);
     }
 }
 
@@ -242,8 +230,7 @@
         writes.emplace_back(leadership_key, row_version_, leadership_value(self_));
         for (const auto& row : rows)
         {
-            writes.emplace_back(assignment_prefix + row.name, assignment_versions_[row.name],
-                                json::parse(row.text));
+            writes.emplace_back(assignment_prefix + row.name, assignment_versions_[row.name], row.document);
         }
         store::commit_result result;
         bool is_answered = false;
--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -8,12 +8,6 @@
 
 namespace {
 
-namespace asio = core::asio;
-using core::clock;
-using internal::store_retry;
-using internal::store_timeout;
-using nlohmann::json;
-
 /// Three reports fit into the time after which the leader takes a router for lost.
 constexpr core::duration report_interval{350};
 constexpr core::duration report_timeout{450};
@@ -59,17 +53,7 @@
         {
             asio::co_spawn(
                 state_->executor,
-                [self = state_, peer = deputy->second.peer]() -> asio::awaitable<void> {
-                    const json message = {{"kind", "take over"}, {"term", self->known.term}};
-                    try
-                    {
-                        co_await self->network->send_message(peer, message.dump(), report_timeout);
-                    }
-                    catch (const core::error& failure)
-                    {
-                        self->log.write("handover failed", {{"reason", failure.what()}});
-                    }
-                },
+                [self = state_, peer = deputy->second.peer] { return self->offer_leadership(peer); },
                 asio::detached);
         }
     }
@@ -162,11 +146,7 @@
         }
         catch (const std::exception& failure)
         {
-            if (!health.is_failing())
-            {
-                log.write("store lost", {{"step", "join"}, {"reason", failure.what()}});
-            }
-            health.on_failure(clock::now());
+            internal::note_store_failure(health, log, "join", failure);
         }
         co_await core::pause_for(store_retry);
     }
--- a/src/edge/internal/member_deputy.cpp
+++ b/src/edge/internal/member_deputy.cpp
@@ -8,12 +8,6 @@
 
 namespace {
 
-namespace asio = core::asio;
-using core::clock;
-using internal::store_retry;
-using internal::store_timeout;
-using nlohmann::json;
-
 constexpr core::duration deputy_wait{2500};
 /// Registrations change often; a deputy gathers them.
 constexpr core::duration news_gather{300};
--- a/src/edge/internal/member_election.cpp
+++ b/src/edge/internal/member_election.cpp
@@ -7,13 +7,10 @@
 
 namespace {
 
-namespace asio = core::asio;
-using core::clock;
-using internal::store_timeout;
-using nlohmann::json;
-
 /// Routers try to become the leader one after the other, in an order that differs for each term.
 constexpr core::duration election_step{60};
+/// An offer takes as long as a report.
+constexpr core::duration offer_timeout{450};
 
 } // namespace
 
@@ -23,7 +20,7 @@
     // Routers with a small share of a processor come later.
     constexpr double strong_cpu = 0.5;
     constexpr double most_weak_steps = 6;
-    const auto weak_steps = std::clamp(strong_cpu / std::max(settings.cpu, 0.01) - 1, 0.0, most_weak_steps);
+    const auto weak_steps = std::clamp(strong_cpu / settings.cpu - 1, 0.0, most_weak_steps);
     const auto rank = core::text_hash(settings.name + std::to_string(known.term)) % most_steps +
                       static_cast<std::uint64_t>(weak_steps);
     const auto place = std::ranges::find(known.deputies, settings.name);
@@ -83,11 +80,7 @@
     }
     catch (const std::exception& failure)
     {
-        if (!health.is_failing())
-        {
-            log.write("store lost", {{"step", "election"}, {"reason", failure.what()}});
-        }
-        health.on_failure(clock::now());
+        internal::note_store_failure(health, log, "election", failure);
     }
     is_electing = false;
 }
@@ -133,6 +126,14 @@
         const auto link = state->network;
         co_return co_await link->send_message(std::move(peer), std::move(text), timeout);
     };
+    outside.offer_leadership = [weak = weak_from_this()](http::endpoint peer) {
+        if (const auto state = weak.lock())
+        {
+            asio::co_spawn(
+                state->executor, [state, peer = std::move(peer)] { return state->offer_leadership(peer); },
+                asio::detached);
+        }
+    };
     outside.on_deposed = [weak = weak_from_this()](const char* why) {
         if (const auto state = weak.lock())
         {
@@ -145,6 +146,21 @@
         executor, [service = leading, former = known] { return service->start(former); }, asio::detached);
 }
 
+asio::awaitable<void> member::state::offer_leadership(http::endpoint peer)
+{
+    const auto self_reference = shared_from_this();
+    const auto link = network;
+    const json message = {{"kind", "take over"}, {"term", known.term}};
+    try
+    {
+        co_await link->send_message(std::move(peer), message.dump(), offer_timeout);
+    }
+    catch (const core::error& failure)
+    {
+        log.write("handover failed", {{"reason", failure.what()}});
+    }
+}
+
 void member::state::step_down(const char* reason)
 {
     if (!leading)
--- a/src/edge/internal/member_state.hpp
+++ b/src/edge/internal/member_state.hpp
@@ -6,6 +6,12 @@
 
 namespace briarfold::edge {
 
+namespace asio = core::asio;
+using core::clock;
+using internal::store_retry;
+using internal::store_timeout;
+using nlohmann::json;
+
 struct member::state : std::enable_shared_from_this<member::state>
 {
     state(core::asio::any_io_executor base, settings::edge_settings values, const protocol& names,
@@ -14,9 +20,10 @@
     core::asio::awaitable<void> run();
     /// Reads or creates the secret that all routers share.
     core::asio::awaitable<std::string> learn_secret();
-    core::asio::awaitable<void> learn_leader();
     core::asio::awaitable<void> report();
     core::asio::awaitable<void> elect(const char* reason);
+    /// Asks another router to take over from this leader.
+    core::asio::awaitable<void> offer_leadership(http::endpoint peer);
     bool is_deputy() const;
     /// Reads the changes of "config" or "registry" for the case that the leader cannot.
     core::asio::awaitable<void> watch_as_deputy(std::string table);
@@ -29,7 +36,6 @@
     void apply_update(const nlohmann::json& message);
     leader::router_report make_report();
     core::duration election_delay() const;
-    std::int64_t config_version() const { return known_config_version; }
 
     core::asio::any_io_executor executor;
     settings::edge_settings settings;
--- a/src/edge/internal/store_health.hpp
+++ b/src/edge/internal/store_health.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "core/clock.hpp"
+#include "edge/event_log.hpp"
 
+#include <exception>
 #include <optional>
 
 namespace briarfold::edge::internal {
@@ -22,7 +24,6 @@
             recovered_at_ = now;
         }
         failing_since_.reset();
-        last_success_ = now;
     }
     void on_failure(core::time_point now)
     {
@@ -37,7 +38,6 @@
     {
         return failing_since_ ? now - *failing_since_ : core::duration{0};
     }
-    core::time_point last_success() const { return last_success_; }
     /// Whether it failed now or within `span` before.
     bool was_failing(core::duration span, core::time_point now) const
     {
@@ -47,7 +47,17 @@
 private:
     std::optional<core::time_point> failing_since_;
     std::optional<core::time_point> recovered_at_;
-    core::time_point last_success_;
 };
 
+/// Counts a failed call and logs the first one after a success. `step` is what the call was for.
+inline void note_store_failure(store_health& health, event_log& log, const char* step,
+                               const std::exception& failure)
+{
+    if (!health.is_failing())
+    {
+        log.write("store lost", {{"step", step}, {"reason", failure.what()}});
+    }
+    health.on_failure(core::clock::now());
+}
+
 } // namespace briarfold::edge::internal
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -79,11 +79,10 @@
     /// Raises `departure` when the caller closes the connection while its request is being answered.
     static void watch_departure(const std::shared_ptr<session>& connection,
                                 const std::shared_ptr<core::cancellation>& departure);
-    /// Ends the session's wait for a request. A request that was already read is still answered, whether or
-    /// not its coroutine has resumed.
-    static void end_wait(const std::shared_ptr<session>& connection);
-    /// Ends the session's read or write when it has waited for the caller for longer than `idle`.
-    static void end_overdue_wait(const std::shared_ptr<session>& connection, core::duration idle);
+    /// Ends the session's read or write when `is_due` holds on its strand. A request that was already read is
+    /// still answered, whether or not its coroutine has resumed.
+    static void end_wait(const std::shared_ptr<session>& connection,
+                         std::function<bool(const session&)> is_due);
     void close_acceptor();
     void close_idle_sessions();
     void close_all_sessions();
@@ -190,35 +189,25 @@
     });
 }
 
-void server::state::end_wait(const std::shared_ptr<session>& connection)
+void server::state::end_wait(const std::shared_ptr<session>& connection,
+                             std::function<bool(const session&)> is_due)
 {
-    asio::post(connection->stream.get_executor(), [connection] {
-        if (connection->is_busy)
+    asio::post(connection->stream.get_executor(), [connection, is_due = std::move(is_due)] {
+        if (is_due(*connection))
         {
-            return;
-        }
-        error_code ignored;
-        connection->stream.socket().cancel(ignored);
-    });
-}
-
-void server::state::end_overdue_wait(const std::shared_ptr<session>& connection, core::duration idle)
-{
-    asio::post(connection->stream.get_executor(), [connection, idle] {
-        const auto since = connection->waiting_since_ms;
-        if (since == 0 || core::clock::now().ms - since <= idle.ms)
-        {
-            return;
+            error_code ignored;
+            connection->stream.socket().cancel(ignored);
         }
-        error_code ignored;
-        connection->stream.socket().cancel(ignored);
     });
 }
 
 void server::state::close_idle_sessions()
 {
     const std::scoped_lock lock(mutex);
-    std::ranges::for_each(sessions, end_wait);
+    for (const auto& connection : sessions)
+    {
+        end_wait(connection, [](const session& item) { return !item.is_busy; });
+    }
 }
 
 void server::state::close_all_sessions()
@@ -279,7 +268,10 @@
         const std::scoped_lock lock(mutex);
         for (const auto& connection : sessions)
         {
-            end_overdue_wait(connection, limits.idle);
+            end_wait(connection, [idle = limits.idle](const session& item) {
+                const auto since = item.waiting_since_ms;
+                return since != 0 && core::clock::now().ms - since > idle.ms;
+            });
         }
     }
 }
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -36,10 +36,9 @@
 
 void leader_state::load_row(const assignment_row& row, std::int64_t version, core::time_point now)
 {
-    const auto document = nlohmann::json::parse(row.text);
     const auto service = row.name.substr(0, row.name.rfind('/'));
     initialized_.insert(service);
-    for (const auto& item : document.at("servers"))
+    for (const auto& item : row.document.at("servers"))
     {
         directory::entry entry;
         entry.server.id = item.at(0).get<std::string>();
@@ -290,8 +289,7 @@
     rows.reserve(lists.size());
     for (auto& [name, list] : lists)
     {
-        const nlohmann::json document = {{"servers", std::move(list)}};
-        rows.push_back({name, document.dump()});
+        rows.push_back({name, {{"servers", std::move(list)}}});
     }
     return rows;
 }
--- a/src/leader/leader_types.hpp
+++ b/src/leader/leader_types.hpp
@@ -51,7 +51,7 @@
 {
     /// Service and number of the part, as `service/7`.
     std::string name;
-    std::string text;
+    nlohmann::json document;
 
     bool operator==(const assignment_row&) const = default;
 };
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -274,7 +274,7 @@
     BOOST_CHECK_GT(stored.size(), 1U);
     for (const auto& [name, row] : stored)
     {
-        BOOST_CHECK_LT(row.text.size(), most_bytes);
+        BOOST_CHECK_LT(row.document.dump().size(), most_bytes);
     }
     const auto keys = entry("s7").keys;
     BOOST_REQUIRE(!keys.empty());
--- a/standins/edge/tests/edge_cluster.hpp
+++ b/standins/edge/tests/edge_cluster.hpp
@@ -148,6 +148,16 @@
         }
     }
 
+    static http::request make_request(const std::string& attempt, bool is_idempotent, std::uint32_t key)
+    {
+        http::request message(is_idempotent ? "GET" : "POST", is_idempotent ? "/keyed/x" : "/write/x");
+        message.headers.emplace_back("Host", "h.example");
+        message.headers.emplace_back("Briarfold-Attempt-Id", attempt);
+        message.headers.emplace_back("Briarfold-Deadline-Ms", "2000");
+        message.headers.emplace_back("Briarfold-Shard-Key", std::to_string(key));
+        return message;
+    }
+
     core::asio::awaitable<void> client(std::size_t number, core::time_point end)
     {
         std::size_t turn = number;
@@ -156,14 +166,9 @@
             call_record record;
             record.attempt = "q" + std::to_string(number) + "-" + std::to_string(++turn);
             record.is_idempotent = turn % 2 == 0;
-            http::request message(record.is_idempotent ? "GET" : "POST",
-                                  record.is_idempotent ? "/keyed/x" : "/write/x");
-            message.headers.emplace_back("Host", "h.example");
-            message.headers.emplace_back("Briarfold-Attempt-Id", record.attempt);
-            message.headers.emplace_back("Briarfold-Deadline-Ms", "2000");
             constexpr std::size_t key_step = 7919;
-            message.headers.emplace_back("Briarfold-Shard-Key",
-                                         std::to_string(turn * key_step % keyspace::key_count));
+            auto message = make_request(record.attempt, record.is_idempotent,
+                                        static_cast<std::uint32_t>(turn * key_step % keyspace::key_count));
             const auto peer = settings[turn % settings.size()].frontend;
             record.sent = core::clock::now();
             try
--- a/standins/edge/tests/edge_cluster_tests.cpp
+++ b/standins/edge/tests/edge_cluster_tests.cpp
@@ -240,11 +240,8 @@
         for (int i = 0; i < count; ++i)
         {
             const auto attempt = prefix + std::to_string(i);
-            http::request message("POST", "/write/x");
-            message.headers = {{"Host", "h.example"},
-                               {"Briarfold-Attempt-Id", attempt},
-                               {"Briarfold-Deadline-Ms", "2000"},
-                               {"Briarfold-Shard-Key", "77"}};
+            constexpr std::uint32_t key = 77;
+            auto message = edge_cluster::make_request(attempt, false, key);
             core::asio::co_spawn(cluster.context, ask(attempt, std::move(message)), core::asio::detached);
         }
     };
