Free keys only by the answer to the last release and by reports of the present withdrawal

Change: each call has a sequence number and only the release in flight frees keys; the bound of earlier fronts ends only by an accepted grant; a report states the directory that it was made from; bounds only grow.

Result: four tests, each failed before the change it covers.

--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -271,7 +271,11 @@
 
 std::string leader_service::handle_report(const json& message)
 {
-    const auto report = leader::report_from_json(message.at("report"));
+    auto report = leader::report_from_json(message.at("report"));
+    const auto term = message.at("term").get<std::int64_t>();
+    const auto revision = message.at("revision").get<std::int64_t>();
+    report.term = term;
+    report.revision = revision;
     const auto now = clock::now();
     state_->on_report(report, now);
     if (message.contains("news"))
@@ -279,8 +283,6 @@
         apply_deputy_rows(message.at("news"));
     }
     propagate_changes();
-    const auto term = message.at("term").get<std::int64_t>();
-    const auto revision = message.at("revision").get<std::int64_t>();
     const auto config = message.at("config").get<std::int64_t>();
     auto& recipient = followers_[report.router.name];
     const bool is_behind = term != term_ || revision < state_->current().revision || config < config_version_;
--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -229,6 +229,8 @@
 {
     leader::router_report result;
     result.router = self;
+    result.term = snapshot.term;
+    result.revision = snapshot.revision;
     callbacks.fill_report(result);
     return result;
 }
--- a/src/grants/internal/server_grants.cpp
+++ b/src/grants/internal/server_grants.cpp
@@ -136,7 +136,9 @@
         if (item.release == release_state::pending && may_hold_keys && is_idle)
         {
             item.release = release_state::in_flight;
-            return grant_call{call_kind::release, item.range, token_base_ + token_step_, {}, "", now};
+            item.release_sequence = ++last_sequence_;
+            return grant_call{call_kind::release, item.range, token_base_ + token_step_, {}, "", now,
+                              last_sequence_};
         }
     }
     if (!may_grant)
@@ -149,8 +151,8 @@
         if (item.release == release_state::none && is_due && !item.is_in_flight && item.retry_at <= now)
         {
             item.is_in_flight = true;
-            return grant_call{call_kind::grant, item.range,    token_base_ + token_step_,
-                              valid_for,        item.handover, now};
+            return grant_call{call_kind::grant, item.range, token_base_ + token_step_, valid_for,
+                              item.handover,    now,        ++last_sequence_};
         }
     }
     return std::nullopt;
@@ -208,19 +210,30 @@
     }
 }
 
+bool server_grants::is_current_release(const range_state& item, const grant_call& call)
+{
+    return item.release == release_state::in_flight && item.release_sequence == call.sequence;
+}
+
 void server_grants::on_released(const grant_call& call, const std::string& handover, core::time_point now)
 {
     split_at(call.range);
     for (auto& item : ranges_)
     {
-        if (keyspace::covers({call.range}, {item.range}) && item.release != release_state::none)
+        if (!keyspace::covers({call.range}, {item.range}) || !is_current_release(item, call))
+        {
+            continue;
+        }
+        item.release = release_state::done;
+        item.valid_until = now;
+        // Without an accepted grant of this front, the backend server may not know its token, and an earlier
+        // front may still renew.
+        if (item.is_granted)
         {
-            item.release = release_state::done;
-            item.is_granted = false;
-            item.valid_until = now;
             item.latest_end = now;
             item.handover = handover;
         }
+        item.is_granted = false;
     }
 }
 
@@ -238,7 +251,7 @@
             continue;
         }
         item.retry_at = now + retry_delay;
-        if (item.release == release_state::in_flight && call.kind == call_kind::release)
+        if (is_current_release(item, call))
         {
             item.release = release_state::pending;
         }
--- a/src/grants/server_grants.hpp
+++ b/src/grants/server_grants.hpp
@@ -27,6 +27,8 @@
     core::duration valid_for;
     std::string handover;
     core::time_point sent;
+    /// Rises with each call to the backend server, so that a late answer is told from that of a later call.
+    std::int64_t sequence = 0;
 
     bool operator==(const grant_call&) const = default;
 };
@@ -97,6 +99,9 @@
         core::time_point unanswered_latest_end;
         std::string handover;
         release_state release = release_state::none;
+        /// Sequence of the release that is or was in flight. Only its answer shows that the keys are free: an
+        /// earlier release may be answered after a later grant.
+        std::int64_t release_sequence = 0;
         core::time_point retry_at;
     };
 
@@ -105,12 +110,14 @@
     void add_missing_ranges(const directory::entry& entry, core::time_point latest_end);
     range_state* find(const keyspace::key_range& range);
     static core::time_point free_from(const range_state& item);
+    static bool is_current_release(const range_state& item, const grant_call& call);
     /// Marks the grant of these keys as no longer in flight, whatever its outcome.
     void clear_in_flight(const keyspace::key_range& range);
 
     std::int64_t start_time_ms_ = 0;
     std::int64_t token_base_ = 0;
     std::int64_t token_step_ = 0;
+    std::int64_t last_sequence_ = 0;
     std::vector<range_state> ranges_;
 };
 
--- a/src/grants/tests/server_grants_tests.cpp
+++ b/src/grants/tests/server_grants_tests.cpp
@@ -77,6 +77,54 @@
     BOOST_CHECK_EQUAL(freed.front().handover, "token");
 }
 
+// Guards against two owners: a release that was answered only after its keys had been granted again, because
+// a new leader did not withdraw them, was taken as the answer to the next release, and the keys went to
+// another backend server while the grant was in force.
+BOOST_AUTO_TEST_CASE(late_answer_of_an_earlier_release_frees_nothing)
+{
+    auto entry = make_entry({{0, 99}});
+    server_grants grants(entry, now);
+    grant_all(grants);
+    entry.withdrawn = {{0, 99}};
+    ++entry.revision;
+    grants.update(entry, now);
+    const auto first_release = next(grants);
+    // The next leader does not know of the withdrawal.
+    entry.withdrawn.clear();
+    entry.token_base = 200;
+    grants.update(entry, now);
+    grant_all(grants);
+    entry.withdrawn = {{0, 99}};
+    grants.update(entry, now);
+    now = now + duration{500};
+    grants.on_released(first_release, "token", now);
+    BOOST_CHECK(grants.freed(now).empty());
+    const auto second_release = next(grants);
+    grants.on_released(first_release, "token", now);
+    BOOST_CHECK(grants.freed(now).empty());
+    grants.on_released(second_release, "token", now);
+    BOOST_CHECK_EQUAL(grants.freed(now).size(), 1U);
+}
+
+// Guards against two owners: after a release that followed a lost grant the keys counted as free at the end
+// of that grant, although an earlier front, which the backend server had not been told to reject, could
+// renew.
+BOOST_AUTO_TEST_CASE(release_without_an_accepted_grant_waits_for_earlier_fronts)
+{
+    auto entry = make_entry({{0, 99}});
+    entry.prior_grant_remaining = duration{12000};
+    server_grants grants(entry, now);
+    grants.on_lost(next(grants), now);
+    entry.withdrawn = {{0, 99}};
+    grants.update(entry, now);
+    now = now + duration{200};
+    const auto release = next(grants);
+    BOOST_REQUIRE(release.kind == call_kind::release);
+    grants.on_released(release, "token", now);
+    BOOST_CHECK(grants.freed(now + duration{11000}).empty());
+    BOOST_CHECK_EQUAL(grants.freed(now + duration{12000}).size(), 1U);
+}
+
 // Guards against two owners: a grant whose answer was lost may be applied at any time until its connection
 // was reset, and is then valid for its duration by a clock that may run slow.
 BOOST_AUTO_TEST_CASE(a_lost_grant_keeps_its_keys_until_its_latest_end)
--- a/src/leader/internal/front_assignment.cpp
+++ b/src/leader/internal/front_assignment.cpp
@@ -147,6 +147,10 @@
     ++state.front_changes;
     update_token_base(id);
     bump_revision(id);
+    for (auto& item : state.withdrawals)
+    {
+        item.revision = entry.revision;
+    }
 }
 
 void leader_state::assign_fronts(core::time_point now)
--- a/src/leader/internal/key_assignment.cpp
+++ b/src/leader/internal/key_assignment.cpp
@@ -85,7 +85,8 @@
     mark_dirty(id);
 }
 
-void leader_state::on_keys_freed(const freed_report& report, const std::string& router, core::time_point now)
+void leader_state::on_keys_freed(const freed_report& report, const std::string& router, std::int64_t revision,
+                                 core::time_point now)
 {
     const auto position = published_.entries.find(report.backend_server);
     if (position == published_.entries.end() || position->second.front != router)
@@ -94,10 +95,19 @@
     }
     auto& state = entry_states_[report.backend_server];
     const auto& entry = position->second;
+    // A report that was delayed may speak of an earlier withdrawal of keys that were granted again since.
+    keyspace::key_set known;
+    for (const auto& item : state.withdrawals)
+    {
+        if (item.revision <= revision)
+        {
+            known.push_back(item.range);
+        }
+    }
+    const auto withdrawn = keyspace::set_intersection(keyspace::normalized(known), entry.withdrawn);
     // A front repeats its report until the directory no longer lists the keys.
     const auto newly_freed = keyspace::set_difference(
-        keyspace::set_intersection(keyspace::set_intersection({report.range}, entry.withdrawn),
-                                   state.next_keys),
+        keyspace::set_intersection(keyspace::set_intersection({report.range}, withdrawn), state.next_keys),
         state.freed);
     for (const auto& range : newly_freed)
     {
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -179,7 +179,8 @@
             const auto until = grants::latest_grant_end(now, settings_.max_grant_duration);
             for (const auto& id : servers_by_front_[name])
             {
-                entry_states_[id].prior_grants_until = until;
+                auto& prior_grants_until = entry_states_[id].prior_grants_until;
+                prior_grants_until = std::max(prior_grants_until, until);
                 bump_revision(id);
             }
         }
@@ -199,7 +200,11 @@
             }
         }
     }
-    std::ranges::for_each(report.freed, [&](const auto& item) { on_keys_freed(item, name, now); });
+    if (report.term == published_.term)
+    {
+        std::ranges::for_each(report.freed,
+                              [&](const auto& item) { on_keys_freed(item, name, report.revision, now); });
+    }
 }
 
 void leader_state::update_entries(const router_report& report, core::time_point now)
@@ -250,6 +255,10 @@
     entry.withdrawn = keyspace::set_union(entry.withdrawn, added);
     on_decision_("keys withdrawn", id, {{"keys", directory::to_json(added)}, {"reason", reason}});
     bump_revision(id);
+    auto& withdrawals = entry_states_[id].withdrawals;
+    std::ranges::transform(added, std::back_inserter(withdrawals), [&](const auto& range) {
+        return withdrawal{range, entry.revision};
+    });
 }
 
 std::vector<assignment_row> leader_state::take_pending_rows()
@@ -316,6 +325,9 @@
         entry.keys = written.keys;
         entry.withdrawn = keyspace::set_intersection(entry.withdrawn, entry.keys);
         state.freed = keyspace::set_intersection(state.freed, entry.keys);
+        std::erase_if(state.withdrawals, [&](const withdrawal& item) {
+            return keyspace::set_intersection({item.range}, entry.withdrawn).empty();
+        });
         entry.handovers = written.handovers;
         state.version = version;
         state.front_changes = 0;
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -83,11 +83,19 @@
     std::size_t unassigned_keys() const;
 
 private:
+    struct withdrawal
+    {
+        keyspace::key_range range;
+        /// Revision of the directory from which the present front knows of the withdrawal.
+        std::int64_t revision = 0;
+    };
+
     struct entry_state
     {
         /// Keys that the next write stores.
         keyspace::key_set next_keys;
         std::vector<directory::handover> next_handovers;
+        std::vector<withdrawal> withdrawals;
         keyspace::key_set freed;
         core::time_point listed_at;
         std::optional<core::time_point> unregistered_at;
@@ -139,7 +147,9 @@
     void assign_unowned_keys(core::time_point now);
     void plan_moves(core::time_point now);
     void remove_unregistered();
-    void on_keys_freed(const freed_report& report, const std::string& router, core::time_point now);
+    /// `revision` is that of the directory that the front had applied.
+    void on_keys_freed(const freed_report& report, const std::string& router, std::int64_t revision,
+                       core::time_point now);
     void reassign_freed_keys(const keyspace::key_range& range, const std::string& handover,
                              const std::string& from, core::time_point now);
     void assign_keys(const std::string& id, const keyspace::key_range& range, const std::string& handover);
--- a/src/leader/tests/leader_fixture.hpp
+++ b/src/leader/tests/leader_fixture.hpp
@@ -59,6 +59,8 @@
         message.router = make_router(name, name == "r2" ? "b" : "a", incarnation);
         message.freed = std::move(freed);
         message.unreachable = std::move(unreachable);
+        message.term = state->current().term;
+        message.revision = state->current().revision;
         state->on_report(message, now);
     }
 
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -90,6 +90,51 @@
     BOOST_CHECK(entry("s0").keys == keys);
 }
 
+// Guards against two owners: a report that reached the leader late freed keys that were granted again since.
+// The front had made it under a former leader, which had withdrawn the same keys, or before they were last
+// withdrawn.
+BOOST_AUTO_TEST_CASE(reports_made_before_the_withdrawal_free_no_keys)
+{
+    start(3);
+    const auto keys = entry("s0").keys;
+    router_report late;
+    late.router = make_router(entry("s0").front, entry("s0").front == "r2" ? "b" : "a");
+    late.freed = {{"s0", keys.front(), ""}};
+    late.term = state->current().term;
+    late.revision = state->current().revision;
+    auto leaving = make_server("s0");
+    leaving.is_draining = true;
+    state->on_registered(leaving, now);
+    state->tick(now);
+    BOOST_REQUIRE(entry("s0").withdrawn == keys);
+    state->on_report(late, now);
+    BOOST_CHECK_EQUAL(write(), 0U);
+    late.revision = state->current().revision;
+    late.term = state->current().term - 1;
+    state->on_report(late, now);
+    BOOST_CHECK_EQUAL(write(), 0U);
+    late.term = state->current().term;
+    state->on_report(late, now);
+    BOOST_CHECK_GT(write(), 0U);
+    BOOST_CHECK(entry("s0").keys.empty());
+}
+
+// Guards against a bound that a restart of the stored front shortens: another router may have been the last
+// front, since fronts change without a write.
+BOOST_AUTO_TEST_CASE(a_restarted_front_does_not_shorten_the_bound_of_earlier_grants)
+{
+    start(2);
+    const auto rows = stored;
+    restart(1000);
+    for (const auto& [name, row] : rows)
+    {
+        state->load_row(row, 1, now);
+    }
+    const auto bound = state->prior_grant_remaining("s0", now);
+    report(entry("s0").front, {}, {}, "2");
+    BOOST_CHECK(state->prior_grant_remaining("s0", now) == bound);
+}
+
 // Guards against a silent front that keeps its backend servers. Another front gets them without a write, with
 // a higher token and with the time for which grants of the silent front may still be valid.
 BOOST_AUTO_TEST_CASE(a_silent_front_is_replaced_without_a_write)
@@ -309,6 +354,8 @@
         now = now + duration{step_ms};
         router_report message;
         message.router = make_router("r1");
+        message.term = state->current().term;
+        message.revision = state->current().revision;
         for (std::uint32_t key = 0; key < busy_keys; key += 4)
         {
             message.work["keyed"].push_back({key, load * step_ms * 4 / busy_keys});
