Push directory changes a few at a time, compressed, and replace a leader only when others miss it too

Any change of one router sent the list of all; balancing looked at each backend server for each router and moved one in 250 ms.

Change: answers to reports carry no changes; pushes do, at most 32 at a time, one compressed message for all routers with the same versions. Updates list the changed routers only. A report interval that grows with the number of routers. A router that misses the leader asks deputies and a router of each zone before it stands for election; deputies have a head start, weak routers stand last. Balancing moves up to one in 40 backend servers a round and compares the best router of each zone. From 30 routers on the leader is no front. A router is confirmed only when it knows each front role taken from it, and a former front counts as renewing until its confirmation expires.

--- a/src/directory/directory_types.hpp
+++ b/src/directory/directory_types.hpp
@@ -106,10 +106,24 @@
     bool is_full_snapshot = false;
     /// Minimum revision of the receiver, unless the update is a full snapshot.
     std::int64_t base = 0;
-    /// Holds the changed entries only. `routers` holds all routers, or none if `has_routers` is false.
+    /// Holds the changed entries and routers only.
     snapshot changed;
-    bool has_routers = true;
     std::vector<std::string> removed;
+    std::vector<std::string> removed_routers;
+
+    bool has_routers() const
+    {
+        return is_full_snapshot || !changed.routers.empty() || !removed_routers.empty();
+    }
+};
+
+/// Revisions of changes that a snapshot does not show by itself.
+struct change_log
+{
+    /// Revision at which an entry was removed, by id.
+    std::map<std::string, std::int64_t> removed;
+    /// Revision of the last change of a router, by name; also of its removal.
+    std::map<std::string, std::int64_t> routers;
 };
 
 nlohmann::json to_json(const entry& value);
@@ -122,10 +136,9 @@
 update update_from_json(const nlohmann::json& value);
 keyspace::key_set keys_from_json(const nlohmann::json& value);
 
-/// Returns the changes since `revision`, or the full snapshot if `term` is not the current one. `removed_at`
-/// has the revision at which each removed entry was removed.
-update make_update(const snapshot& current, const std::map<std::string, std::int64_t>& removed_at,
-                   std::int64_t term, std::int64_t revision);
+/// Returns the changes since `revision`, or the full snapshot if `term` is not the current one.
+update make_update(const snapshot& current, const change_log& changes, std::int64_t term,
+                   std::int64_t revision);
 /// Applies an update and returns true. Returns false and changes nothing if the update is of an earlier term
 /// or does not follow on from `current`, so that a full snapshot is needed.
 bool apply(snapshot& current, const update& change);
--- a/src/directory/internal/directory_json.cpp
+++ b/src/directory/internal/directory_json.cpp
@@ -123,7 +123,7 @@
                    {"entries", std::move(entries)},
                    {"removed", value.removed},
                    {"routers_rev", value.changed.routers_revision}};
-    if (value.has_routers)
+    if (value.has_routers())
     {
         auto routers = json::array();
         for (const auto& [name, item] : value.changed.routers)
@@ -131,6 +131,7 @@
             routers.push_back(to_json(item));
         }
         result["routers"] = std::move(routers);
+        result["removed_routers"] = value.removed_routers;
     }
     return result;
 }
@@ -151,9 +152,9 @@
         result.changed.entries.emplace(parsed.server.id, std::move(parsed));
     }
     result.changed.routers_revision = value.at("routers_rev").get<std::int64_t>();
-    result.has_routers = value.contains("routers");
-    if (result.has_routers)
+    if (value.contains("routers"))
     {
+        result.removed_routers = value.at("removed_routers").get<std::vector<std::string>>();
         for (const auto& item : value.at("routers"))
         {
             auto parsed = router_from_json(item);
--- a/src/directory/internal/update.cpp
+++ b/src/directory/internal/update.cpp
@@ -5,8 +5,8 @@
 
 namespace briarfold::directory {
 
-update make_update(const snapshot& current, const std::map<std::string, std::int64_t>& removed_at,
-                   std::int64_t term, std::int64_t revision)
+update make_update(const snapshot& current, const change_log& changes, std::int64_t term,
+                   std::int64_t revision)
 {
     update change;
     change.is_full_snapshot = term != current.term;
@@ -21,14 +21,24 @@
     change.changed.routers_revision = current.routers_revision;
     change.changed.leader = current.leader;
     change.changed.deputies = current.deputies;
-    change.has_routers = current.routers_revision > revision;
-    if (change.has_routers)
+    for (const auto& [name, at] : changes.routers)
     {
-        change.changed.routers = current.routers;
+        if (at <= revision)
+        {
+            continue;
+        }
+        if (const auto known = current.routers.find(name); known != current.routers.end())
+        {
+            change.changed.routers.insert(*known);
+        }
+        else
+        {
+            change.removed_routers.push_back(name);
+        }
     }
     std::ranges::copy_if(current.entries, std::inserter(change.changed.entries, change.changed.entries.end()),
                          [revision](const auto& item) { return item.second.revision > revision; });
-    for (const auto& [id, at] : removed_at)
+    for (const auto& [id, at] : changes.removed)
     {
         if (at > revision)
         {
@@ -56,9 +66,14 @@
     current.revision = std::max(current.revision, change.changed.revision);
     current.leader = change.changed.leader;
     current.deputies = change.changed.deputies;
-    if (change.has_routers)
+    // An older update that arrives late must not restore former states of routers.
+    if (change.has_routers() && change.changed.routers_revision >= current.routers_revision)
     {
-        current.routers = change.changed.routers;
+        for (const auto& [name, item] : change.changed.routers)
+        {
+            current.routers[name] = item;
+        }
+        std::ranges::for_each(change.removed_routers, [&](const auto& name) { current.routers.erase(name); });
         current.routers_revision = change.changed.routers_revision;
     }
     for (const auto& [id, item] : change.changed.entries)
--- a/src/edge/internal/entry.cpp
+++ b/src/edge/internal/entry.cpp
@@ -77,7 +77,7 @@
 
 void entry::apply(const directory::snapshot& snapshot, const directory::update& change)
 {
-    if (change.has_routers)
+    if (change.has_routers())
     {
         router_peers_.clear();
         router_zones_.clear();
--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -1,7 +1,7 @@
 #include "edge/internal/leader_service.hpp"
 
-#include "core/encoding.hpp"
 #include "core/pause.hpp"
+#include "edge/internal/peer_message.hpp"
 
 #include <algorithm>
 
@@ -22,16 +22,25 @@
 constexpr double push_cost_ms = 0.1;
 /// Maximum share of its processor that a leader spends on pushes.
 constexpr double max_push_share = 0.2;
+/// Processor time to answer one report.
+constexpr double report_cost_ms = 0.1;
+/// Maximum share of its processor that a leader spends on reports.
+constexpr double max_report_share = 0.15;
+constexpr core::duration min_report_interval{350};
+constexpr core::duration max_report_interval{1200};
 /// Reports arrive up to a few hundred times per second; the changes that they cause are evaluated at most
 /// once per this interval.
 constexpr core::duration min_tick_interval{15};
 /// Maximum age of a cached update. Remaining times in an update count from its receipt, so caching extends
 /// them.
-constexpr core::duration text_lifetime{100};
+constexpr core::duration update_lifetime{100};
 constexpr core::duration write_interval{60};
 /// The leadership is checked in the store when no write has confirmed it for this time.
 constexpr core::duration leadership_check{4000};
 constexpr core::duration push_timeout{700};
+/// Pushes at the same time. After a start or a change of leader every router needs the whole directory; sent
+/// to all at once, it would delay the leader's answers to reports until they time out.
+constexpr std::size_t max_running_pushes = 32;
 /// Without the store, the leadership counts as undisputed for this time, or while every router follows this
 /// leader.
 constexpr core::duration max_storeless_leadership{10000};
@@ -45,18 +54,6 @@
 
 } // namespace
 
-std::string pack(const json& document)
-{
-    return core::encode_base64(core::compress(document.dump()));
-}
-
-json unpack(const std::string& text)
-{
-    // A configuration of 1,700 routes has 300 KB; the limit protects the memory of a small instance.
-    constexpr std::size_t max_bytes = std::size_t{16} * 1024 * 1024;
-    return json::parse(core::decompress(core::decode_base64(text), max_bytes));
-}
-
 json leadership_value(const directory::router& self)
 {
     return {{"router", directory::to_json(self)}};
@@ -149,6 +146,7 @@
     if (now - last_tick_ >= min_tick_interval)
     {
         last_tick_ = now;
+        state_->set_report_interval(report_interval());
         state_->tick(now);
     }
     if (!is_writing_ && now - last_write_ >= write_interval)
@@ -179,17 +177,29 @@
         published_config_ = config_version_;
         callbacks_.on_directory_change(*state_);
     }
-    for (auto& [name, recipient] : followers_)
-    {
+    start_pushes();
+}
+
+void leader_service::start_pushes()
+{
+    const auto& current = state_->current();
+    const auto start = followers_.upper_bound(last_pushed_);
+    const auto try_push = [&](auto& item) {
+        auto& [name, recipient] = item;
         const bool is_behind = recipient.revision < current.revision || recipient.config < config_version_;
-        if (is_behind && !recipient.is_pushing && current.routers.contains(name))
+        if (running_pushes_ >= max_running_pushes || !is_behind || recipient.is_pushing ||
+            recipient.revision < 0 || !current.routers.contains(name))
         {
-            recipient.is_pushing = true;
-            asio::co_spawn(
-                executor_, [self = shared_from_this(), name = name] { return self->push(name); },
-                asio::detached);
+            return;
         }
-    }
+        recipient.is_pushing = true;
+        ++running_pushes_;
+        last_pushed_ = name;
+        asio::co_spawn(
+            executor_, [self = shared_from_this(), name = name] { return self->push(name); }, asio::detached);
+    };
+    std::for_each(start, followers_.end(), try_push);
+    std::for_each(followers_.begin(), start, try_push);
 }
 
 core::duration leader_service::publish_interval() const
@@ -199,31 +209,36 @@
     return std::max(min_publish_interval, core::duration{static_cast<std::int64_t>(needed)});
 }
 
-std::string leader_service::make_update(std::int64_t term, std::int64_t revision, std::int64_t config,
-                                        const json& fields)
+core::duration leader_service::report_interval() const
+{
+    const auto routers = static_cast<double>(state_->current().routers.size());
+    const double needed = routers * report_cost_ms / (self_.cpu * max_report_share);
+    return std::clamp(core::duration{static_cast<std::int64_t>(needed)}, min_report_interval,
+                      max_report_interval);
+}
+
+const std::string& leader_service::make_update(std::int64_t revision, std::int64_t config)
 {
     const auto now = clock::now();
-    if (texts_revision_ != state_->current().revision || now - texts_built_at_ > text_lifetime)
-    {
-        update_texts_.clear();
-        texts_revision_ = state_->current().revision;
-        texts_built_at_ = now;
-    }
-    const auto base = term == term_ ? revision : 0;
-    auto& text = update_texts_[base];
-    if (text.empty())
+    if (updates_revision_ != state_->current().revision || now - updates_built_at_ > update_lifetime)
     {
-        text = directory::to_json(state_->update_for(base == 0 ? 0 : term, base, now)).dump();
+        updates_.clear();
+        updates_revision_ = state_->current().revision;
+        updates_built_at_ = now;
     }
-    // Parts that are the same for many routers are serialized once and appended as text.
-    std::string message = fields.dump();
-    message.pop_back();
-    message += R"(,"directory":)" + text;
-    if (config < config_version_)
+    const bool has_config = config < config_version_;
+    auto& message = updates_[{revision, has_config}];
+    if (message.empty())
     {
-        message += R"(,"config":")" + packed_config_ + '"';
+        auto fields = update_header();
+        fields["directory"] =
+            directory::to_json(state_->update_for(revision == 0 ? 0 : term_, revision, now));
+        if (has_config)
+        {
+            fields["config"] = packed_config_;
+        }
+        message = encode_message(fields.dump());
     }
-    message += '}';
     return message;
 }
 
@@ -237,12 +252,12 @@
     const auto self = shared_from_this();
     const auto router = state_->current().routers.find(name);
     const auto recipient = followers_[name];
-    if (router != state_->current().routers.end() && recipient.revision >= 0)
+    if (router != state_->current().routers.end())
     {
         const auto sent_revision = state_->current().revision;
         const auto sent_config = config_version_;
         const auto peer = router->second.peer;
-        auto message = make_update(term_, recipient.revision, recipient.config, update_header());
+        auto message = make_update(recipient.revision, recipient.config);
         try
         {
             const auto text = co_await callbacks_.send(peer, std::move(message), push_timeout);
@@ -267,6 +282,11 @@
         }
     }
     followers_[name].is_pushing = false;
+    --running_pushes_;
+    if (is_running())
+    {
+        start_pushes();
+    }
 }
 
 std::string leader_service::handle_report(const json& message)
@@ -282,18 +302,27 @@
     {
         apply_deputy_rows(message.at("news"));
     }
-    propagate_changes();
     const auto config = message.at("config").get<std::int64_t>();
     auto& recipient = followers_[report.router.name];
-    const bool is_behind = term != term_ || revision < state_->current().revision || config < config_version_;
-    recipient.revision = state_->current().revision;
-    recipient.config = config_version_;
+    const auto known_revision = term == term_ ? revision : 0;
+    // The answer to a running push is newer than this report.
+    if (!recipient.is_pushing)
+    {
+        recipient.revision = known_revision;
+        recipient.config = config;
+    }
+    propagate_changes();
+    // Changes are pushed, so that answers to reports are short and in time however much there is to send.
     auto reply = update_header();
-    reply["confirmed_age"] = (now - confirmed_at()).ms;
+    if (term == term_ && state_->knows_its_fronts(report.router.name, revision))
+    {
+        reply["confirmed_age"] = (now - confirmed_at()).ms;
+    }
     reply["config_revision"] = config_revision_;
     reply["registry_revision"] = registry_revision_;
     reply["store_failing"] = health_.failing_for(now).ms;
-    return is_behind ? make_update(term, revision, config, reply) : reply.dump();
+    reply["report_interval"] = report_interval().ms;
+    return reply.dump();
 }
 
 void leader_service::on_own_report(const leader::router_report& report)
--- a/src/edge/internal/leader_service.hpp
+++ b/src/edge/internal/leader_service.hpp
@@ -69,11 +69,15 @@
     void offer_to_stronger_deputy();
     /// Applies the rows that a deputy has read and this leader has not.
     void apply_deputy_rows(const nlohmann::json& rows);
-    /// Returns a message with `fields` and the changes for a router that has the given versions.
-    std::string make_update(std::int64_t term, std::int64_t revision, std::int64_t config,
-                            const nlohmann::json& fields);
+    /// Starts pushes to routers that are behind, a limited number at a time.
+    void start_pushes();
+    /// Returns the message with the changes for a router that has the given versions; `revision` 0 stands for
+    /// none.
+    const std::string& make_update(std::int64_t revision, std::int64_t config);
     nlohmann::json update_header() const;
     core::duration publish_interval() const;
+    /// Interval between two reports of a router; grows with the number of routers.
+    core::duration report_interval() const;
     bool is_running() const { return !is_stopped_; }
 
     core::asio::any_io_executor executor_;
@@ -102,11 +106,14 @@
     core::time_point last_publish_;
     core::time_point last_write_;
     core::time_point last_tick_;
-    /// Serialized directory updates by the revision that they start from; 0 for the whole directory. Most
-    /// routers have the same revision, so one text is sent to many.
-    std::map<std::int64_t, std::string> update_texts_;
-    std::int64_t texts_revision_ = 0;
-    core::time_point texts_built_at_;
+    /// Encoded updates by the revision that they start from, 0 for the whole directory, and by whether they
+    /// contain the configuration. Most routers have the same versions, so one message is sent to many.
+    std::map<std::pair<std::int64_t, bool>, std::string> updates_;
+    std::int64_t updates_revision_ = 0;
+    /// Name of the router to which the last push went; the next one goes to a router after it.
+    std::string last_pushed_;
+    std::size_t running_pushes_ = 0;
+    core::time_point updates_built_at_;
     /// The configuration as encoded by `pack`; empty before the first.
     std::string packed_config_;
     bool is_started_ = false;
@@ -114,12 +121,6 @@
     bool is_writing_ = false;
 };
 
-/// Returns a document as compressed Base64 text for messages between routers. Uncompressed, a configuration
-/// with thousands of routes takes most of a small instance's bandwidth for some tenths of a second.
-std::string pack(const nlohmann::json& document);
-/// Decodes the text of `pack`. Throws core::error or nlohmann::json::exception for malformed text.
-nlohmann::json unpack(const std::string& text);
-
 /// Returns the value of the leadership row.
 nlohmann::json leadership_value(const directory::router& self);
 
--- a/src/edge/internal/leader_store.cpp
+++ b/src/edge/internal/leader_store.cpp
@@ -1,6 +1,7 @@
 #include "core/error.hpp"
 #include "core/pause.hpp"
 #include "edge/internal/leader_service.hpp"
+#include "edge/internal/peer_message.hpp"
 
 #include <algorithm>
 
--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -1,6 +1,7 @@
 #include "core/ids.hpp"
 #include "core/pause.hpp"
 #include "edge/internal/member_state.hpp"
+#include "edge/internal/peer_message.hpp"
 
 #include <algorithm>
 
@@ -8,21 +9,22 @@
 
 namespace {
 
-/// Three reports fit into the time after which the leader considers a router lost.
-constexpr core::duration report_interval{350};
+/// Three reports fit into the time after which the leader considers a router lost. The leader of many routers
+/// asks for a longer interval.
+constexpr core::duration min_report_interval{350};
 constexpr core::duration report_timeout{450};
 /// Requested reports are batched for this time.
 constexpr core::duration report_delay{4};
 /// The leader counts as lost after this time without an answer, or after `max_failed_reports` failed reports.
-constexpr core::duration leader_timeout{1100};
+constexpr core::duration min_leader_timeout{1100};
 constexpr int max_failed_reports = 3;
-constexpr core::duration connected_timeout{2200};
+constexpr core::duration min_connected_timeout{2200};
 /// A leader that cannot read the store for this time is replaced by one that can.
 constexpr core::duration store_failure_limit{300};
 /// Factor of the election delay: deputies come first, and each step of the others is longer than one try.
 constexpr std::int64_t store_delay_factor = 3;
 /// After this time without store or leader, possibly no router can take over, so grants last longer.
-constexpr core::duration outage_threshold{800};
+constexpr core::duration min_outage_threshold{800};
 
 } // namespace
 
@@ -82,6 +84,7 @@
 bool member::is_store_failing() const
 {
     const auto now = clock::now();
+    const auto outage_threshold = std::max(min_outage_threshold, state_->report_interval * 2);
     const auto failing =
         state_->leadership ? state_->health.failing_for(now) : state_->leader_store_failing_for;
     const bool is_leaderless = !state_->leadership && now - state_->last_leader_contact > outage_threshold;
@@ -96,7 +99,8 @@
 bool member::is_connected() const
 {
     return state_->snapshot.term > 0 &&
-           (state_->leadership || clock::now() - state_->last_leader_contact < connected_timeout);
+           (state_->leadership || clock::now() - state_->last_leader_contact <
+                                      std::max(min_connected_timeout, state_->report_interval * 4));
 }
 
 const directory::snapshot& member::directory() const
@@ -179,7 +183,8 @@
             co_return co_await state->on_message(std::move(from), std::move(text));
         });
     callbacks.on_network(network);
-    last_leader_contact = clock::now() - leader_timeout;
+    // The stored leader gets a whole timeout: it may be busy because all routers have just started.
+    last_leader_contact = clock::now();
     while (!is_ended)
     {
         is_report_requested = false;
@@ -188,18 +193,9 @@
         {
             co_return;
         }
-        const auto now = clock::now();
-        const bool is_lost = !leadership && (now - last_leader_contact > leader_timeout + election_delay() ||
-                                             failed_reports >= max_failed_reports || leader.name.empty());
-        if (is_lost && !is_stopping)
+        if (is_leader_lost() && !is_stopping)
         {
-            co_await core::pause_for(election_delay());
-            const bool is_found =
-                clock::now() - last_leader_contact < report_interval && !leader.name.empty();
-            if (!is_found && !leadership)
-            {
-                co_await run_election("the leader is lost");
-            }
+            co_await replace_lost_leader();
         }
         if (is_deputy() && running_watches == 0)
         {
@@ -225,6 +221,32 @@
     }
 }
 
+bool member::state::is_leader_lost() const
+{
+    const auto leader_timeout = std::max(min_leader_timeout, report_interval * max_failed_reports);
+    return !leadership && (clock::now() - last_leader_contact > leader_timeout + election_delay() ||
+                           failed_reports >= max_failed_reports || leader.name.empty());
+}
+
+asio::awaitable<void> member::state::replace_lost_leader()
+{
+    co_await core::pause_for(election_delay());
+    const bool is_found = clock::now() - last_leader_contact < min_report_interval && !leader.name.empty();
+    if (is_found || leadership)
+    {
+        co_return;
+    }
+    if (co_await is_leader_seen_by_others())
+    {
+        // The leader is busy or cut off from this router only.
+        log.write("leader kept", {{"leader", leader.name}, {"failures", failed_reports}});
+        last_leader_contact = clock::now();
+        failed_reports = 0;
+        co_return;
+    }
+    co_await run_election("the leader is lost");
+}
+
 leader::router_report member::state::make_report()
 {
     leader::router_report result;
@@ -257,6 +279,7 @@
                     {"report", leader::to_json(make_report())}};
     add_deputy_rows(message);
     const auto sent = clock::now();
+    is_last_report_answered = false;
     const auto recipient = leader;
     const auto link = network;
     try
@@ -266,11 +289,16 @@
         if (reply.value("kind", "") == "update")
         {
             apply_update(reply);
+            is_last_report_answered = true;
             failed_reports = 0;
             last_leader_contact = clock::now();
             leader_store_failing_for.ms = reply.value("store_failing", std::int64_t{0});
-            const core::duration age{reply.value("confirmed_age", std::int64_t{0})};
-            confirmed_at = std::max(confirmed_at, sent - age);
+            if (reply.contains("confirmed_age"))
+            {
+                const core::duration age{reply.at("confirmed_age").get<std::int64_t>()};
+                confirmed_at = std::max(confirmed_at, sent - age);
+            }
+            report_interval.ms = reply.value("report_interval", min_report_interval.ms);
             drop_confirmed_rows(reply);
         }
         else if (reply.contains("leader"))
@@ -344,7 +372,7 @@
 
 asio::awaitable<std::string> member::state::on_message(std::string from, std::string text)
 {
-    const auto message = json::parse(text);
+    const auto message = internal::decode_message(text);
     const auto kind = message.at("kind").get<std::string>();
     if (kind == "report" && leadership && leadership->is_started())
     {
@@ -375,6 +403,13 @@
         }
         co_return json{{"kind", "known"}, {"term", snapshot.term}, {"revision", snapshot.revision}}.dump();
     }
+    if (kind == "leader seen")
+    {
+        const bool is_same = message.at("leader").get<std::string>() == leader.name;
+        const bool is_seen =
+            is_same && (leadership || (is_last_report_answered && failed_reports == 0 && !is_leader_lost()));
+        co_return json{{"kind", "leader seen"}, {"seen", is_seen}}.dump();
+    }
     if (kind == "take over" && !leadership && message.at("term").get<std::int64_t>() == snapshot.term)
     {
         asio::co_spawn(
--- a/src/edge/internal/member_deputy.cpp
+++ b/src/edge/internal/member_deputy.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-constexpr core::duration deputy_feed_wait{2500};
+/// Without changes a deputy's reads only show that the store serves it.
+constexpr core::duration deputy_feed_wait{8000};
 /// Registrations change often, so a deputy batches them.
 constexpr core::duration registry_read_pause{300};
 /// Time for which a deputy leaves the leader to read a row itself.
--- a/src/edge/internal/member_election.cpp
+++ b/src/edge/internal/member_election.cpp
@@ -2,6 +2,7 @@
 #include "edge/internal/member_state.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace briarfold::edge {
 
@@ -12,22 +13,111 @@
 constexpr core::duration election_step{60};
 /// An offer takes as long as a report, so it has the same timeout.
 constexpr core::duration offer_timeout{450};
+/// Time for which the deputies, who read the store already, are the only candidates.
+constexpr core::duration deputy_head_start{600};
+constexpr std::size_t witness_count = 4;
+/// A router that answers at all does so within this time, unless it is as busy as the leader may be.
+constexpr core::duration witness_timeout{350};
 
 } // namespace
 
 core::duration member::state::election_delay() const
 {
     constexpr std::uint64_t max_steps = 12;
-    // Routers with a small share of a processor come later.
-    constexpr double unpenalized_cpu = 0.5;
-    constexpr double max_weak_steps = 6;
-    const auto weak_steps = std::clamp(unpenalized_cpu / settings.cpu - 1, 0.0, max_weak_steps);
+    // Routers with a small share of a processor, compared with the largest known, come later.
+    constexpr double default_max_cpu = 0.5;
+    constexpr double steps_per_ratio = 3;
+    constexpr double max_weak_steps = 12;
+    double max_cpu = snapshot.routers.empty() ? default_max_cpu : settings.cpu;
+    for (const auto& [name, router] : snapshot.routers)
+    {
+        max_cpu = std::max(max_cpu, router.cpu);
+    }
+    const auto weak_steps = std::clamp((max_cpu / settings.cpu - 1) * steps_per_ratio, 0.0, max_weak_steps);
     const auto rank = core::text_hash(settings.name + std::to_string(snapshot.term)) % max_steps +
                       static_cast<std::uint64_t>(weak_steps);
     const auto position = std::ranges::find(snapshot.deputies, settings.name);
     const bool is_listed = position != snapshot.deputies.end();
-    return is_listed ? election_step * (position - snapshot.deputies.begin())
-                     : election_step * static_cast<std::int64_t>(rank + snapshot.deputies.size() + 1);
+    if (is_listed)
+    {
+        return election_step * (position - snapshot.deputies.begin());
+    }
+    const auto head_start = snapshot.deputies.empty() ? core::duration{0} : deputy_head_start;
+    return head_start + election_step * static_cast<std::int64_t>(rank + snapshot.deputies.size() + 1);
+}
+
+std::vector<http::endpoint> member::state::choose_witnesses() const
+{
+    std::vector<http::endpoint> chosen;
+    std::set<std::string> zones;
+    const auto add = [&](const directory::router& router) {
+        if (router.name != settings.name && router.name != leader.name && !router.is_stopping &&
+            chosen.size() < witness_count)
+        {
+            chosen.push_back(router.peer);
+            zones.insert(router.zone);
+        }
+    };
+    for (const auto& name : snapshot.deputies)
+    {
+        if (const auto known = snapshot.routers.find(name); known != snapshot.routers.end())
+        {
+            add(known->second);
+        }
+    }
+    for (const auto& [name, router] : snapshot.routers)
+    {
+        if (!zones.contains(router.zone))
+        {
+            add(router);
+        }
+    }
+    return chosen;
+}
+
+asio::awaitable<bool> member::state::is_leader_seen_by_others()
+{
+    struct survey
+    {
+        explicit survey(const asio::any_io_executor& io_executor) : done(io_executor) {}
+
+        asio::steady_timer done;
+        std::size_t unanswered = 0;
+        bool is_seen = false;
+    };
+    const auto result = std::make_shared<survey>(executor);
+    const json question = {{"kind", "leader seen"}, {"leader", leader.name}};
+    const auto witnesses = choose_witnesses();
+    result->unanswered = witnesses.size();
+    result->done.expires_after(std::chrono::milliseconds(witness_timeout.ms));
+    for (const auto& peer : witnesses)
+    {
+        asio::co_spawn(
+            executor,
+            [link = network, peer, text = question.dump(), result]() -> asio::awaitable<void> {
+                try
+                {
+                    const auto answer = json::parse(co_await link->send_message(peer, text, witness_timeout));
+                    result->is_seen = result->is_seen || answer.value("seen", false);
+                }
+                catch (const std::exception&)
+                {
+                    // A witness that does not answer says nothing about the leader.
+                }
+                --result->unanswered;
+                if (result->is_seen || result->unanswered == 0)
+                {
+                    result->done.cancel();
+                }
+            },
+            asio::detached);
+    }
+    if (result->unanswered > 0)
+    {
+        boost::system::error_code ignored;
+        co_await result->done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    co_return result->is_seen;
 }
 
 asio::awaitable<void> member::state::run_election(const char* reason)
--- a/src/edge/internal/member_state.hpp
+++ b/src/edge/internal/member_state.hpp
@@ -23,6 +23,11 @@
     core::asio::awaitable<std::string> load_or_create_secret();
     core::asio::awaitable<void> report();
     core::asio::awaitable<void> run_election(const char* reason);
+    bool is_leader_lost() const;
+    core::asio::awaitable<void> replace_lost_leader();
+    /// Asks the deputies, or some routers of other zones, whether the leader answers their reports.
+    core::asio::awaitable<bool> is_leader_seen_by_others();
+    std::vector<http::endpoint> choose_witnesses() const;
     /// Asks another router to take over the leadership from this one.
     core::asio::awaitable<void> offer_leadership(http::endpoint peer);
     bool is_deputy() const;
@@ -57,6 +62,8 @@
     core::time_point confirmed_at;
     core::time_point last_leader_contact;
     core::duration leader_store_failing_for;
+    /// Interval between two reports, as the leader asked for it.
+    core::duration report_interval{350};
     bool is_stopping = false;
     bool is_ended = false;
     bool is_electing = false;
@@ -71,6 +78,7 @@
     int running_watches = 0;
     bool is_report_requested = false;
     int failed_reports = 0;
+    bool is_last_report_answered = false;
 };
 
 } // namespace briarfold::edge
--- a/src/leader/internal/front_assignment.cpp
+++ b/src/leader/internal/front_assignment.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
+#include <ranges>
+#include <utility>
 
 namespace briarfold::leader {
 
@@ -10,6 +13,12 @@
 /// Maximum number of backend servers of a service without key ownership that are grouped on one front, and so
 /// behind one queue: enough to share slots well, few enough for the processor of a small instance.
 constexpr std::size_t max_group_size = 8;
+/// With this many routers or more, the leader is no front: its work for all routers would delay the requests.
+constexpr std::size_t min_routers_to_spare_leader = 30;
+/// Load of a front that is spared, above any real one, so that its backend servers move first.
+constexpr double spared_load = 1e6;
+/// Backend servers for each change of front in one round of balancing.
+constexpr std::size_t servers_per_balance_move = 40;
 /// Avoids a division by zero for a router that reports no share of a processor.
 constexpr double min_cpu = 0.01;
 /// The store may reject a third of the routers, among them the leader and some deputies.
@@ -36,7 +45,7 @@
     {
         on_decision_("router lost", name, {{"silent_ms", (now - peers_[name].last_report).ms}});
         published_.routers.erase(name);
-        bump_routers_revision();
+        bump_router_revision(name);
     }
 }
 
@@ -101,7 +110,7 @@
     double best_cost = 0;
     for (const auto& [name, item] : published_.routers)
     {
-        if (item.is_stopping || !is_alive(name, now))
+        if (!can_be_front(item, now))
         {
             continue;
         }
@@ -136,17 +145,18 @@
     on_decision_("front assigned", id, {{"front", front}, {"former", entry.front}, {"reason", reason}});
     if (!entry.front.empty())
     {
-        // A front that is alive applies this change; a silent one may renew until its confirmation expires.
-        const auto renewals_end = is_alive(entry.front, now) ? now : now + settings_.max_confirmation_age;
+        // The former front may renew until it knows of the change or its confirmation expires.
+        const auto renewals_end = now + settings_.max_confirmation_age;
         state.prior_grants_until = std::max(
             state.prior_grants_until, grants::latest_grant_end(renewals_end, settings_.max_grant_duration));
     }
     servers_by_front_[entry.front].erase(id);
     servers_by_front_[front].insert(id);
-    entry.front = front;
+    const auto former = std::exchange(entry.front, front);
     ++state.front_changes;
     update_token_base(id);
     bump_revision(id);
+    front_lost_at_[former] = entry.revision;
     for (auto& item : state.withdrawals)
     {
         item.revision = entry.revision;
@@ -181,22 +191,33 @@
     }
 }
 
-std::map<std::string, double> leader_state::front_loads() const
+bool leader_state::can_be_front(const directory::router& router, core::time_point now) const
+{
+    const bool is_spared = router.name == self_ && published_.routers.size() >= min_routers_to_spare_leader;
+    return !router.is_stopping && !is_spared && is_alive(router.name, now);
+}
+
+std::map<std::string, double> leader_state::front_loads(core::time_point now) const
 {
     std::map<std::string, double> loads;
     for (const auto& [name, item] : published_.routers)
     {
-        if (!item.is_stopping)
+        if (can_be_front(item, now))
         {
             loads[name] = 0;
         }
     }
-    for (const auto& [id, entry] : published_.entries)
+    for (const auto& [name, load] : loads)
     {
-        const auto router = published_.routers.find(entry.front);
-        if (router != published_.routers.end() && loads.contains(entry.front))
+        const auto ids = servers_by_front_.find(name);
+        if (ids == servers_by_front_.end())
+        {
+            continue;
+        }
+        for (const auto& id : ids->second)
         {
-            loads[entry.front] += entry.server.slots / std::max(router->second.cpu, min_cpu);
+            loads[name] +=
+                published_.entries.at(id).server.slots / std::max(published_.routers.at(name).cpu, min_cpu);
         }
     }
     return loads;
@@ -204,49 +225,103 @@
 
 void leader_state::balance_fronts(core::time_point now)
 {
-    const auto loads = front_loads();
-    if (loads.size() < 2)
+    auto loads = front_loads(now);
+    const auto max_moves = std::max<std::size_t>(1, published_.entries.size() / servers_per_balance_move);
+    for (std::size_t moves = 0; moves < max_moves && loads.size() > 1; ++moves)
     {
-        return;
+        const auto best = find_balance_move(loads);
+        if (!best)
+        {
+            return;
+        }
+        const double slots = find_entry(best->backend_server).server.slots;
+        const auto change_load = [&](const std::string& name, double factor) {
+            if (const auto known = loads.find(name); known != loads.end())
+            {
+                known->second += factor * slots / std::max(published_.routers.at(name).cpu, min_cpu);
+            }
+        };
+        change_load(find_entry(best->backend_server).front, -1);
+        change_load(best->front, 1);
+        set_front(best->backend_server, best->front, "balance", now);
     }
+}
+
+std::optional<leader_state::front_move>
+leader_state::find_balance_move(const std::map<std::string, double>& loads) const
+{
     const auto busiest =
         std::ranges::max_element(loads, {}, [](const auto& item) { return item.second; })->first;
-    std::string best_id;
-    std::string best_front;
+    // Only the best router of each zone comes into question, so the cost does not grow with routers times
+    // backend servers.
+    struct candidate
+    {
+        std::string name;
+        std::string zone;
+        double load = 0;
+        double cpu = 1;
+    };
+    std::map<std::pair<std::string, int>, std::vector<candidate>> best_by_zone;
+    const auto candidates = [&](double factor, int slots) -> const std::vector<candidate>& {
+        auto& list = best_by_zone[{std::to_string(factor), slots}];
+        if (!list.empty())
+        {
+            return list;
+        }
+        std::map<std::string, candidate> best;
+        for (const auto& [name, load] : loads)
+        {
+            const auto& router = published_.routers.at(name);
+            const auto cost = [&](double base, double cpu) { return base + factor * 2 * slots / cpu; };
+            const auto cpu = std::max(router.cpu, min_cpu);
+            auto& known = best[router.zone];
+            if (known.name.empty() || cost(load, cpu) < cost(known.load, known.cpu))
+            {
+                known = {name, router.zone, load, cpu};
+            }
+        }
+        std::ranges::copy(std::views::values(best), std::back_inserter(list));
+        return list;
+    };
+    std::optional<front_move> result;
     double best_gain = 0;
     for (const auto& [id, entry] : published_.entries)
     {
         const auto from = published_.routers.find(entry.front);
-        if (from == published_.routers.end() || !entry.withdrawn.empty() || !loads.contains(entry.front))
+        if (from == published_.routers.end() || !entry.withdrawn.empty())
         {
             continue;
         }
+        const bool is_spared = !loads.contains(entry.front);
         const bool is_outside_zone = from->second.zone != entry.server.zone;
-        if (!is_outside_zone && entry.front != busiest)
+        if (!is_outside_zone && !is_spared && entry.front != busiest)
         {
             continue;
         }
-        for (const auto& [name, load] : loads)
+        const double from_load = is_spared ? spared_load : loads.at(entry.front);
+        constexpr double return_factor = 0.5;
+        constexpr double same_zone_factor = 1;
+        // A move to another zone is worthwhile only when the routers of the zone have far more load than the
+        // others.
+        constexpr double other_zone_factor = 3;
+        for (const double factor : {return_factor, same_zone_factor, other_zone_factor})
         {
-            const auto& to = published_.routers.at(name);
-            const bool is_return_to_zone = is_outside_zone && to.zone == entry.server.zone;
-            // A move to another zone is worthwhile only when the routers of the zone have far more load than
-            // the others.
-            const double factor = is_return_to_zone ? 0.5 : to.zone == from->second.zone ? 1 : 3;
-            const double step = entry.server.slots / std::max(to.cpu, min_cpu);
-            const double gain = loads.at(entry.front) - load - factor * 2 * step;
-            if (name != entry.front && is_alive(name, now) && gain > best_gain)
+            for (const auto& to : candidates(factor, entry.server.slots))
             {
-                best_gain = gain;
-                best_id = id;
-                best_front = name;
+                const bool is_return_to_zone = is_outside_zone && to.zone == entry.server.zone;
+                const double due_factor = is_return_to_zone              ? return_factor
+                                          : to.zone == from->second.zone ? same_zone_factor
+                                                                         : other_zone_factor;
+                const double gain = from_load - to.load - factor * 2 * entry.server.slots / to.cpu;
+                if (due_factor == factor && to.name != entry.front && gain > best_gain)
+                {
+                    best_gain = gain;
+                    result = front_move{id, to.name};
+                }
             }
         }
     }
-    if (!best_id.empty())
-    {
-        set_front(best_id, best_front, "balance", now);
-    }
+    return result;
 }
 
 } // namespace briarfold::leader
--- a/src/leader/internal/key_assignment.cpp
+++ b/src/leader/internal/key_assignment.cpp
@@ -290,7 +290,7 @@
         servers_by_front_[find_entry(id).front].erase(id);
         published_.entries.erase(id);
         entry_states_.erase(id);
-        removed_at_[id] = ++published_.revision;
+        changes_.removed[id] = ++published_.revision;
     }
 }
 
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -71,7 +71,7 @@
     if (known.name != self_)
     {
         published_.routers[known.name] = known;
-        bump_routers_revision();
+        bump_router_revision(known.name);
         peers_[known.name] = {now};
         has_known_routers_ = true;
     }
@@ -94,6 +94,12 @@
     find_entry(id).token_base = (state.version << version_shift) + (state.front_changes << front_shift);
 }
 
+bool leader_state::knows_its_fronts(const std::string& router, std::int64_t revision) const
+{
+    const auto lost_at = front_lost_at_.find(router);
+    return lost_at == front_lost_at_.end() || revision >= lost_at->second;
+}
+
 bool leader_state::is_alive(const std::string& router, core::time_point now) const
 {
     if (router == self_)
@@ -104,6 +110,15 @@
     return position != peers_.end() && now - position->second.last_report < settings_.router_timeout;
 }
 
+void leader_state::set_report_interval(core::duration interval)
+{
+    constexpr std::int64_t reports_until_lost = 3;
+    constexpr core::duration retransmission_time{250};
+    settings_.router_timeout =
+        std::max(leader_settings().router_timeout,
+                 core::duration{interval.ms * reports_until_lost} + retransmission_time);
+}
+
 void leader_state::on_registered(const directory::backend_server& server, core::time_point now)
 {
     const auto position = published_.entries.find(server.id);
@@ -113,7 +128,7 @@
         entry.server = server;
         published_.entries.emplace(server.id, std::move(entry));
         servers_by_front_[""].insert(server.id);
-        removed_at_.erase(server.id);
+        changes_.removed.erase(server.id);
         entry_states_[server.id].listed_at = now;
         entry_states_[server.id].version = published_.term;
         update_token_base(server.id);
@@ -171,7 +186,7 @@
                      name,
                      {{"incarnation", report.router.incarnation}, {"stopping", report.router.is_stopping}});
         published_.routers[name] = report.router;
-        bump_routers_revision();
+        bump_router_revision(name);
         if (is_new || is_restarted)
         {
             // The former process has ended, so nobody renews its grants and they expire within their
@@ -358,7 +373,7 @@
 directory::update leader_state::update_for(std::int64_t term, std::int64_t revision,
                                            core::time_point now) const
 {
-    auto change = directory::make_update(published_, removed_at_, term, revision);
+    auto change = directory::make_update(published_, changes_, term, revision);
     for (auto& [id, entry] : change.changed.entries)
     {
         entry.prior_grant_remaining = prior_grant_remaining(id, now);
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -17,7 +17,8 @@
     /// Time without a new registration after which the keys of a service are first assigned.
     core::duration settle_time{500};
     core::duration max_settle_time{2500};
-    /// Time without a report after which a router counts as lost: three reports and a retransmission.
+    /// Time without a report after which a router counts as lost, while reports are sent every 350 ms: three
+    /// reports and a retransmission.
     core::duration router_timeout{1300};
     /// Time for which a leader that knows no other router waits before it assigns fronts: after a loss of all
     /// routers they start within some tenths of a second of each other.
@@ -56,6 +57,8 @@
 
     /// Sets the services with key ownership, as configured.
     void set_keyed_services(std::set<std::string> names) { keyed_services_ = std::move(names); }
+    /// Sets the interval at which routers report, which extends the time after which a router counts as lost.
+    void set_report_interval(core::duration interval);
     void on_registered(const directory::backend_server& server, core::time_point now);
     /// Handles the end of a registration. `is_confirmed` is false when it may have lapsed because of an
     /// outage of the store; the backend server then has `reregistration_grace` to register again.
@@ -78,6 +81,9 @@
     directory::update update_for(std::int64_t term, std::int64_t revision, core::time_point now) const;
     /// Returns the time for which a grant of an earlier front may still be valid; zero when none is.
     core::duration prior_grant_remaining(const std::string& id, core::time_point now) const;
+    /// Returns whether a router with this revision of the directory knows of every front role that was taken
+    /// from it. Otherwise it must not be confirmed, since it might go on granting keys.
+    bool knows_its_fronts(const std::string& router, std::int64_t revision) const;
     bool is_alive(const std::string& router, core::time_point now) const;
     /// Returns the number of keys of keyed services that no backend server of the directory holds.
     std::size_t unassigned_keys() const;
@@ -120,7 +126,12 @@
     };
 
     directory::entry& find_entry(const std::string& id) { return published_.entries.at(id); }
-    void bump_routers_revision() { published_.routers_revision = ++published_.revision; }
+    /// Records a change, or the removal, of a router.
+    void bump_router_revision(const std::string& name)
+    {
+        published_.routers_revision = ++published_.revision;
+        changes_.routers[name] = published_.revision;
+    }
     void update_entries(const router_report& report, core::time_point now);
     void bump_revision(const std::string& id);
     /// Recomputes the token base of the entry, so that its front's tokens exceed those of all earlier fronts.
@@ -128,11 +139,20 @@
     void withdraw(const std::string& id, const keyspace::key_set& keys, const char* reason);
     void remove_lost_routers(core::time_point now);
     void assign_fronts(core::time_point now);
-    /// Assigns one backend server to a less loaded front, or to a front in its own zone.
+    struct front_move
+    {
+        std::string backend_server;
+        std::string front;
+    };
+    /// Assigns some backend servers to less loaded fronts, or to fronts in their own zones.
     void balance_fronts(core::time_point now);
+    /// Returns the change of front that evens out the loads most; nothing when none is worthwhile.
+    std::optional<front_move> find_balance_move(const std::map<std::string, double>& loads) const;
+    bool can_be_front(const directory::router& router, core::time_point now) const;
     void set_front(const std::string& id, const std::string& front, const char* reason, core::time_point now);
-    /// Returns the load of each router: slots of its backend servers divided by its share of a processor.
-    std::map<std::string, double> front_loads() const;
+    /// Returns the load of each possible front: slots of its backend servers divided by its share of a
+    /// processor.
+    std::map<std::string, double> front_loads(core::time_point now) const;
     /// Slots by front, and numbers of backend servers by front and service.
     struct front_tally
     {
@@ -175,7 +195,9 @@
     /// Ids of backend servers by front; those without a front are under an empty name.
     std::map<std::string, std::set<std::string>> servers_by_front_;
     std::map<std::string, peer> peers_;
-    std::map<std::string, std::int64_t> removed_at_;
+    directory::change_log changes_;
+    /// Revision at which a router last lost a front role, by name.
+    std::map<std::string, std::int64_t> front_lost_at_;
     std::set<std::string> keyed_services_;
     /// Services whose keys have been assigned before.
     std::set<std::string> initialized_services_;
