Cut off answers without end in a head, a body or interim answers

Cause: answers of backend servers were read without a limit of the body, so one that sends bytes without end took memory until the request's timeout; an interim answer was taken for the final one.

Over a limit the connection is reset and the exchange fails.

Result: a test over six ways to send without end; without the limit of the body it fails.

--- a/src/edge/internal/backend_link.cpp
+++ b/src/edge/internal/backend_link.cpp
@@ -19,6 +19,15 @@
 /// the backend server closes it.
 constexpr std::int64_t idle_share_numerator = 7;
 constexpr std::int64_t idle_share_denominator = 10;
+/// The answers of all slots of a few faulty backend servers fit into the memory of a small instance.
+constexpr std::size_t max_answer_bytes = std::size_t{4} * 1024 * 1024;
+
+http::answer_limits make_answer_limits()
+{
+    http::answer_limits limits;
+    limits.body_bytes = max_answer_bytes;
+    return limits;
+}
 
 } // namespace
 
@@ -78,7 +87,7 @@
 asio::awaitable<bool> backend_link::open()
 {
     const auto self = shared_from_this();
-    const auto connection = std::make_shared<http::client_connection>(executor_, peer_);
+    const auto connection = std::make_shared<http::client_connection>(executor_, peer_, make_answer_limits());
     ++opened_;
     try
     {
@@ -112,7 +121,7 @@
     {
         if (!connection)
         {
-            connection = std::make_shared<http::client_connection>(executor_, peer_);
+            connection = std::make_shared<http::client_connection>(executor_, peer_, make_answer_limits());
             result.is_new_connection = true;
             ++opened_;
             co_await connection->connect(std::min(timeout, connect_timeout));
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -9,12 +9,21 @@
 
 namespace briarfold::http {
 
+/// Limits of one answer. A faulty server may send bytes without end.
+struct answer_limits
+{
+    std::size_t head_bytes = std::size_t{64} * 1024;
+    std::size_t body_bytes = std::size_t{16} * 1024 * 1024;
+    /// Interim (1xx) answers before the final one.
+    int interim_answers = 16;
+};
+
 /// Not thread-safe: all calls run on the executor given at construction. After an exchange that threw, the
 /// connection is closed for good; open a new one.
 class client_connection
 {
 public:
-    client_connection(core::asio::any_io_executor executor, endpoint peer);
+    client_connection(core::asio::any_io_executor executor, endpoint peer, answer_limits limits = {});
     ~client_connection();
     client_connection(client_connection&&) noexcept;
     client_connection& operator=(client_connection&&) noexcept;
@@ -22,8 +31,9 @@
     /// Throws core::connection_error or core::timeout_error.
     core::asio::awaitable<void> connect(core::duration timeout);
 
-    /// Sends the request and reads the whole answer. Throws core::connection_error or core::timeout_error;
-    /// `has_sent_bytes` then tells whether any byte of the request may have left.
+    /// Sends the request and reads the whole final answer. An answer over the limits closes the connection.
+    /// Throws core::connection_error or core::timeout_error; `has_sent_bytes` then tells whether any byte of
+    /// the request may have left.
     core::asio::awaitable<response> exchange(const request& message, core::duration timeout);
 
     /// Whether any byte of the current or last request was handed to the operating system.
--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -26,19 +26,33 @@
 
 struct client_connection::state
 {
-    state(asio::any_io_executor executor, endpoint remote)
-        : stream(std::move(executor)), peer(std::move(remote))
+    state(asio::any_io_executor executor, endpoint remote, answer_limits answer_limits)
+        : stream(std::move(executor)), peer(std::move(remote)), limits(answer_limits)
     {}
 
+    /// Reads the next answer, final or not.
+    asio::awaitable<beast::http::response<beast::http::string_body>> read(bool has_body);
+
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     endpoint peer;
+    answer_limits limits;
     bool sent = false;
     bool open = false;
 };
 
-client_connection::client_connection(asio::any_io_executor executor, endpoint peer)
-    : state_(std::make_unique<state>(std::move(executor), std::move(peer)))
+asio::awaitable<beast::http::response<beast::http::string_body>> client_connection::state::read(bool has_body)
+{
+    beast::http::response_parser<beast::http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.head_bytes));
+    parser.body_limit(limits.body_bytes);
+    parser.skip(!has_body);
+    co_await beast::http::async_read(stream, buffer, parser, asio::use_awaitable);
+    co_return parser.release();
+}
+
+client_connection::client_connection(asio::any_io_executor executor, endpoint peer, answer_limits limits)
+    : state_(std::make_unique<state>(std::move(executor), std::move(peer), limits))
 {}
 
 client_connection::~client_connection() = default;
@@ -89,14 +103,19 @@
         // From here on bytes may leave at any time, whatever the outcome of the write.
         s.sent = true;
         co_await beast::http::async_write(s.stream, outgoing, asio::use_awaitable);
-        beast::http::response_parser<beast::http::string_body> parser;
-        parser.body_limit(boost::none);
-        if (message.method == "HEAD")
+        const bool has_body = message.method != "HEAD";
+        auto incoming = co_await s.read(has_body);
+        for (int interim = 0;
+             beast::http::to_status_class(incoming.result()) == beast::http::status_class::informational;
+             ++interim)
         {
-            parser.skip(true);
+            if (interim == s.limits.interim_answers)
+            {
+                throw boost::system::system_error(
+                    beast::http::make_error_code(beast::http::error::bad_status));
+            }
+            incoming = co_await s.read(has_body);
         }
-        co_await beast::http::async_read(s.stream, s.buffer, parser, asio::use_awaitable);
-        auto incoming = parser.release();
         if (!incoming.keep_alive())
         {
             close();
--- a/src/http/tests/http_tests.cpp
+++ b/src/http/tests/http_tests.cpp
@@ -89,6 +89,77 @@
     });
 }
 
+namespace {
+
+/// Accepts one connection and writes `beginning` and then `repeated` until the caller closes. Returns the
+/// number of bytes written.
+asio::awaitable<std::size_t> send_without_end(asio::ip::tcp::acceptor& acceptor, std::string beginning,
+                                              std::string repeated)
+{
+    auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+    std::size_t written = 0;
+    boost::system::error_code code;
+    const auto block = std::make_shared<std::string>();
+    while (block->size() < 65536)
+    {
+        *block += repeated;
+    }
+    co_await asio::async_write(socket, asio::buffer(beginning),
+                               asio::redirect_error(asio::use_awaitable, code));
+    while (!code)
+    {
+        written += co_await asio::async_write(socket, asio::buffer(*block),
+                                              asio::redirect_error(asio::use_awaitable, code));
+    }
+    co_return written;
+}
+
+/// Makes one exchange with a server that sends bytes without end, and returns how many it could send.
+std::size_t exchange_without_end(const std::string& beginning, const std::string& repeated)
+{
+    running_context runner;
+    asio::ip::tcp::acceptor acceptor(runner.context, {asio::ip::make_address("127.0.0.1"), 0});
+    auto written =
+        asio::co_spawn(runner.context, send_without_end(acceptor, beginning, repeated), asio::use_future);
+    bool is_refused = false;
+    runner.run([&]() -> asio::awaitable<void> {
+        http::answer_limits limits;
+        limits.body_bytes = 1000000;
+        http::client_connection connection(co_await asio::this_coro::executor,
+                                           {"127.0.0.1", acceptor.local_endpoint().port()}, limits);
+        co_await connection.connect(1000_ms);
+        try
+        {
+            co_await connection.exchange({"GET", "/", {}, ""}, 20000_ms);
+        }
+        catch (const core::connection_error&)
+        {
+            is_refused = !connection.is_open();
+        }
+    });
+    BOOST_TEST(is_refused);
+    return written.get();
+}
+
+} // namespace
+
+// Guards against a backend server that sends bytes without end, as a head, as a body of each framing, or as
+// interim answers: the router's memory grew until the request's timeout, and the slot stayed taken until
+// then.
+BOOST_AUTO_TEST_CASE(answers_without_end_are_cut_off)
+{
+    // Bytes that fit into the socket buffers of both sides can be written although nobody reads them.
+    constexpr std::size_t max_written = 16000000;
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    BOOST_TEST(exchange_without_end(head, "X-Filler: more\r\n") < max_written);
+    BOOST_TEST(exchange_without_end("", "no answer at all ") < max_written);
+    BOOST_TEST(exchange_without_end(head + "\r\n", "body until the connection ends ") < max_written);
+    BOOST_TEST(exchange_without_end(head + "Transfer-Encoding: chunked\r\n\r\n", "5\r\nchunk\r\n") <
+               max_written);
+    BOOST_TEST(exchange_without_end(head + "Content-Length: 99999999999\r\n\r\n", "counted ") < max_written);
+    BOOST_TEST(exchange_without_end("", "HTTP/1.1 100 Continue\r\n\r\n") < max_written);
+}
+
 // Guards against a request that was read and handled, and whose connection was closed as idle before its
 // coroutine went on. Closes at every step of an exchange.
 BOOST_AUTO_TEST_CASE(closing_idle_connections_answers_requests_already_read)
