Decide apart from I/O whether a leader is lost or busy

Cause: the decision was spread over the member's I/O code and had no test. Change: leader::leader_contact with the load pattern that it answers.

--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -9,22 +9,15 @@
 
 namespace {
 
-/// Three reports fit into the time after which the leader considers a router lost. The leader of many routers
-/// asks for a longer interval.
-constexpr core::duration min_report_interval{350};
 constexpr core::duration report_timeout{450};
 /// Requested reports are batched for this time.
 constexpr core::duration report_delay{4};
-/// The leader counts as lost after this time without an answer, or after `max_failed_reports` failed reports.
-constexpr core::duration min_leader_timeout{1100};
-constexpr int max_failed_reports = 3;
-constexpr core::duration min_connected_timeout{2200};
 /// A leader that cannot read the store for this time is replaced by one that can.
 constexpr core::duration store_failure_limit{300};
 /// Factor of the election delay: deputies come first, and each step of the others is longer than one try.
 constexpr std::int64_t store_delay_factor = 3;
-/// After this time without store or leader, possibly no router can take over, so grants last longer.
-constexpr core::duration min_outage_threshold{800};
+/// After this time without the store, possibly no router can take over, so grants last longer.
+constexpr core::duration outage_threshold{800};
 
 } // namespace
 
@@ -84,10 +77,9 @@
 bool member::is_store_failing() const
 {
     const auto now = clock::now();
-    const auto outage_threshold = std::max(min_outage_threshold, state_->report_interval * 2);
     const auto failing =
         state_->leadership ? state_->health.failing_for(now) : state_->leader_store_failing_for;
-    const bool is_leaderless = !state_->leadership && now - state_->last_leader_contact > outage_threshold;
+    const bool is_leaderless = !state_->leadership && state_->contact.may_be_outage(now);
     return failing > outage_threshold || is_leaderless;
 }
 
@@ -98,9 +90,7 @@
 
 bool member::is_connected() const
 {
-    return state_->snapshot.term > 0 &&
-           (state_->leadership || clock::now() - state_->last_leader_contact <
-                                      std::max(min_connected_timeout, state_->report_interval * 4));
+    return state_->snapshot.term > 0 && (state_->leadership || state_->contact.is_connected(clock::now()));
 }
 
 const directory::snapshot& member::directory() const
@@ -184,7 +174,7 @@
         });
     callbacks.on_network(network);
     // The stored leader gets a whole timeout: it may be busy because all routers have just started.
-    last_leader_contact = clock::now();
+    contact = leader::leader_contact(clock::now());
     while (!is_ended)
     {
         is_report_requested = false;
@@ -215,7 +205,7 @@
             co_await run_election("the leader cannot read the store");
         }
         boost::system::error_code ignored;
-        const auto wait = is_report_requested ? report_delay : report_interval;
+        const auto wait = is_report_requested ? report_delay : contact.report_interval();
         report_timer.expires_after(std::chrono::milliseconds(wait.ms));
         co_await report_timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
@@ -223,15 +213,14 @@
 
 bool member::state::is_leader_lost() const
 {
-    const auto leader_timeout = std::max(min_leader_timeout, report_interval * max_failed_reports);
-    return !leadership && (clock::now() - last_leader_contact > leader_timeout + election_delay() ||
-                           failed_reports >= max_failed_reports || leader.name.empty());
+    return !leadership && (leader.name.empty() || contact.is_lost(clock::now(), election_delay()));
 }
 
 asio::awaitable<void> member::state::replace_lost_leader()
 {
     co_await core::pause_for(election_delay());
-    const bool is_found = clock::now() - last_leader_contact < min_report_interval && !leader.name.empty();
+    const bool is_found =
+        contact.is_heard_of_since(clock::now(), contact.report_interval()) && !leader.name.empty();
     if (is_found || leadership)
     {
         co_return;
@@ -239,9 +228,8 @@
     if (co_await is_leader_seen_by_others())
     {
         // The leader is busy or cut off from this router only.
-        log.write("leader kept", {{"leader", leader.name}, {"failures", failed_reports}});
-        last_leader_contact = clock::now();
-        failed_reports = 0;
+        log.write("leader kept", {{"leader", leader.name}, {"failures", contact.failures()}});
+        contact.on_leader_named(clock::now());
         co_return;
     }
     co_await run_election("the leader is lost");
@@ -269,7 +257,7 @@
     }
     if (leader.name.empty() || leader.name == settings.name)
     {
-        failed_reports = max_failed_reports;
+        contact.on_no_leader();
         co_return;
     }
     json message = {{"kind", "report"},
@@ -279,7 +267,6 @@
                     {"report", leader::to_json(make_report())}};
     add_deputy_rows(message);
     const auto sent = clock::now();
-    is_last_report_answered = false;
     const auto recipient = leader;
     const auto link = network;
     try
@@ -289,38 +276,40 @@
         if (reply.value("kind", "") == "update")
         {
             apply_update(reply);
-            is_last_report_answered = true;
-            failed_reports = 0;
-            last_leader_contact = clock::now();
+            contact.on_contact(clock::now());
             leader_store_failing_for.ms = reply.value("store_failing", std::int64_t{0});
             if (reply.contains("confirmed_age"))
             {
                 const core::duration age{reply.at("confirmed_age").get<std::int64_t>()};
                 confirmed_at = std::max(confirmed_at, sent - age);
             }
-            report_interval.ms = reply.value("report_interval", min_report_interval.ms);
+            contact.set_report_interval(core::duration{reply.value("report_interval", std::int64_t{0})});
             drop_confirmed_rows(reply);
         }
         else if (reply.contains("leader"))
         {
             const auto named = directory::router_from_json(reply.at("leader"));
-            failed_reports += named.name == leader.name ? 1 : 0;
+            if (named.name == leader.name)
+            {
+                contact.on_failure();
+            }
             leader = named;
         }
         else
         {
-            ++failed_reports;
+            contact.on_failure();
         }
     }
     catch (const core::timeout_error& failure)
     {
+        contact.on_timeout();
         log.write("report unanswered", {{"leader", recipient.name}, {"reason", failure.what()}});
     }
     catch (const std::exception& failure)
     {
-        ++failed_reports;
+        contact.on_failure();
         log.write("report failed",
-                  {{"leader", recipient.name}, {"reason", failure.what()}, {"failures", failed_reports}});
+                  {{"leader", recipient.name}, {"reason", failure.what()}, {"failures", contact.failures()}});
     }
 }
 
@@ -398,16 +387,14 @@
         apply_update(message);
         if (message.at("term").get<std::int64_t>() == snapshot.term)
         {
-            failed_reports = 0;
-            last_leader_contact = clock::now();
+            contact.on_contact(clock::now());
         }
         co_return json{{"kind", "known"}, {"term", snapshot.term}, {"revision", snapshot.revision}}.dump();
     }
     if (kind == "leader seen")
     {
         const bool is_same = message.at("leader").get<std::string>() == leader.name;
-        const bool is_seen =
-            is_same && (leadership || (is_last_report_answered && failed_reports == 0 && !is_leader_lost()));
+        const bool is_seen = is_same && (leadership || contact.can_vouch(clock::now()));
         co_return json{{"kind", "leader seen"}, {"seen", is_seen}}.dump();
     }
     if (kind == "take over" && !leadership && message.at("term").get<std::int64_t>() == snapshot.term)
--- a/src/edge/internal/member_election.cpp
+++ b/src/edge/internal/member_election.cpp
@@ -141,8 +141,7 @@
         if (is_other_leader)
         {
             leader = *holder;
-            failed_reports = 0;
-            last_leader_contact = clock::now();
+            contact.on_leader_named(clock::now());
             log.write("leader found", {{"leader", leader.name}, {"version", row->version}});
         }
         else
@@ -163,8 +162,7 @@
                 if (!result.conflicts.empty() && result.conflicts.front().value.contains("router"))
                 {
                     leader = directory::router_from_json(result.conflicts.front().value.at("router"));
-                    failed_reports = 0;
-                    last_leader_contact = clock::now();
+                    contact.on_leader_named(clock::now());
                 }
             }
         }
@@ -179,7 +177,7 @@
 void member::state::become_leader(std::int64_t term)
 {
     leader = self;
-    failed_reports = 0;
+    contact.on_leader_named(clock::now());
     internal::leader_callbacks new_callbacks;
     new_callbacks.on_config = [weak = weak_from_this()](routes::routing_config config,
                                                         const std::string& packed) {
@@ -266,8 +264,7 @@
     {
         leader = {};
     }
-    last_leader_contact = clock::now();
-    failed_reports = 0;
+    contact.on_leader_named(clock::now());
 }
 
 } // namespace briarfold::edge
--- a/src/edge/internal/member_state.hpp
+++ b/src/edge/internal/member_state.hpp
@@ -3,6 +3,7 @@
 #include "edge/internal/leader_service.hpp"
 #include "edge/internal/store_health.hpp"
 #include "edge/member.hpp"
+#include "leader/leader_contact.hpp"
 
 namespace briarfold::edge {
 
@@ -60,10 +61,8 @@
     std::string packed_config;
     std::int64_t config_version = 0;
     core::time_point confirmed_at;
-    core::time_point last_leader_contact;
+    leader::leader_contact contact{clock::now()};
     core::duration leader_store_failing_for;
-    /// Interval between two reports, as the leader asked for it.
-    core::duration report_interval{350};
     bool is_stopping = false;
     bool is_ended = false;
     bool is_electing = false;
@@ -77,8 +76,6 @@
     std::map<std::pair<std::string, std::string>, deputy_row> deputy_rows;
     int running_watches = 0;
     bool is_report_requested = false;
-    int failed_reports = 0;
-    bool is_last_report_answered = false;
 };
 
 } // namespace briarfold::edge
