Let the former leader stand first after a restart of all routers

Change: the stored leader does not wait; a router that joins reports every 130 ms and follows a stored leader whose row changed since it was read.

--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr core::duration report_timeout{450};
+/// Interval between the reports of a router that has no directory yet.
+constexpr core::duration joining_report_interval{130};
 /// Requested reports are batched for this time.
 constexpr core::duration report_delay{4};
 /// A leader that cannot read the store for this time is replaced by one that can.
@@ -125,6 +127,7 @@
                 if (row.key == internal::leadership_key)
                 {
                     leader = directory::router_from_json(row.value.at("router"));
+                    leadership_version = row.version;
                     snapshot.term = 0;
                 }
             }
@@ -205,7 +208,10 @@
             co_await run_election("the leader cannot read the store");
         }
         boost::system::error_code ignored;
-        const auto wait = is_report_requested ? report_delay : contact.report_interval();
+        const bool is_joining = snapshot.term == 0 && !leadership;
+        const auto wait = is_report_requested ? report_delay
+                          : is_joining        ? joining_report_interval
+                                              : contact.report_interval();
         report_timer.expires_after(std::chrono::milliseconds(wait.ms));
         co_await report_timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
--- a/src/edge/internal/member_election.cpp
+++ b/src/edge/internal/member_election.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace briarfold::edge {
 
@@ -26,8 +27,13 @@
     constexpr std::uint64_t max_steps = 12;
     // Routers with a small share of a processor, compared with the largest known, come later.
     constexpr double default_max_cpu = 0.5;
-    constexpr double steps_per_ratio = 3;
-    constexpr double max_weak_steps = 12;
+    constexpr double steps_per_ratio = 2;
+    constexpr double max_weak_steps = 10;
+    // After a restart of all routers the former leader is a good choice and known to all.
+    if (snapshot.term == 0 && leader.name == settings.name)
+    {
+        return {};
+    }
     double max_cpu = snapshot.routers.empty() ? default_max_cpu : settings.cpu;
     for (const auto& [name, router] : snapshot.routers)
     {
@@ -138,7 +144,11 @@
             holder = directory::router_from_json(row->value.at("router"));
         }
         const bool is_other_leader = holder && holder->name != leader.name && holder->name != settings.name;
-        if (is_other_leader)
+        // A router without a directory knows no witnesses. The same leader may have taken the leadership again after a
+        // restart of all, and may not have come to answer this router yet.
+        const bool is_renewed = snapshot.term == 0 && holder && holder->name != settings.name &&
+                                row->version != std::exchange(leadership_version, row->version);
+        if (is_other_leader || is_renewed)
         {
             leader = *holder;
             contact.on_leader_named(clock::now());
--- a/src/edge/internal/member_state.hpp
+++ b/src/edge/internal/member_state.hpp
@@ -57,6 +57,8 @@
     internal::store_health health;
     directory::snapshot snapshot;
     directory::router leader;
+    /// Version of the leadership row as this router last read it.
+    std::int64_t leadership_version = 0;
     /// Document of the configuration in force, as encoded by `internal::pack`.
     std::string packed_config;
     std::int64_t config_version = 0;
