Balance fronts of a large group within seconds

Load pattern: after a restart of all routers the first ones up are the fronts of all backend servers.

--- a/src/leader/internal/front_assignment.cpp
+++ b/src/leader/internal/front_assignment.cpp
@@ -18,7 +18,7 @@
 /// Load of a front that is spared, above any real one, so that its backend servers move first.
 constexpr double spared_load = 1e6;
 /// Backend servers for each change of front in one round of balancing.
-constexpr std::size_t servers_per_balance_move = 40;
+constexpr std::size_t servers_per_balance_move = 12;
 /// Avoids a division by zero for a router that reports no share of a processor.
 constexpr double min_cpu = 0.01;
 /// The store may reject a third of the routers, among them the leader and some deputies.
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -192,6 +192,54 @@
     BOOST_CHECK_GE(fronts["r3"], 3);
 }
 
+// Load pattern: a large group after a restart of all routers, when the first ones up have become the fronts
+// of all backend servers. Guards against balancing that takes minutes, and against a leader that is a front
+// as well.
+BOOST_AUTO_TEST_CASE(fronts_of_a_large_group_are_balanced_within_seconds)
+{
+    constexpr std::size_t servers = 300;
+    constexpr int routers = 60;
+    start(servers);
+    for (int step = 0; step < 50; ++step)
+    {
+        now = now + duration{100};
+        for (int i = 1; i <= routers; ++i)
+        {
+            router_report message;
+            message.router = make_router("r" + std::to_string(i), i % 2 == 0 ? "a" : "b");
+            state->on_report(message, now);
+        }
+        state->tick(now);
+        write();
+    }
+    std::map<std::string, int> fronts;
+    for (const auto& [id, item] : state->current().entries)
+    {
+        ++fronts[item.front];
+    }
+    BOOST_CHECK_EQUAL(fronts["r1"], 0);
+    const auto busiest = std::ranges::max_element(fronts, {}, [](const auto& item) { return item.second; });
+    BOOST_CHECK_LE(busiest->second, 3 * static_cast<int>(servers) / routers);
+}
+
+// Guards against a front that is confirmed although it does not know that another router is the front now: it
+// would go on renewing grants for longer than its successor reckons with.
+BOOST_AUTO_TEST_CASE(a_former_front_is_confirmed_only_when_it_knows_of_the_change)
+{
+    start(4);
+    const auto former = entry("s0").front;
+    const auto revision = state->current().revision;
+    BOOST_CHECK(state->knows_its_fronts(former, revision));
+    router_report message;
+    message.router = make_router(former, former == "r2" ? "b" : "a");
+    message.router.is_stopping = true;
+    state->on_report(message, now);
+    state->tick(now);
+    BOOST_REQUIRE(entry("s0").front != former);
+    BOOST_CHECK(!state->knows_its_fronts(former, revision));
+    BOOST_CHECK(state->knows_its_fronts(former, state->current().revision));
+}
+
 // Guards against a stopping router that remains a front until it ends.
 BOOST_AUTO_TEST_CASE(a_stopping_router_loses_its_fronts_at_once)
 {
