--- /dev/null
+++ b/src/edge/tests/backend_link_tests.cpp
@@ -0,0 +1,113 @@
+#include "edge/backend_link.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace briarfold;
+using namespace briarfold::core::literals;
+namespace asio = core::asio;
+
+namespace {
+
+std::string make_answer(const std::string& id)
+{
+    return "HTTP/1.1 200 OK\r\nX-Attempt: " + id + "\r\nContent-Length: 2\r\n\r\n" + id;
+}
+
+/// A backend server that answers the first request of its first connection and repeats that answer later;
+/// other connections get the right answer.
+struct repeating_backend
+{
+    explicit repeating_backend(asio::io_context& context)
+        : acceptor(context, {asio::ip::make_address("127.0.0.1"), 0})
+    {}
+
+    asio::awaitable<void> serve(bool repeats_while_idle)
+    {
+        auto first = co_await acceptor.async_accept(asio::use_awaitable);
+        co_await read_request(first);
+        co_await asio::async_write(first, asio::buffer(make_answer("a1")), asio::use_awaitable);
+        if (!repeats_while_idle)
+        {
+            co_await read_request(first);
+        }
+        co_await asio::async_write(first, asio::buffer(make_answer("a1")), asio::use_awaitable);
+        auto second = co_await acceptor.async_accept(asio::use_awaitable);
+        co_await read_request(second);
+        co_await asio::async_write(second, asio::buffer(make_answer("a2")), asio::use_awaitable);
+    }
+
+    static asio::awaitable<void> read_request(asio::ip::tcp::socket& socket)
+    {
+        std::string text;
+        co_await asio::async_read_until(socket, asio::dynamic_buffer(text), "\r\n\r\n", asio::use_awaitable);
+    }
+
+    asio::ip::tcp::acceptor acceptor;
+};
+
+edge::protocol make_protocol()
+{
+    edge::protocol adapter;
+    adapter.read_response = [](const http::response& answer) {
+        edge::response_head head;
+        head.attempt_id = http::find_header(answer.headers, "X-Attempt");
+        return head;
+    };
+    return adapter;
+}
+
+struct two_exchanges
+{
+    edge::exchange_result first;
+    edge::exchange_result second;
+};
+
+two_exchanges exchange_twice(bool repeats_while_idle)
+{
+    asio::io_context context;
+    repeating_backend backend(context);
+    const auto adapter = make_protocol();
+    two_exchanges results;
+    asio::co_spawn(context, backend.serve(repeats_while_idle), asio::detached);
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            const auto link = std::make_shared<edge::backend_link>(
+                context.get_executor(), http::endpoint{"127.0.0.1", backend.acceptor.local_endpoint().port()},
+                adapter);
+            results.first = co_await link->exchange({"GET", "/1", {}, ""}, "a1", 1000_ms, nullptr);
+            // Time in which the repeated answer arrives on the idle connection.
+            asio::steady_timer timer(context, std::chrono::milliseconds(50));
+            co_await timer.async_wait(asio::use_awaitable);
+            results.second = co_await link->exchange({"GET", "/2", {}, ""}, "a2", 1000_ms, nullptr);
+            link->close_idle();
+            context.stop();
+        },
+        asio::detached);
+    context.run();
+    return results;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(backend_links)
+
+// Guards against a second copy of an answer, sent while the connection was idle, that the next caller gets.
+BOOST_AUTO_TEST_CASE(connection_with_bytes_nobody_asked_for_is_not_used_again)
+{
+    const auto results = exchange_twice(true);
+    BOOST_CHECK(results.first.outcome == edge::exchange_outcome::answered);
+    BOOST_CHECK(results.second.outcome == edge::exchange_outcome::answered);
+    BOOST_CHECK_EQUAL(results.second.answer.body, "a2");
+    BOOST_CHECK(results.second.is_new_connection);
+}
+
+// Guards against a second copy of an answer that arrives when the next request is already sent.
+BOOST_AUTO_TEST_CASE(answer_to_an_earlier_request_is_no_answer)
+{
+    const auto results = exchange_twice(false);
+    BOOST_CHECK(results.first.outcome == edge::exchange_outcome::answered);
+    BOOST_CHECK(results.second.outcome == edge::exchange_outcome::mismatched);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
