--- a/src/edge/internal/member_election.cpp
+++ b/src/edge/internal/member_election.cpp
@@ -144,8 +144,8 @@
             holder = directory::router_from_json(row->value.at("router"));
         }
         const bool is_other_leader = holder && holder->name != leader.name && holder->name != settings.name;
-        // A router without a directory knows no witnesses. The same leader may have taken the leadership again after a
-        // restart of all, and may not have come to answer this router yet.
+        // A router without a directory knows no witnesses. The same leader may have taken the leadership
+        // again after a restart of all, and may not have come to answer this router yet.
         const bool is_renewed = snapshot.term == 0 && holder && holder->name != settings.name &&
                                 row->version != std::exchange(leadership_version, row->version);
         if (is_other_leader || is_renewed)
--- a/src/grants/internal/server_grants.cpp
+++ b/src/grants/internal/server_grants.cpp
@@ -188,8 +188,8 @@
         item.is_granted = true;
         item.renewed = call.sent;
         item.valid_until = call.sent + call.valid_for - send_margin;
-        // A grant does not shorten a longer one. Grants of earlier fronts arrived before this one, whose token
-        // fences them.
+        // A grant does not shorten a longer one. Grants of earlier fronts arrived before this one, whose
+        // token fences them.
         item.latest_end = std::max(latest_grant_end(now, call.valid_for),
                                    std::min(item.latest_end, latest_grant_end(now, outage_grant_duration)));
         item.unanswered_latest_end = {};
--- a/src/grants/tests/server_grants_tests.cpp
+++ b/src/grants/tests/server_grants_tests.cpp
@@ -106,8 +106,8 @@
     BOOST_CHECK_EQUAL(grants.freed(now).size(), 1U);
 }
 
-// Guards against two owners: a renewal does not shorten a longer grant, so keys with an outage grant counted as
-// free while the backend server still held them.
+// Guards against two owners: a renewal does not shorten a longer grant, so keys with an outage grant counted
+// as free while the backend server still held them.
 BOOST_AUTO_TEST_CASE(a_short_renewal_does_not_end_an_outage_grant)
 {
     auto entry = make_entry({{0, 99}});
@@ -122,8 +122,8 @@
     BOOST_CHECK_EQUAL(grants.freed(latest_grant_end(start, outage_grant_duration)).size(), 1U);
 }
 
-// Guards against two owners: a higher token fences the earlier front's renewals, but an outage grant that it gave
-// before stays in force, also after the new front's shorter grant has ended.
+// Guards against two owners: a higher token fences the earlier front's renewals, but an outage grant that it
+// gave before stays in force, also after the new front's shorter grant has ended.
 BOOST_AUTO_TEST_CASE(an_accepted_grant_does_not_end_those_of_earlier_fronts)
 {
     auto entry = make_entry({{0, 99}});
