Keep tokens rising when a backend server changes its front hundreds of times

What callers could see: a key that moves to a backend server with a token below that of its former owner, so that a late call of the former front is not rejected (OWNER).

Cause, found by reading for the second hypothesis: the number of front changes has eight bits of the token and no limit. A backend server whose keys stay while its front changes, such as over months of rolling restarts, counts into the tokens of the next version. Evidence: 300 changes of front between two versions gave the former owner token and the next one.

Change: after 127 changes the row is written, which gives the entry a new version and starts the count again; while the store is away and the range is used up, the front stays.

--- a/src/leader/internal/front_assignment.cpp
+++ b/src/leader/internal/front_assignment.cpp
@@ -142,6 +142,11 @@
 {
     auto& entry = find_entry(id);
     auto& state = entry_states_[id];
+    if (state.front_changes == max_front_changes)
+    {
+        // A further change would reuse the former front's token or reach into those of the next owner.
+        return;
+    }
     on_decision_("front assigned", id, {{"front", front}, {"former", entry.front}, {"reason", reason}});
     if (!entry.front.empty())
     {
@@ -154,6 +159,10 @@
     servers_by_front_[front].insert(id);
     const auto former = std::exchange(entry.front, front);
     ++state.front_changes;
+    if (needs_new_version(id))
+    {
+        mark_dirty(id);
+    }
     update_token_base(id);
     bump_revision(id);
     front_lost_at_[former] = entry.revision;
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -15,6 +15,9 @@
 /// version, which need no write, from bit 12. The front uses the lower bits for calls without an answer.
 constexpr int version_shift = 20;
 constexpr int front_shift = 12;
+/// Number of front changes after which the next write gives the entry a new version. The rest of the range
+/// lasts for an outage of the store.
+constexpr std::int64_t front_changes_until_write = leader_state::max_front_changes / 2;
 /// With 64 KB per row and about 150 bytes per backend server, enough for more than 10,000 backend servers.
 constexpr std::uint64_t rows_per_service = 32;
 /// A transaction of the platform's store has at most 100 entries, one of which renews the leadership.
@@ -83,6 +86,11 @@
            std::to_string(core::text_hash(id) % rows_per_service);
 }
 
+bool leader_state::needs_new_version(const std::string& id) const
+{
+    return entry_states_.at(id).front_changes >= front_changes_until_write;
+}
+
 void leader_state::bump_revision(const std::string& id)
 {
     find_entry(id).revision = ++published_.revision;
@@ -333,7 +341,7 @@
         }
         auto& entry = position->second;
         auto& state = entry_states_[id];
-        if (entry.keys == written.keys)
+        if (entry.keys == written.keys && !needs_new_version(id))
         {
             continue;
         }
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -47,6 +47,9 @@
 class leader_state
 {
 public:
+    /// Changes of front that fit into a token between two versions.
+    static constexpr std::int64_t max_front_changes = 255;
+
     leader_state(leader_settings settings, directory::router self, std::int64_t term, core::time_point now,
                  decision_hook on_decision);
 
@@ -136,6 +139,8 @@
     void bump_revision(const std::string& id);
     /// Recomputes the token base of the entry, so that its front's tokens exceed those of all earlier fronts.
     void update_token_base(const std::string& id);
+    /// Whether its tokens have little room left for further changes of front.
+    bool needs_new_version(const std::string& id) const;
     void withdraw(const std::string& id, const keyspace::key_set& keys, const char* reason);
     void remove_lost_routers(core::time_point now);
     void assign_fronts(core::time_point now);
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -167,6 +167,41 @@
     BOOST_CHECK_GT(state->prior_grant_remaining(ids.front(), now).ms, grants::outage_grant_duration.ms);
 }
 
+// Guards against a key that moves with a lower token: many changes of front without a change of keys used up
+// the part of the token that counts them, so that it reached into the tokens of the next owner.
+BOOST_AUTO_TEST_CASE(tokens_rise_after_hundreds_of_front_changes)
+{
+    start(2);
+    const auto keys = entry("s0").keys;
+    auto highest = entry("s0").token_base;
+    constexpr int rounds = 300;
+    for (int round = 0; round < rounds; ++round)
+    {
+        const auto former = entry("s0").front;
+        for (const std::string name : {"r1", "r2", "r3"})
+        {
+            router_report message;
+            message.router = make_router(name, name == "r2" ? "b" : "a");
+            message.router.is_stopping = name == "r1" || name == former;
+            state->on_report(message, now);
+        }
+        now = now + duration{100};
+        state->tick(now);
+        write();
+        BOOST_REQUIRE(entry("s0").front != former);
+        highest = std::max(highest, entry("s0").token_base);
+    }
+    auto leaving = make_server("s0");
+    leaving.is_draining = true;
+    state->on_registered(leaving, now);
+    advance(200);
+    report(entry("s0").front, {{"s0", keys.front(), ""}});
+    state->tick(now);
+    write();
+    BOOST_REQUIRE(!keyspace::set_intersection(entry("s1").keys, keys).empty());
+    BOOST_CHECK_GT(entry("s1").token_base, highest);
+}
+
 // Guards against a leader that becomes the front of all backend servers because it is the first router up
 // after a restart of all.
 BOOST_AUTO_TEST_CASE(the_first_router_after_a_full_restart_does_not_keep_all_fronts)
