Show the era of the store in logs and metrics

Cause: when the store comes back from an older copy, its versions go back; the decision log showed neither the era of an answer nor that one had begun, so a change of leader could not be told from a restore.

Change: the adapter reads the header Store-Era into each batch of rows and each result of a commit; the first answer of a later era is logged as "store restored"; leadership and writes of assignments are logged with their era; the gauge briarfold_edge_store_era shows it. The stand-in of the metadata store can be restored from a copy, and its backend servers count their registrations.

--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -84,7 +84,7 @@
         {
             const auto rows = co_await tables_.cluster_state->read_prefix(assignment_prefix, store_timeout);
             const auto now = clock::now();
-            health_.on_success(now);
+            note_store_answer(health_, log_, rows.era);
             for (const auto& row : rows.rows)
             {
                 const auto name = row.key.substr(std::string(assignment_prefix).size());
--- a/src/edge/internal/leader_store.cpp
+++ b/src/edge/internal/leader_store.cpp
@@ -101,7 +101,7 @@
 asio::awaitable<std::int64_t> leader_service::read_registry()
 {
     const auto rows = co_await tables_.registry->read_prefix("", store_timeout);
-    health_.on_success(clock::now());
+    note_store_answer(health_, log_, rows.era);
     auto missing = registered_;
     for (const auto& row : rows.rows)
     {
@@ -130,7 +130,7 @@
             {
                 co_return;
             }
-            health_.on_success(clock::now());
+            note_store_answer(health_, log_, batch.era);
             if (batch.is_truncated)
             {
                 revision = co_await read_registry();
@@ -172,7 +172,7 @@
             {
                 co_return;
             }
-            health_.on_success(clock::now());
+            note_store_answer(health_, log_, batch.era);
             if (batch.is_truncated)
             {
                 revision = co_await read_config();
@@ -207,15 +207,14 @@
 {
     try
     {
-        const auto row = co_await tables_.cluster_state->read(leadership_key, store_timeout);
-        const auto now = clock::now();
-        health_.on_success(now);
-        if (!row || row->version != leadership_version_)
+        const auto stored = co_await tables_.cluster_state->read_prefix(leadership_key, store_timeout);
+        note_store_answer(health_, log_, stored.era);
+        if (stored.rows.empty() || stored.rows.front().version != leadership_version_)
         {
             callbacks_.on_deposed("the leadership row changed");
             co_return;
         }
-        confirmed_at_ = now;
+        confirmed_at_ = clock::now();
     }
     catch (const core::error& failure)
     {
@@ -255,7 +254,7 @@
         const auto now = clock::now();
         if (is_answered)
         {
-            health_.on_success(now);
+            note_store_answer(health_, log_, result.era);
         }
         if (is_answered && !result.is_committed && may_be_committed)
         {
@@ -279,7 +278,8 @@
             }
             is_writing_ = false;
             state_->on_written(result.revision);
-            log_.write("assignments written", {{"rows", rows.size()}, {"version", result.revision}});
+            log_.write("assignments written",
+                       {{"rows", rows.size()}, {"version", result.revision}, {"era", result.era}});
             propagate_changes();
             co_return;
         }
--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -95,6 +95,11 @@
     return state_->snapshot.term > 0 && (state_->leadership || state_->contact.is_connected(clock::now()));
 }
 
+std::int64_t member::store_era() const
+{
+    return state_->health.era();
+}
+
 const directory::snapshot& member::directory() const
 {
     return state_->snapshot;
@@ -121,7 +126,7 @@
         try
         {
             const auto rows = co_await tables.cluster_state->read_prefix("", store_timeout);
-            health.on_success(clock::now());
+            internal::note_store_answer(health, log, rows.era);
             for (const auto& row : rows.rows)
             {
                 if (row.key == internal::leadership_key)
--- a/src/edge/internal/member_deputy.cpp
+++ b/src/edge/internal/member_deputy.cpp
@@ -41,7 +41,7 @@
                 revision = all.revision;
             }
             const auto batch = co_await rows->changes(revision, deputy_feed_wait);
-            health.on_success(clock::now());
+            internal::note_store_answer(health, log, batch.era);
             revision = batch.is_truncated ? 0 : batch.revision;
             for (const auto& row : batch.rows)
             {
--- a/src/edge/internal/member_election.cpp
+++ b/src/edge/internal/member_election.cpp
@@ -136,10 +136,12 @@
     is_electing = true;
     try
     {
-        const auto row = co_await tables.cluster_state->read(internal::leadership_key, store_timeout);
-        health.on_success(clock::now());
+        const auto stored =
+            co_await tables.cluster_state->read_prefix(internal::leadership_key, store_timeout);
+        internal::note_store_answer(health, log, stored.era);
+        const auto* const row = stored.rows.empty() ? nullptr : &stored.rows.front();
         std::optional<directory::router> holder;
-        if (row)
+        if (row != nullptr)
         {
             holder = directory::router_from_json(row->value.at("router"));
         }
@@ -152,18 +154,21 @@
         {
             leader = *holder;
             contact.on_leader_named(clock::now());
-            log.write("leader found", {{"leader", leader.name}, {"version", row->version}});
+            log.write("leader found",
+                      {{"leader", leader.name}, {"version", row->version}, {"era", row->era}});
         }
         else
         {
             std::vector<store::row_write> writes;
-            writes.emplace_back(internal::leadership_key, row ? row->version : 0,
+            writes.emplace_back(internal::leadership_key, row != nullptr ? row->version : 0,
                                 internal::leadership_value(self));
             const auto result = co_await tables.cluster_state->commit("", std::move(writes), store_timeout);
             if (result.is_committed && !is_stopping)
             {
-                log.write("leadership taken",
-                          {{"term", result.revision}, {"reason", reason}, {"former", leader.name}});
+                log.write("leadership taken", {{"term", result.revision},
+                                               {"era", result.era},
+                                               {"reason", reason},
+                                               {"former", leader.name}});
                 become_leader(result.revision);
             }
             else
--- a/src/edge/internal/router_node.cpp
+++ b/src/edge/internal/router_node.cpp
@@ -192,6 +192,9 @@
                            [this] { return static_cast<double>(entry.routes().config().version); });
     metrics.computed_gauge("briarfold_edge_leader", "1 while this router is the leader.", {},
                            [this] { return member.is_leader() ? 1.0 : 0.0; });
+    metrics.computed_gauge("briarfold_edge_store_era",
+                           "Era of the store; rises when it is restored from a copy.", {},
+                           [this] { return static_cast<double>(member.store_era()); });
     metrics.computed_gauge("briarfold_edge_log_lines_left_out", "Log lines left out.", {},
                            [this] { return static_cast<double>(log.dropped()); });
     member.start();
--- a/src/edge/internal/store_health.hpp
+++ b/src/edge/internal/store_health.hpp
@@ -3,6 +3,8 @@
 #include "core/clock.hpp"
 #include "edge/event_log.hpp"
 
+#include <algorithm>
+#include <cstdint>
 #include <exception>
 #include <optional>
 
@@ -13,17 +15,21 @@
 /// Pause after a failed call to the store.
 constexpr core::duration store_retry{150};
 
-/// Record of whether the store answers this router.
+/// Record of whether the store answers this router, and in which era.
 class store_health
 {
 public:
-    void on_success(core::time_point now)
+    /// Records an answer. Returns whether it is the first one after the store was restored from a copy.
+    bool on_answer(std::int64_t era, core::time_point now)
     {
-        if (failing_since_)
+        const bool is_restored = era > era_.value_or(era);
+        if (failing_since_ || is_restored)
         {
             recovered_at_ = now;
         }
         failing_since_.reset();
+        era_ = std::max(era, era_.value_or(era));
+        return is_restored;
     }
     void on_failure(core::time_point now)
     {
@@ -34,11 +40,13 @@
     }
 
     bool is_failing() const { return failing_since_.has_value(); }
+    /// Returns the latest era in which the store answered.
+    std::int64_t era() const { return era_.value_or(0); }
     core::duration failing_for(core::time_point now) const
     {
         return failing_since_ ? now - *failing_since_ : core::duration{0};
     }
-    /// Whether the store is failing or recovered less than `span` ago.
+    /// Whether the store is failing, or recovered or was restored less than `span` ago.
     bool was_failing(core::duration span, core::time_point now) const
     {
         return is_failing() || (recovered_at_ && now - *recovered_at_ < span);
@@ -47,8 +55,19 @@
 private:
     std::optional<core::time_point> failing_since_;
     std::optional<core::time_point> recovered_at_;
+    std::optional<std::int64_t> era_;
 };
 
+/// Records an answer of the store and logs the first one after a restore.
+inline void note_store_answer(store_health& health, event_log& log, std::int64_t era)
+{
+    const auto former = health.era();
+    if (health.on_answer(era, core::clock::now()))
+    {
+        log.write("store restored", {{"era", era}, {"former", former}});
+    }
+}
+
 /// Records a failed call and logs the first one after a success. `step` names the purpose of the call.
 inline void note_store_failure(store_health& health, event_log& log, const char* step,
                                const std::exception& failure)
--- a/src/edge/member.hpp
+++ b/src/edge/member.hpp
@@ -63,6 +63,8 @@
     bool is_leader() const;
     /// Whether a directory is known and this router leads or has heard of the leader within 2.2 s.
     bool is_connected() const;
+    /// Returns the latest era in which the store answered this router.
+    std::int64_t store_era() const;
     const directory::snapshot& directory() const;
 
 private:
--- a/src/store/store_types.hpp
+++ b/src/store/store_types.hpp
@@ -3,12 +3,23 @@
 
 #include <nlohmann/json.hpp>
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 namespace briarfold::store {
 
+/// Point in the history of the store. The era comes first: a store that comes back from an older copy is in a
+/// later era, and its counter goes on from an earlier number. A store that is never restored stays in era 0.
+struct position
+{
+    std::int64_t era = 0;
+    std::int64_t number = 0;
+
+    auto operator<=>(const position&) const = default;
+};
+
 /// One row. `value` is null in a change that deletes the row.
 struct row
 {
@@ -24,7 +35,10 @@
     std::int64_t revision = 0;
     std::string operation_id;
     nlohmann::json value;
+    /// Era of the store in which the row was read.
+    std::int64_t era = 0;
 
+    store::position position() const { return {era, version}; }
     bool operator==(const row&) const = default;
 };
 
@@ -50,6 +64,8 @@
     bool is_committed = false;
     std::int64_t revision = 0;
     std::vector<row> conflicts;
+    /// Era of the store that answered.
+    std::int64_t era = 0;
 
     bool operator==(const commit_result&) const = default;
 };
@@ -60,6 +76,10 @@
     std::int64_t revision = 0;
     std::vector<row> rows;
     bool is_truncated = false;
+    /// Era of the store that answered. Changes after a revision of an earlier era may be missing.
+    std::int64_t era = 0;
+
+    store::position position() const { return {era, revision}; }
 
     bool operator==(const row_batch&) const = default;
 };
--- a/standins/edge/keyed_backend.cpp
+++ b/standins/edge/keyed_backend.cpp
@@ -36,13 +36,15 @@
     address_.port = server_->port();
 }
 
-json keyed_backend::registration(bool is_draining) const
+json keyed_backend::registration(bool is_draining)
 {
-    return {
-        {"address", http::to_string(address_)},
-        {"born", start_time_ms_},
-        {"info", {{"backend", service_}, {"version", "v1"}, {"zone", zone_}, {"capacity", slots_}}},
-        {"status", {{"phase", is_draining ? "draining" : "ready"}, {"sequence", 1}, {"warmup-left-ms", 0}}}};
+    return {{"address", http::to_string(address_)},
+            {"born", start_time_ms_},
+            {"info", {{"backend", service_}, {"version", "v1"}, {"zone", zone_}, {"capacity", slots_}}},
+            {"status",
+             {{"phase", is_draining ? "draining" : "ready"},
+              {"sequence", ++registrations_},
+              {"warmup-left-ms", 0}}}};
 }
 
 asio::awaitable<http::response> keyed_backend::handle(http::request message)
--- a/standins/edge/keyed_backend.hpp
+++ b/standins/edge/keyed_backend.hpp
@@ -32,8 +32,8 @@
                   std::string service, std::string zone, int slots, core::duration work_duration);
 
     const std::string& id() const { return id_; }
-    /// Returns its entry in the registry.
-    nlohmann::json registration(bool is_draining = false) const;
+    /// Returns its next entry in the registry.
+    nlohmann::json registration(bool is_draining = false);
     /// Ends as if it crashed: closes its connections and accepts no new ones.
     void crash() { server_.reset(); }
     /// Loses the answer to every `interval`-th request; 0 loses none.
@@ -71,6 +71,7 @@
     int misdirected_count_ = 0;
     int answer_loss_interval_ = 0;
     int answers_ = 0;
+    int registrations_ = 0;
     std::optional<http::server> server_;
 };
 
--- a/standins/edge/metadata_store.cpp
+++ b/standins/edge/metadata_store.cpp
@@ -117,7 +117,22 @@
     return result;
 }
 
+void metadata_store::restore()
+{
+    rows_ = copy_.rows;
+    version_ = copy_.version;
+    ++era_;
+    notify_feeds();
+}
+
 asio::awaitable<http::response> metadata_store::handle(http::request message)
+{
+    auto result = co_await serve_call(std::move(message));
+    result.headers.emplace_back("Store-Era", std::to_string(era_));
+    co_return result;
+}
+
+asio::awaitable<http::response> metadata_store::serve_call(http::request message)
 {
     ++calls_;
     const auto mode = mode_;
@@ -217,7 +232,7 @@
     const auto end = core::clock::now() + core::duration{std::stoll(query.at("wait-ms"))};
     while (true)
     {
-        if (after < oldest_version_)
+        if (after < oldest_version_ || after > version_)
         {
             co_return http::response(status_gone);
         }
--- a/standins/edge/metadata_store.hpp
+++ b/standins/edge/metadata_store.hpp
@@ -36,6 +36,10 @@
     void set_mode(store_mode mode) { mode_ = mode; }
     /// Discards the history of changes, so that feeds have to start again.
     void compact() { oldest_version_ = version_; }
+    /// Takes the copy from which `restore` brings the store back.
+    void save_copy() { copy_ = {rows_, version_}; }
+    /// Loses all that was written since the last copy and begins the next era.
+    void restore();
     /// Writes a row as the operator or a backend server does.
     void put(const std::string& table, const std::string& key, const nlohmann::json& value);
     void remove(const std::string& table, const std::string& key);
@@ -52,7 +56,14 @@
     };
     using row_id = std::pair<std::string, std::string>;
 
+    struct copy
+    {
+        std::map<row_id, row> rows;
+        std::int64_t version = 0;
+    };
+
     core::asio::awaitable<http::response> handle(http::request message);
+    core::asio::awaitable<http::response> serve_call(http::request message);
     http::response transact(const nlohmann::json& document);
     http::response read(const std::map<std::string, std::string>& query) const;
     core::asio::awaitable<http::response> feed(std::map<std::string, std::string> query);
@@ -64,6 +75,8 @@
     std::map<row_id, row> rows_;
     std::int64_t version_ = 0;
     std::int64_t oldest_version_ = 0;
+    std::int64_t era_ = 0;
+    copy copy_;
     std::int64_t calls_ = 0;
     store_mode mode_ = store_mode::serving;
     std::list<core::asio::steady_timer*> waiting_feeds_;
--- /dev/null
+++ b/standins/edge/tests/cluster_checks.hpp
@@ -0,0 +1,90 @@
+/// Checks of the histories that a test cluster recorded.
+#pragma once
+
+#include "standins/edge/tests/edge_cluster.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+namespace briarfold::standins {
+
+/// Checks the invariants of every case: each caller gets the whole answer to its own request, a request that
+/// is not idempotent runs at most once and not at all when it is refused, and slots are never exceeded.
+inline void check_invariants(const edge_cluster& cluster)
+{
+    for (const auto& record : cluster.records)
+    {
+        const int runs = cluster.runs(record.attempt);
+        if (record.status == 200)
+        {
+            BOOST_CHECK_MESSAGE(record.body.ends_with(" to " + record.attempt),
+                                record.attempt << ": " << record.body);
+            BOOST_CHECK_GE(runs, 1);
+        }
+        if (!record.is_idempotent)
+        {
+            BOOST_CHECK_MESSAGE(runs <= 1, record.attempt << " ran " << runs << " times");
+            BOOST_CHECK_MESSAGE(record.status != 503 || runs == 0, record.attempt << " was refused and ran");
+        }
+    }
+    for (const auto& item : cluster.backends)
+    {
+        BOOST_CHECK_LE(item->max_running(), 2);
+    }
+}
+
+/// Calls `check` with each pair of spans in which two backend servers held a key, the earlier one first.
+template <typename Check>
+void for_each_shared_span(const edge_cluster& cluster, const Check& check)
+{
+    for (const auto& former : cluster.backends)
+    {
+        for (const auto& next : cluster.backends)
+        {
+            if (former == next)
+            {
+                continue;
+            }
+            const auto next_spans = next->spans();
+            for (const auto& a : former->spans())
+            {
+                for (const auto& b : next_spans)
+                {
+                    if (a.from <= b.from && a.first <= b.last && b.first <= a.last)
+                    {
+                        check(former->id(), a, next->id(), b);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Checks that no key is held by two backend servers at the same time.
+inline void check_exclusive_ownership(const edge_cluster& cluster)
+{
+    for_each_shared_span(cluster, [](const auto& former, const auto& a, const auto& next, const auto& b) {
+        const bool share_time = a.from < b.until && b.from < a.until;
+        BOOST_CHECK_MESSAGE(!share_time, former << " and " << next << " held keys "
+                                                << std::max(a.first, b.first) << " to "
+                                                << std::min(a.last, b.last));
+    });
+}
+
+/// Checks that each key moved to another backend server with a higher fencing token.
+inline void check_rising_tokens(const edge_cluster& cluster)
+{
+    for_each_shared_span(cluster, [](const auto& former, const auto& a, const auto& next, const auto& b) {
+        BOOST_CHECK_MESSAGE(a.token < b.token, "key " << std::max(a.first, b.first) << " went to " << next
+                                                      << " with token " << b.token << "; " << former
+                                                      << " had it with token " << a.token);
+    });
+}
+
+inline double success_ratio(const edge_cluster& cluster)
+{
+    return static_cast<double>(cluster.count(200)) / static_cast<double>(cluster.records.size());
+}
+
+} // namespace briarfold::standins
--- a/standins/edge/tests/edge_cluster_tests.cpp
+++ b/standins/edge/tests/edge_cluster_tests.cpp
@@ -1,67 +1,10 @@
-#include "standins/edge/tests/edge_cluster.hpp"
+#include "standins/edge/tests/cluster_checks.hpp"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace briarfold;
 using namespace briarfold::standins;
 
-namespace {
-
-/// Checks the invariants of every case: each caller gets the whole answer to its own request, a request that
-/// is not idempotent runs at most once and not at all when it is refused, and slots are never exceeded.
-void check_invariants(const edge_cluster& cluster)
-{
-    for (const auto& record : cluster.records)
-    {
-        const int runs = cluster.runs(record.attempt);
-        if (record.status == 200)
-        {
-            BOOST_CHECK_MESSAGE(record.body.ends_with(" to " + record.attempt),
-                                record.attempt << ": " << record.body);
-            BOOST_CHECK_GE(runs, 1);
-        }
-        if (!record.is_idempotent)
-        {
-            BOOST_CHECK_MESSAGE(runs <= 1, record.attempt << " ran " << runs << " times");
-            BOOST_CHECK_MESSAGE(record.status != 503 || runs == 0, record.attempt << " was refused and ran");
-        }
-    }
-    for (const auto& item : cluster.backends)
-    {
-        BOOST_CHECK_LE(item->max_running(), 2);
-    }
-}
-
-/// Checks that no key is held by two backend servers at the same time.
-void check_exclusive_ownership(const edge_cluster& cluster)
-{
-    for (std::size_t i = 0; i < cluster.backends.size(); ++i)
-    {
-        for (std::size_t j = i + 1; j < cluster.backends.size(); ++j)
-        {
-            for (const auto& a : cluster.backends[i]->spans())
-            {
-                for (const auto& b : cluster.backends[j]->spans())
-                {
-                    const bool share_keys = a.first <= b.last && b.first <= a.last;
-                    const bool share_time = a.from < b.until && b.from < a.until;
-                    BOOST_CHECK_MESSAGE(!(share_keys && share_time),
-                                        "b" << i << " and b" << j << " held keys "
-                                            << std::max(a.first, b.first) << " to "
-                                            << std::min(a.last, b.last));
-                }
-            }
-        }
-    }
-}
-
-double success_ratio(const edge_cluster& cluster)
-{
-    return static_cast<double>(cluster.count(200)) / static_cast<double>(cluster.records.size());
-}
-
-} // namespace
-
 BOOST_AUTO_TEST_SUITE(edge_clusters)
 
 // Guards against a fault on the path of a request: registration, assignment, grants, forwarding, answers.
