Count the grants of fronts between two terms of office

What callers saw: two backend servers held the same keys and both ran requests on them (OWNER).

Cause: a front that keeps its role across a change of leader bounded only its own grants.

Change: an entry names the token with which its front was assigned; a later one begins a new term of office, in which the bound of earlier fronts counts again until a grant with the new token was accepted. Keys to be released are first granted with that token, so that the release frees them at once and not at the end of the earlier grants.

Why it works: the backend server rejects lower tokens once it has accepted a higher one, and the bound covers what it accepted before. Result: a_front_of_two_terms_waits_for_the_fronts_in_between fails when the new term is not noticed.

--- a/src/directory/directory_types.hpp
+++ b/src/directory/directory_types.hpp
@@ -61,6 +61,9 @@
     core::duration prior_grant_remaining;
     /// First fencing token of the front's grants. The front counts up in the lower bits only.
     std::int64_t token_base = 0;
+    /// Token base with which the front was assigned. A front that learns of a later one knows that others may
+    /// have been the front in between.
+    std::int64_t front_token = 0;
     /// Revision of the directory at the last change of the entry.
     std::int64_t revision = 0;
 
--- a/src/directory/internal/directory_json.cpp
+++ b/src/directory/internal/directory_json.cpp
@@ -57,7 +57,7 @@
                         server.zone, server.slots, server.is_draining, server.warmup_left.ms, value.is_listed,
                         value.is_unreachable, value.front, to_json(value.keys), to_json(value.withdrawn),
                         handovers_to_json(value.handovers), value.prior_grant_remaining.ms, value.token_base,
-                        value.revision});
+                        value.front_token, value.revision});
 }
 
 entry entry_from_json(const json& value)
@@ -85,6 +85,7 @@
     }
     result.prior_grant_remaining.ms = take().get<std::int64_t>();
     result.token_base = take().get<std::int64_t>();
+    result.front_token = take().get<std::int64_t>();
     result.revision = take().get<std::int64_t>();
     return result;
 }
--- a/src/grants/internal/server_grants.cpp
+++ b/src/grants/internal/server_grants.cpp
@@ -14,20 +14,21 @@
 } // namespace
 
 server_grants::server_grants(const directory::entry& entry, core::time_point now)
-    : start_time_ms_(entry.server.start_time_ms), token_base_(entry.token_base)
+    : start_time_ms_(entry.server.start_time_ms), token_base_(entry.token_base),
+      front_token_(entry.front_token)
 {
     add_missing_ranges(entry, now + entry.prior_grant_remaining);
     update(entry, now);
 }
 
-void server_grants::add_missing_ranges(const directory::entry& entry, core::time_point latest_end)
+void server_grants::add_missing_ranges(const directory::entry& entry, core::time_point prior_end)
 {
     keyspace::key_set known;
     std::ranges::transform(ranges_, std::back_inserter(known), &range_state::range);
     const auto add = [&](const keyspace::key_range& range, const std::string& handover) {
         range_state item;
         item.range = range;
-        item.latest_end = latest_end;
+        item.prior_end = prior_end;
         item.handover = handover;
         ranges_.push_back(std::move(item));
     };
@@ -63,8 +64,28 @@
     std::ranges::sort(ranges_, {}, [](const range_state& item) { return item.range.first; });
 }
 
+void server_grants::update_prior_grants(const directory::entry& entry, core::time_point now)
+{
+    const auto prior_end = now + entry.prior_grant_remaining;
+    const bool is_new_term = entry.front_token > front_token_;
+    front_token_ = std::max(front_token_, entry.front_token);
+    for (auto& item : ranges_)
+    {
+        if (is_new_term)
+        {
+            item.is_fenced = false;
+            item.prior_end = std::max(item.prior_end, prior_end);
+        }
+        else
+        {
+            item.prior_end = std::min(item.prior_end, prior_end);
+        }
+    }
+}
+
 void server_grants::update(const directory::entry& entry, core::time_point now)
 {
+    update_prior_grants(entry, now);
     if (entry.token_base > token_base_)
     {
         token_base_ = entry.token_base;
@@ -108,9 +129,9 @@
     {
         const bool can_merge =
             !merged.empty() && merged.back().range.last + 1 == item.range.first && merged.back().is_granted &&
-            item.is_granted && merged.back().is_in_flight == item.is_in_flight &&
-            merged.back().release == release_state::none && item.release == release_state::none &&
-            merged.back().handover.empty() && item.handover.empty();
+            item.is_granted && merged.back().is_fenced == item.is_fenced &&
+            merged.back().is_in_flight == item.is_in_flight && merged.back().release == release_state::none &&
+            item.release == release_state::none && merged.back().handover.empty() && item.handover.empty();
         if (!can_merge)
         {
             merged.push_back(item);
@@ -121,6 +142,7 @@
         last.renewed = std::min(last.renewed, item.renewed);
         last.valid_until = std::min(last.valid_until, item.valid_until);
         last.latest_end = std::max(last.latest_end, item.latest_end);
+        last.prior_end = std::max(last.prior_end, item.prior_end);
         last.unanswered_latest_end = std::max(last.unanswered_latest_end, item.unanswered_latest_end);
     }
     ranges_ = std::move(merged);
@@ -133,7 +155,7 @@
     {
         const bool may_hold_keys = item.is_granted || item.unanswered_latest_end > now;
         const bool is_idle = !item.is_in_flight && item.retry_at <= now;
-        if (item.release == release_state::pending && may_hold_keys && is_idle)
+        if (item.release == release_state::pending && may_hold_keys && is_idle && !may_fence(item, now))
         {
             item.release = release_state::in_flight;
             item.release_sequence = ++last_sequence_;
@@ -147,8 +169,10 @@
     }
     for (auto& item : ranges_)
     {
-        const bool is_due = !item.is_granted || item.renewed + renewal_interval <= now;
-        if (item.release == release_state::none && is_due && !item.is_in_flight && item.retry_at <= now)
+        const bool is_renewal_due = item.release == release_state::none &&
+                                    (!item.is_granted || item.renewed + renewal_interval <= now);
+        const bool is_due = is_renewal_due || (item.release != release_state::done && may_fence(item, now));
+        if (is_due && !item.is_in_flight && item.retry_at <= now)
         {
             item.is_in_flight = true;
             return grant_call{call_kind::grant, item.range, token_base_ + token_step_, valid_for,
@@ -186,12 +210,17 @@
             continue;
         }
         item.is_granted = true;
+        item.is_fenced = call.token >= front_token_;
         item.renewed = call.sent;
         item.valid_until = call.sent + call.valid_for - send_margin;
-        // A grant does not shorten a longer one. Grants of earlier fronts arrived before this one, whose
-        // token fences them.
+        // A grant does not shorten a longer one.
         item.latest_end = std::max(latest_grant_end(now, call.valid_for),
                                    std::min(item.latest_end, latest_grant_end(now, outage_grant_duration)));
+        if (item.is_fenced)
+        {
+            // Grants of earlier fronts arrived before this one, whose token fences them.
+            item.prior_end = std::min(item.prior_end, latest_grant_end(now, outage_grant_duration));
+        }
         item.unanswered_latest_end = {};
         item.handover.clear();
     }
@@ -213,6 +242,12 @@
     }
 }
 
+bool server_grants::may_fence(const range_state& item, core::time_point now)
+{
+    // A lost grant is not repeated for this: each one may be applied and would hold the keys for longer.
+    return !item.is_fenced && item.prior_end > now && item.unanswered_latest_end <= now;
+}
+
 bool server_grants::is_current_release(const range_state& item, const grant_call& call)
 {
     return item.release == release_state::in_flight && item.release_sequence == call.sequence;
@@ -229,11 +264,12 @@
         }
         item.release = release_state::done;
         item.valid_until = now;
-        // Without an accepted grant of this front, the backend server may not know its token, and an earlier
-        // front may still renew.
-        if (item.is_granted)
+        // Without an accepted grant of this term of office, the backend server may not know its token, and an
+        // earlier front may still renew.
+        if (item.is_granted && (item.is_fenced || item.prior_end <= now))
         {
             item.latest_end = now;
+            item.prior_end = now;
             item.handover = handover;
         }
         item.is_granted = false;
@@ -302,7 +338,7 @@
 
 core::time_point server_grants::free_from(const range_state& item)
 {
-    return std::max(item.latest_end, item.unanswered_latest_end);
+    return std::max({item.latest_end, item.prior_end, item.unanswered_latest_end});
 }
 
 std::vector<freed_keys> server_grants::freed(core::time_point now) const
@@ -325,7 +361,8 @@
     {
         if (item.release == release_state::none)
         {
-            const auto due_at = item.is_granted ? item.renewed + renewal_interval : now;
+            const bool is_renewed = item.is_granted && !may_fence(item, now);
+            const auto due_at = is_renewed ? item.renewed + renewal_interval : now;
             due = std::min(due, std::max(due_at, item.retry_at));
         }
         else if (item.release == release_state::pending)
--- a/src/grants/server_grants.hpp
+++ b/src/grants/server_grants.hpp
@@ -52,6 +52,8 @@
     /// Grants of earlier fronts count as valid for `entry.prior_grant_remaining` from `now`.
     server_grants(const directory::entry& entry, core::time_point now);
 
+    /// A later `entry.front_token` begins a new term of office: another front may have granted the keys since
+    /// this one was assigned, so `entry.prior_grant_remaining` counts again.
     void update(const directory::entry& entry, core::time_point now);
 
     /// Returns the call to make now and marks it as in flight; nullopt if none is due. `may_grant` is false
@@ -89,12 +91,17 @@
     {
         keyspace::key_range range;
         bool is_granted = false;
+        /// Whether a grant was accepted in this term of office, so that the backend server rejects the grants
+        /// of earlier fronts.
+        bool is_fenced = false;
         /// Whether a grant is in flight, so that the backend server may get the keys at any moment.
         bool is_in_flight = false;
         core::time_point renewed;
         core::time_point valid_until;
-        /// Latest end of any accepted grant, including those of earlier fronts.
+        /// Latest end of any grant of this front that was accepted.
         core::time_point latest_end;
+        /// Latest end of the grants of earlier fronts.
+        core::time_point prior_end;
         /// Latest end of the grants whose answer was lost and that no accepted higher token has made void.
         core::time_point unanswered_latest_end;
         std::string handover;
@@ -107,15 +114,20 @@
 
     void split_at(const keyspace::key_range& range);
     void merge_adjacent();
-    void add_missing_ranges(const directory::entry& entry, core::time_point latest_end);
+    void add_missing_ranges(const directory::entry& entry, core::time_point prior_end);
+    void update_prior_grants(const directory::entry& entry, core::time_point now);
     range_state* find(const keyspace::key_range& range);
     static core::time_point free_from(const range_state& item);
+    /// Whether a grant should be made so that the backend server rejects those of earlier fronts, also of
+    /// keys that are to be released: otherwise they are free only when the earlier grants have ended.
+    static bool may_fence(const range_state& item, core::time_point now);
     static bool is_current_release(const range_state& item, const grant_call& call);
     /// Marks the grant of these keys as no longer in flight, whatever its outcome.
     void clear_in_flight(const keyspace::key_range& range);
 
     std::int64_t start_time_ms_ = 0;
     std::int64_t token_base_ = 0;
+    std::int64_t front_token_ = 0;
     std::int64_t token_step_ = 0;
     std::int64_t last_sequence_ = 0;
     std::vector<range_state> ranges_;
--- a/src/grants/tests/server_grants_tests.cpp
+++ b/src/grants/tests/server_grants_tests.cpp
@@ -290,4 +290,52 @@
     BOOST_CHECK(!grants.next_call(now, false, grant_duration).has_value());
 }
 
+// Guards against two owners: a front that kept its role across a change of leader counted only its own
+// grants, while a cut-off leader had been the front in between and still held the keys at the backend server.
+BOOST_AUTO_TEST_CASE(a_front_of_two_terms_waits_for_the_fronts_in_between)
+{
+    auto entry = make_entry({{0, 99}});
+    entry.front_token = 100;
+    server_grants grants(entry, now);
+    grant_all(grants);
+    const duration prior_remaining{13800};
+    entry.token_base = 300;
+    entry.front_token = 300;
+    entry.prior_grant_remaining = prior_remaining;
+    entry.withdrawn = {{0, 99}};
+    const auto learned = now;
+    grants.update(entry, now);
+    constexpr int lost_calls = 8;
+    for (int i = 0; i < lost_calls; ++i)
+    {
+        grants.on_lost(next(grants), now);
+        now = now + duration{300};
+    }
+    BOOST_CHECK(grants.freed(learned + prior_remaining - duration{1}).empty());
+    BOOST_CHECK_EQUAL(grants.freed(learned + prior_remaining).size(), 1U);
+}
+
+// Guards against keys without service for the longest grant when the leader changes while a backend server
+// drains: a grant with the new token makes the release count at once.
+BOOST_AUTO_TEST_CASE(keys_withdrawn_in_a_new_term_are_fenced_and_then_released)
+{
+    auto entry = make_entry({{0, 99}});
+    server_grants grants(entry, now);
+    grant_all(grants);
+    entry.token_base = 300;
+    entry.front_token = 300;
+    entry.prior_grant_remaining = duration{13800};
+    entry.withdrawn = {{0, 99}};
+    grants.update(entry, now);
+    const auto fence = next(grants);
+    BOOST_CHECK(fence.kind == call_kind::grant);
+    BOOST_CHECK_GE(fence.token, 300);
+    grants.on_granted(fence, now);
+    BOOST_CHECK(!grants.may_send(5, now));
+    const auto release = next(grants);
+    BOOST_CHECK(release.kind == call_kind::release);
+    grants.on_released(release, "warm", now);
+    BOOST_CHECK_EQUAL(grants.freed(now).size(), 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/leader/internal/front_assignment.cpp
+++ b/src/leader/internal/front_assignment.cpp
@@ -164,6 +164,7 @@
         mark_dirty(id);
     }
     update_token_base(id);
+    entry.front_token = entry.token_base;
     bump_revision(id);
     front_lost_at_[former] = entry.revision;
     for (auto& item : state.withdrawals)
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -66,6 +66,7 @@
         servers_by_front_[entry.front].insert(entry.server.id);
         published_.entries[entry.server.id] = entry;
         update_token_base(entry.server.id);
+        find_entry(entry.server.id).front_token = find_entry(entry.server.id).token_base;
     }
 }
 
