Bound the time for which a cut-off leader confirms fronts

What callers saw: two backend servers held the same keys and both ran requests on them (OWNER).

Cause: a leader without the store confirms fronts for 10 s, and longer while all routers that it knows follow it. The bound of a new leader for the grants of earlier fronts left out the 10 s as well.

Change: leader::leadership_confirmation, a decision apart from I/O: after the loss of a router since the last confirmation by the store, 10 s are the limit. The bound of a new leader includes them until each former leader, named in the leadership row, was seen to follow it or to have restarted, or 10 s have passed.

Why it works: the last confirmation of a former leader by the store is before the new one took over, so the bound covers its last confirmation, the last renewal under it and the longest grant.

--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -41,9 +41,6 @@
 /// Pushes at the same time. After a start or a change of leader every router needs the whole directory; sent
 /// to all at once, it would delay the leader's answers to reports until they time out.
 constexpr std::size_t max_running_pushes = 32;
-/// Without the store, the leadership counts as undisputed for this time, or while every router follows this
-/// leader.
-constexpr core::duration max_storeless_leadership{10000};
 /// A leader offers the leadership to a deputy with at least this many times its share of a processor. A
 /// smaller gain is not worth it: keys of backend servers that are lost soon after a change of leader wait for
 /// the longest grant.
@@ -54,18 +51,34 @@
 
 } // namespace
 
-json leadership_value(const directory::router& self)
+json to_json(const leadership_record& value)
 {
-    return {{"router", directory::to_json(self)}};
+    json former = json::array();
+    std::ranges::transform(value.former_leaders, std::back_inserter(former),
+                           [](const auto& item) { return directory::to_json(item); });
+    return {{"router", directory::to_json(value.leader)}, {"former", std::move(former)}};
+}
+
+leadership_record leadership_from_json(const json& value)
+{
+    leadership_record result;
+    result.leader = directory::router_from_json(value.at("router"));
+    if (value.contains("former"))
+    {
+        std::ranges::transform(value.at("former"), std::back_inserter(result.former_leaders),
+                               directory::router_from_json);
+    }
+    return result;
 }
 
 leader_service::leader_service(asio::any_io_executor executor, directory::router self,
                                const protocol& adapter, store_tables tables, store_health& health,
                                event_log& log, leader_callbacks callbacks, std::int64_t term,
-                               std::string packed_config)
+                               std::string packed_config, std::vector<directory::router> former_leaders)
     : executor_(std::move(executor)), self_(std::move(self)), adapter_(adapter), tables_(std::move(tables)),
       health_(health), log_(log), callbacks_(std::move(callbacks)), term_(term), leadership_version_(term),
-      confirmed_at_(clock::now()), last_handover_(clock::now()), packed_config_(std::move(packed_config))
+      former_leaders_(std::move(former_leaders)), confirmation_(clock::now()), last_handover_(clock::now()),
+      packed_config_(std::move(packed_config))
 {}
 
 asio::awaitable<void> leader_service::start(directory::snapshot former)
@@ -85,6 +98,7 @@
             const auto rows = co_await tables_.cluster_state->read_prefix(assignment_prefix, store_timeout);
             const auto now = clock::now();
             note_store_answer(health_, log_, rows.era);
+            state_->set_former_leaders(former_leaders_);
             for (const auto& row : rows.rows)
             {
                 const auto name = row.key.substr(std::string(assignment_prefix).size());
@@ -126,14 +140,10 @@
 core::time_point leader_service::confirmed_at() const
 {
     const auto now = clock::now();
-    if (now - confirmed_at_ < max_storeless_leadership)
-    {
-        return now;
-    }
     const auto& routers = state_->current().routers;
     const bool all_follow =
         std::ranges::all_of(routers, [&](const auto& item) { return state_->is_alive(item.first, now); });
-    return all_follow && health_.is_failing() ? now : confirmed_at_ + max_storeless_leadership;
+    return confirmation_.undisputed_at(now, state_->last_router_loss(), all_follow, health_.is_failing());
 }
 
 void leader_service::propagate_changes()
@@ -339,7 +349,7 @@
         state_->choose_deputies(clock::now());
         propagate_changes();
         offer_to_stronger_deputy();
-        if (clock::now() - confirmed_at_ > leadership_check && !is_writing_)
+        if (clock::now() - confirmation_.confirmed_at() > leadership_check && !is_writing_)
         {
             co_await check_leadership();
         }
--- a/src/edge/internal/leader_service.hpp
+++ b/src/edge/internal/leader_service.hpp
@@ -3,6 +3,7 @@
 #include "edge/internal/store_health.hpp"
 #include "edge/member.hpp"
 #include "leader/leader_state.hpp"
+#include "leader/leadership_confirmation.hpp"
 
 #include <optional>
 #include <set>
@@ -30,7 +31,8 @@
 public:
     leader_service(core::asio::any_io_executor executor, directory::router self, const protocol& adapter,
                    store_tables tables, store_health& health, event_log& log, leader_callbacks callbacks,
-                   std::int64_t term, std::string packed_config);
+                   std::int64_t term, std::string packed_config,
+                   std::vector<directory::router> former_leaders);
 
     /// Reads the rows of the store, retrying until it succeeds, and starts. `former` is the directory known
     /// so far; its routers are kept.
@@ -99,7 +101,8 @@
     std::map<std::string, std::int64_t> registration_versions_;
     std::int64_t config_revision_ = 0;
     std::int64_t registry_revision_ = 0;
-    core::time_point confirmed_at_;
+    std::vector<directory::router> former_leaders_;
+    leader::leadership_confirmation confirmation_;
     core::time_point last_handover_;
     std::int64_t published_revision_ = 0;
     std::int64_t published_config_ = 0;
@@ -121,8 +124,19 @@
     bool is_writing_ = false;
 };
 
-/// Returns the value of the leadership row.
-nlohmann::json leadership_value(const directory::router& self);
+/// Content of the leadership row.
+struct leadership_record
+{
+    directory::router leader;
+    /// Earlier leaders that have not been seen to follow this one: they may be cut off and still lead.
+    std::vector<directory::router> former_leaders;
+
+    bool operator==(const leadership_record&) const = default;
+};
+
+nlohmann::json to_json(const leadership_record& value);
+/// Throws nlohmann::json::exception or core::error for a malformed value.
+leadership_record leadership_from_json(const nlohmann::json& value);
 
 constexpr const char* leadership_key = "leader";
 constexpr const char* secret_key = "secret";
--- a/src/edge/internal/leader_store.cpp
+++ b/src/edge/internal/leader_store.cpp
@@ -214,7 +214,7 @@
             callbacks_.on_deposed("the leadership row changed");
             co_return;
         }
-        confirmed_at_ = clock::now();
+        confirmation_.on_confirmed(clock::now());
     }
     catch (const core::error& failure)
     {
@@ -226,10 +226,11 @@
 {
     const auto self = shared_from_this();
     bool may_be_committed = false;
+    const auto leadership = to_json(leadership_record{self_, state_->former_leaders()});
     while (is_running())
     {
         std::vector<store::row_write> writes;
-        writes.emplace_back(leadership_key, leadership_version_, leadership_value(self_));
+        writes.emplace_back(leadership_key, leadership_version_, leadership);
         for (const auto& row : rows)
         {
             writes.emplace_back(assignment_prefix + row.name, assignment_versions_[row.name], row.document);
@@ -271,7 +272,7 @@
         if (is_answered && result.is_committed)
         {
             leadership_version_ = result.revision;
-            confirmed_at_ = now;
+            confirmation_.on_confirmed(now);
             for (const auto& row : rows)
             {
                 assignment_versions_[row.name] = result.revision;
--- a/src/edge/internal/member_election.cpp
+++ b/src/edge/internal/member_election.cpp
@@ -141,9 +141,14 @@
         internal::note_store_answer(health, log, stored.era);
         const auto* const row = stored.rows.empty() ? nullptr : &stored.rows.front();
         std::optional<directory::router> holder;
+        std::vector<directory::router> former_leaders;
         if (row != nullptr)
         {
-            holder = directory::router_from_json(row->value.at("router"));
+            auto record = internal::leadership_from_json(row->value);
+            holder = record.leader;
+            former_leaders = std::move(record.former_leaders);
+            std::erase_if(former_leaders, [&](const auto& item) { return item.name == holder->name; });
+            former_leaders.push_back(std::move(record.leader));
         }
         const bool is_other_leader = holder && holder->name != leader.name && holder->name != settings.name;
         // A router without a directory knows no witnesses. The same leader may have taken the leadership
@@ -159,9 +164,10 @@
         }
         else
         {
+            const internal::leadership_record next{self, former_leaders};
             std::vector<store::row_write> writes;
             writes.emplace_back(internal::leadership_key, row != nullptr ? row->version : 0,
-                                internal::leadership_value(self));
+                                internal::to_json(next));
             const auto result = co_await tables.cluster_state->commit("", std::move(writes), store_timeout);
             if (result.is_committed && !is_stopping)
             {
@@ -169,7 +175,7 @@
                                                {"era", result.era},
                                                {"reason", reason},
                                                {"former", leader.name}});
-                become_leader(result.revision);
+                become_leader(result.revision, std::move(former_leaders));
             }
             else
             {
@@ -189,7 +195,7 @@
     is_electing = false;
 }
 
-void member::state::become_leader(std::int64_t term)
+void member::state::become_leader(std::int64_t term, std::vector<directory::router> former_leaders)
 {
     leader = self;
     contact.on_leader_named(clock::now());
@@ -245,7 +251,8 @@
         }
     };
     leadership = std::make_shared<internal::leader_service>(executor, self, adapter, tables, health, log,
-                                                            std::move(new_callbacks), term, packed_config);
+                                                            std::move(new_callbacks), term, packed_config,
+                                                            std::move(former_leaders));
     asio::co_spawn(
         executor, [service = leadership, former = snapshot] { return service->start(former); },
         asio::detached);
--- a/src/edge/internal/member_state.hpp
+++ b/src/edge/internal/member_state.hpp
@@ -38,7 +38,7 @@
     void add_deputy_rows(nlohmann::json& message);
     void drop_confirmed_rows(const nlohmann::json& reply);
     core::asio::awaitable<std::string> on_message(std::string from, std::string text);
-    void become_leader(std::int64_t term);
+    void become_leader(std::int64_t term, std::vector<directory::router> former_leaders);
     void step_down(const char* reason);
     void apply_update(const nlohmann::json& message);
     leader::router_report make_report();
--- a/src/leader/internal/front_assignment.cpp
+++ b/src/leader/internal/front_assignment.cpp
@@ -46,6 +46,7 @@
         on_decision_("router lost", name, {{"silent_ms", (now - peers_[name].last_report).ms}});
         published_.routers.erase(name);
         bump_router_revision(name);
+        last_router_loss_ = now;
     }
 }
 
@@ -151,9 +152,7 @@
     if (!entry.front.empty())
     {
         // The former front may renew until it knows of the change or its confirmation expires.
-        const auto renewals_end = now + settings_.max_confirmation_age;
-        state.prior_grants_until = std::max(
-            state.prior_grants_until, grants::latest_grant_end(renewals_end, settings_.max_grant_duration));
+        state.prior_grants_until = std::max(state.prior_grants_until, confirmed_grants_end(now));
     }
     servers_by_front_[entry.front].erase(id);
     servers_by_front_[front].insert(id);
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -37,6 +37,39 @@
     peers_[self.name] = {now};
 }
 
+core::time_point leader_state::confirmed_grants_end(core::time_point now) const
+{
+    return grants::latest_grant_end(now + settings_.max_confirmation_age, settings_.max_grant_duration);
+}
+
+void leader_state::set_former_leaders(std::vector<directory::router> former)
+{
+    std::erase_if(former, [this](const directory::router& item) { return item.name == self_; });
+    former_leaders_ = std::move(former);
+}
+
+void leader_state::note_former_leader(const router_report& report, core::time_point now)
+{
+    const bool has_stepped_down = report.term == published_.term;
+    const auto erased = std::erase_if(former_leaders_, [&](const directory::router& item) {
+        const bool has_restarted = report.router.incarnation != item.incarnation;
+        return item.name == report.router.name && (has_stepped_down || has_restarted);
+    });
+    if (erased == 0 || !former_leaders_.empty())
+    {
+        return;
+    }
+    const auto until = confirmed_grants_end(now);
+    for (auto& [id, state] : entry_states_)
+    {
+        state.prior_grants_until = std::min(state.prior_grants_until, until);
+        if (state.unreachable_since)
+        {
+            bump_revision(id);
+        }
+    }
+}
+
 void leader_state::load_row(const assignment_row& row, std::int64_t version, core::time_point now)
 {
     const auto service = row.name.substr(0, row.name.rfind('/'));
@@ -58,7 +91,7 @@
         // Former leaders assigned fronts without a write, so any router may have granted keys until its
         // confirmation expired.
         state.prior_grants_until =
-            grants::latest_grant_end(now + settings_.max_confirmation_age, settings_.max_grant_duration);
+            confirmed_grants_end(former_leaders_.empty() ? now : now + settings_.max_storeless_time);
         state.next_keys = entry.keys;
         state.listed_at = now;
         state.unregistered_at = now;
@@ -210,6 +243,7 @@
         }
     }
     peers_[name].last_report = now;
+    note_former_leader(report, now);
     update_entries(report, now);
     for (const auto& [service, keys] : report.work)
     {
@@ -392,6 +426,10 @@
 
 void leader_state::tick(core::time_point now)
 {
+    if (now - started_ >= settings_.max_storeless_time)
+    {
+        former_leaders_.clear();
+    }
     remove_lost_routers(now);
     assign_fronts(now);
     if (now - last_balance_ >= settings_.balance_interval)
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -5,6 +5,7 @@
 #include "grants/grant_timing.hpp"
 #include "keyspace/move_planner.hpp"
 #include "leader/leader_types.hpp"
+#include "leader/leadership_confirmation.hpp"
 
 #include <functional>
 #include <optional>
@@ -38,6 +39,8 @@
     core::duration max_confirmation_age = grants::max_confirmation_age;
     /// Longest duration of a grant.
     core::duration max_grant_duration = grants::outage_grant_duration;
+    /// Time for which a former leader that is cut off may still confirm fronts.
+    core::duration max_storeless_time = leadership_confirmation::max_storeless_time;
 };
 
 /// Receives each entry of the decision log: the decision, its subject and the values it is based on.
@@ -57,6 +60,10 @@
     /// `tick`.
     void load_row(const assignment_row& row, std::int64_t version, core::time_point now);
     void load_router(const directory::router& known, core::time_point now);
+    /// Names the routers that led before and may go on leading until they report to this one or restart. Call
+    /// before `load_row`.
+    void set_former_leaders(std::vector<directory::router> former);
+    const std::vector<directory::router>& former_leaders() const { return former_leaders_; }
 
     /// Sets the services with key ownership, as configured.
     void set_keyed_services(std::set<std::string> names) { keyed_services_ = std::move(names); }
@@ -88,6 +95,8 @@
     /// from it. Otherwise it must not be confirmed, since it might go on granting keys.
     bool knows_its_fronts(const std::string& router, std::int64_t revision) const;
     bool is_alive(const std::string& router, core::time_point now) const;
+    /// Returns when a router was last taken for lost; the start of the clock when none was.
+    core::time_point last_router_loss() const { return last_router_loss_; }
     /// Returns the number of keys of keyed services that no backend server of the directory holds.
     std::size_t unassigned_keys() const;
 
@@ -136,6 +145,10 @@
         changes_.routers[name] = published_.revision;
     }
     void update_entries(const router_report& report, core::time_point now);
+    /// Returns when the grants of fronts have ended that were last confirmed at `now`.
+    core::time_point confirmed_grants_end(core::time_point now) const;
+    /// Shortens the bounds of earlier grants once no former leader confirms anyone any more.
+    void note_former_leader(const router_report& report, core::time_point now);
     void bump_revision(const std::string& id);
     /// Recomputes the token base of the entry, so that its front's tokens exceed those of all earlier fronts.
     void update_token_base(const std::string& id);
@@ -214,6 +227,8 @@
     /// two of them.
     std::map<std::string, std::set<std::string>> in_flight_rows_;
     std::map<std::string, std::set<std::string>> dirty_rows_;
+    std::vector<directory::router> former_leaders_;
+    core::time_point last_router_loss_;
     core::time_point started_;
     core::time_point last_registration_;
     core::time_point last_plan_;
--- /dev/null
+++ b/src/leader/leadership_confirmation.hpp
@@ -0,0 +1,32 @@
+/// Until when a leader may confirm the assignments of the routers. Does no I/O and reads no clock.
+#pragma once
+
+#include "core/clock.hpp"
+
+namespace briarfold::leader {
+
+/// Limits the time for which a leader that cannot reach the store goes on. Situation: a leader is cut off
+/// from the store, and perhaps from other routers, which elect another one meanwhile.
+class leadership_confirmation
+{
+public:
+    /// Time for which a leader that misses a router goes on without the store, so that a router that is lost
+    /// during an outage can be replaced. The bound of a new leader for earlier grants includes it.
+    static constexpr core::duration max_storeless_time{10000};
+
+    explicit leadership_confirmation(core::time_point now) : confirmed_at_(now) {}
+
+    /// Records that the store showed the leadership to be undisputed.
+    void on_confirmed(core::time_point now) { confirmed_at_ = now; }
+    core::time_point confirmed_at() const { return confirmed_at_; }
+
+    /// Returns when the leadership was last undisputed. `last_router_loss` is the time at which a router was
+    /// last taken for lost: it may follow another leader.
+    core::time_point undisputed_at(core::time_point now, core::time_point last_router_loss,
+                                   bool all_routers_follow, bool is_store_failing) const;
+
+private:
+    core::time_point confirmed_at_;
+};
+
+} // namespace briarfold::leader
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -135,6 +135,30 @@
     BOOST_CHECK(state->prior_grant_remaining("s0", now) == bound);
 }
 
+// Guards against a new leader that gives keys away while its cut-off predecessor still confirms fronts. The
+// longer bound ends early once the former leader follows the new one.
+BOOST_AUTO_TEST_CASE(the_bound_of_earlier_grants_includes_a_former_leader_without_the_store)
+{
+    start(2);
+    const auto rows = stored;
+    restart(1000);
+    state->set_former_leaders({make_router("r2", "b"), make_router("r3")});
+    for (const auto& [name, row] : rows)
+    {
+        state->load_row(row, 1, now);
+    }
+    const auto confirmed_until = now + leader_settings().max_storeless_time;
+    const auto renewed_until = confirmed_until + grants::max_confirmation_age;
+    const auto end = grants::latest_grant_end(renewed_until, grants::outage_grant_duration);
+    BOOST_CHECK(state->prior_grant_remaining("s0", now) >= end - now);
+    report("r2");
+    BOOST_CHECK(state->prior_grant_remaining("s0", now) >= end - now);
+    report("r3", {}, {}, "2");
+    const auto shorter =
+        grants::latest_grant_end(now + grants::max_confirmation_age, grants::outage_grant_duration);
+    BOOST_CHECK(state->prior_grant_remaining("s0", now) == shorter - now);
+}
+
 // Guards against a silent front that keeps its backend servers. Another front gets them without a write, with
 // a higher token and with the time for which grants of the silent front may still be valid.
 BOOST_AUTO_TEST_CASE(a_silent_front_is_replaced_without_a_write)
--- a/standins/edge/tests/edge_cluster.hpp
+++ b/standins/edge/tests/edge_cluster.hpp
@@ -8,6 +8,7 @@
 #include "standins/edge/keyed_backend.hpp"
 #include "standins/edge/metadata_store.hpp"
 
+#include <iostream>
 #include <memory>
 
 namespace briarfold::standins {
@@ -115,6 +116,7 @@
                 return true;
             }
         }
+        std::cerr << "routers are not ready; their decisions:\n" << log_text;
         return false;
     }
 
