End a router whose membership fails, and keep test ports free

What was seen: a test cluster did not become ready in one of ten runs side by side; one router wrote no line at all. Cause: the exception of a coroutine without a handler is dropped, so a router whose peer port was taken went on without membership and said nothing; the test chose ports from the range of outgoing connections, which another connection took before the router listened.

Change: the failure is logged and ends the event loop, so that the process is started again; test ports lie below that range. Result: 12 runs side by side with the log but the former ports: 2 failed, both with "listen: Address already in use".

--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -34,7 +34,17 @@
 void member::start()
 {
     asio::co_spawn(
-        state_->executor, [self = state_] { return self->run(); }, asio::detached);
+        state_->executor, [self = state_] { return self->run(); },
+        [self = state_](const std::exception_ptr& failure) {
+            if (!failure)
+            {
+                return;
+            }
+            self->log.write("membership ended", {{"peer", http::to_string(self->settings.peer)}});
+            self->log.flush();
+            // Without membership this process serves nobody; the caller of the event loop ends it.
+            std::rethrow_exception(failure);
+        });
 }
 
 void member::begin_stop()
--- a/standins/edge/tests/edge_cluster.hpp
+++ b/standins/edge/tests/edge_cluster.hpp
@@ -10,6 +10,7 @@
 
 #include <iostream>
 #include <memory>
+#include <random>
 
 namespace briarfold::standins {
 
@@ -221,12 +222,28 @@
     std::vector<call_record> records;
 
 private:
+    /// Returns a port that no outgoing connection takes before the router listens on it.
     unsigned short free_port()
     {
-        core::asio::ip::tcp::acceptor acceptor(context, {core::asio::ip::make_address("127.0.0.1"), 0});
-        return acceptor.local_endpoint().port();
+        constexpr int first_port = 12000;
+        constexpr int last_port = 32000;
+        std::uniform_int_distribution<int> ports(first_port, last_port);
+        while (true)
+        {
+            const core::asio::ip::tcp::endpoint local(core::asio::ip::make_address("127.0.0.1"),
+                                                      static_cast<unsigned short>(ports(random_)));
+            core::asio::ip::tcp::acceptor acceptor(context, local.protocol());
+            boost::system::error_code code;
+            acceptor.bind(local, code);
+            if (!code)
+            {
+                return local.port();
+            }
+        }
     }
 
+    std::mt19937 random_{std::random_device{}()};
+
     settings::edge_settings make_settings(std::size_t i)
     {
         settings::edge_settings value;
