--- a/src/directory/directory_types.hpp
+++ b/src/directory/directory_types.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/clock.hpp"
+#include "directory/generation.hpp"
 #include "http/http_types.hpp"
 #include "keyspace/key_range.hpp"
 
@@ -32,6 +33,16 @@
     bool operator==(const backend_server&) const = default;
 };
 
+/// What a backend server wrote into the registry.
+struct registration
+{
+    backend_server server;
+    /// Rises with each registration that its process writes.
+    std::int64_t sequence = 0;
+
+    bool operator==(const registration&) const = default;
+};
+
 /// Keys that come from another backend server, with a token that keeps them warm at the new one.
 struct handover
 {
@@ -87,8 +98,8 @@
 /// State of the whole directory. Immutable once published: the leader makes a new one for each change.
 struct snapshot
 {
-    /// Identifies the leader that made it; rises with each new leader.
-    std::int64_t term = 0;
+    /// Identifies the leader that made it; later for each new leader.
+    generation term;
     /// Rises with each change within a term.
     std::int64_t revision = 0;
     /// Revision of the last change of `routers`.
@@ -140,7 +151,7 @@
 keyspace::key_set keys_from_json(const nlohmann::json& value);
 
 /// Returns the changes since `revision`, or the full snapshot if `term` is not the current one.
-update make_update(const snapshot& current, const change_log& changes, std::int64_t term,
+update make_update(const snapshot& current, const change_log& changes, const generation& term,
                    std::int64_t revision);
 /// Applies an update and returns true. Returns false and changes nothing if the update is of an earlier term
 /// or does not follow on from `current`, so that a full snapshot is needed.
--- a/src/directory/generation.hpp
+++ b/src/directory/generation.hpp
@@ -31,6 +31,8 @@
 /// its share of the token.
 std::int64_t first_token(const generation& written, std::int64_t front_changes);
 
+/// Latest era for which there are tokens.
+constexpr std::int64_t max_era = 4095;
 constexpr int call_token_bits = 12;
 constexpr int front_token_bits = 8;
 /// Changes of front that fit into tokens of the same generation.
--- a/src/directory/internal/directory_json.cpp
+++ b/src/directory/internal/directory_json.cpp
@@ -142,7 +142,7 @@
     update result;
     result.is_full_snapshot = value.at("whole").get<bool>();
     result.base = value.at("base").get<std::int64_t>();
-    result.changed.term = value.at("term").get<std::int64_t>();
+    result.changed.term = value.at("term").get<generation>();
     result.changed.revision = value.at("rev").get<std::int64_t>();
     result.changed.leader = value.at("leader").get<std::string>();
     result.changed.deputies = value.at("deputies").get<std::vector<std::string>>();
--- a/src/directory/internal/generation.cpp
+++ b/src/directory/internal/generation.cpp
@@ -15,6 +15,8 @@
 constexpr int number_token_bits = 31;
 constexpr int era_token_bits = 63 - number_token_bits - front_token_bits - call_token_bits;
 
+static_assert(max_era < std::int64_t{1} << era_token_bits);
+
 std::int64_t checked(std::int64_t value, int bits, const char* part)
 {
     if (value < 0 || value >= std::int64_t{1} << bits)
--- a/src/directory/internal/update.cpp
+++ b/src/directory/internal/update.cpp
@@ -5,7 +5,7 @@
 
 namespace briarfold::directory {
 
-update make_update(const snapshot& current, const change_log& changes, std::int64_t term,
+update make_update(const snapshot& current, const change_log& changes, const generation& term,
                    std::int64_t revision)
 {
     update change;
--- a/src/directory/tests/directory_tests.cpp
+++ b/src/directory/tests/directory_tests.cpp
@@ -1,3 +1,4 @@
+#include "core/error.hpp"
 #include "directory/owner_index.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -24,7 +25,7 @@
 snapshot make_snapshot(std::vector<entry> entries, std::int64_t revision)
 {
     snapshot result;
-    result.term = 1;
+    result.term = {0, 1};
     result.revision = revision;
     for (auto& item : entries)
     {
@@ -49,6 +50,19 @@
 
 } // namespace
 
+// Guards against a key that moves with a lower token after the store came back with an older counter, or
+// after many changes of front.
+BOOST_AUTO_TEST_CASE(tokens_follow_the_order_of_generations)
+{
+    constexpr std::int64_t number = 1000000;
+    const auto token = first_token({1, number}, max_front_changes);
+    constexpr std::int64_t call_tokens = std::int64_t{1} << call_token_bits;
+    BOOST_CHECK_GE(first_token({1, number + 1}, 0), token + call_tokens);
+    BOOST_CHECK_GT(first_token({2, 1}, 0), first_token({1, number + 1}, max_front_changes));
+    BOOST_CHECK_GT(first_token({max_era, number}, max_front_changes), token);
+    BOOST_CHECK_THROW(first_token({1, 1}, max_front_changes + 1), core::error);
+}
+
 // Guards against an update that contains the whole directory for one changed entry: with hundreds of backend
 // servers, each change would then cost each router as much as its start.
 BOOST_AUTO_TEST_CASE(update_contains_only_the_changes)
@@ -60,12 +74,12 @@
     change_log changes;
     changes.removed = {{"s0", 6}, {"s9", 2}};
     changes.routers = {{"r1", 4}};
-    const auto change = make_update(current, changes, 1, 5);
+    const auto change = make_update(current, changes, {0, 1}, 5);
     BOOST_TEST(!change.is_full_snapshot);
     BOOST_TEST(change.changed.entries.size() == 1U);
     BOOST_TEST(!change.has_routers());
     BOOST_TEST(change.removed == std::vector<std::string>{"s0"});
-    BOOST_TEST(make_update(current, changes, 1, 3).has_routers());
+    BOOST_TEST(make_update(current, changes, {0, 1}, 3).has_routers());
 }
 
 // Guards against an update that lists all routers when one of them changed: while hundreds of routers start,
@@ -85,7 +99,7 @@
     next.routers.erase("r3");
     change_log changes;
     changes.routers = {{"r1", 2}, {"r2", 6}, {"r3", 7}};
-    const auto change = update_from_json(to_json(make_update(next, changes, 1, 5)));
+    const auto change = update_from_json(to_json(make_update(next, changes, {0, 1}, 5)));
     BOOST_TEST(change.changed.routers.size() == 1U);
     BOOST_TEST(change.removed_routers == std::vector<std::string>{"r3"});
     BOOST_TEST(apply(known, change));
@@ -100,7 +114,7 @@
     known.routers_revision = 4;
     auto next = known;
     next.revision = 6;
-    const auto change = update_from_json(to_json(make_update(next, {}, 1, 5)));
+    const auto change = update_from_json(to_json(make_update(next, {}, {0, 1}, 5)));
     BOOST_TEST(apply(known, change));
     BOOST_TEST(known.revision == 6);
     BOOST_TEST(known.routers.contains("r1"));
@@ -164,7 +178,7 @@
             changes.removed.erase(id);
         }
         const bool is_first = round == 0;
-        index.apply(known, make_update(known, changes, is_first ? 0 : known.term, former));
+        index.apply(known, make_update(known, changes, is_first ? generation() : known.term, former));
         for (int i = 0; i < 200; ++i)
         {
             const auto key = number(keyspace::key_count);
--- a/src/edge/entry.hpp
+++ b/src/edge/entry.hpp
@@ -99,7 +99,7 @@
     std::map<std::string, core::duration> max_deadline_;
     std::list<core::asio::steady_timer*> waiting_;
     std::int64_t revision_ = 0;
-    std::int64_t term_ = 0;
+    directory::generation term_;
     std::size_t in_flight_ = 0;
     bool is_refusing_ = false;
     std::optional<core::time_point> process_end_;
--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -56,13 +56,18 @@
     json former = json::array();
     std::ranges::transform(value.former_leaders, std::back_inserter(former),
                            [](const auto& item) { return directory::to_json(item); });
-    return {{"router", directory::to_json(value.leader)}, {"former", std::move(former)}};
+    return {{"router", directory::to_json(value.leader)},
+            {"former", std::move(former)},
+            {"written", value.written},
+            {"assigned_era", value.assigned_era}};
 }
 
 leadership_record leadership_from_json(const json& value)
 {
     leadership_record result;
     result.leader = directory::router_from_json(value.at("router"));
+    result.written = value.at("written").get<directory::generation>();
+    result.assigned_era = value.at("assigned_era").get<std::int64_t>();
     if (value.contains("former"))
     {
         std::ranges::transform(value.at("former"), std::back_inserter(result.former_leaders),
@@ -73,12 +78,13 @@
 
 leader_service::leader_service(asio::any_io_executor executor, directory::router self,
                                const protocol& adapter, store_tables tables, store_health& health,
-                               event_log& log, leader_callbacks callbacks, std::int64_t term,
-                               std::string packed_config, std::vector<directory::router> former_leaders)
+                               event_log& log, leader_callbacks callbacks, leadership_start start,
+                               std::string packed_config)
     : executor_(std::move(executor)), self_(std::move(self)), adapter_(adapter), tables_(std::move(tables)),
-      health_(health), log_(log), callbacks_(std::move(callbacks)), term_(term), leadership_version_(term),
-      former_leaders_(std::move(former_leaders)), confirmation_(clock::now()), last_handover_(clock::now()),
-      packed_config_(std::move(packed_config))
+      health_(health), log_(log), callbacks_(std::move(callbacks)), term_(start.record.written),
+      written_(term_), leadership_version_(start.version), assigned_era_(start.record.assigned_era),
+      secret_(std::move(start.secret)), former_leaders_(std::move(start.record.former_leaders)),
+      confirmation_(clock::now()), last_handover_(clock::now()), packed_config_(std::move(packed_config))
 {}
 
 asio::awaitable<void> leader_service::start(directory::snapshot former)
@@ -91,35 +97,44 @@
                        fields["term"] = term_;
                        log_.write(decision, std::move(fields));
                    });
+    state_->set_former_leaders(former_leaders_);
+    bool is_loaded = false;
     while (is_running())
     {
         try
         {
             const auto rows = co_await tables_.cluster_state->read_prefix(assignment_prefix, store_timeout);
-            const auto now = clock::now();
             note_store_answer(health_, log_, rows.era);
-            state_->set_former_leaders(former_leaders_);
-            for (const auto& row : rows.rows)
+            if (!is_loaded && is_rewrite_due())
             {
-                const auto name = row.key.substr(std::string(assignment_prefix).size());
-                assignment_versions_[name] = row.version;
-                state_->load_row({name, row.value}, row.version, now);
+                former = co_await recover_directory(std::move(former));
             }
+            else if (!is_loaded)
+            {
+                const auto now = clock::now();
+                for (const auto& row : rows.rows)
+                {
+                    const auto name = row.key.substr(std::string(assignment_prefix).size());
+                    assignment_versions_[name] = row.version;
+                    state_->load_row({name, row.value}, now);
+                }
+            }
+            is_loaded = true;
             for (const auto& [name, router] : former.routers)
             {
-                state_->load_router(router, now);
+                state_->load_router(router, clock::now());
                 followers_[name] = {};
             }
-            const auto config_revision = co_await read_config();
-            const auto registry_revision = co_await read_registry();
+            const auto config_position = co_await read_config();
+            const auto registry_position = co_await read_registry();
             is_started_ = true;
             asio::co_spawn(
                 executor_, [self] { return self->run_ticks(); }, asio::detached);
             asio::co_spawn(
-                executor_, [self, config_revision] { return self->follow_config(config_revision); },
+                executor_, [self, config_position] { return self->follow_config(config_position); },
                 asio::detached);
             asio::co_spawn(
-                executor_, [self, registry_revision] { return self->follow_registry(registry_revision); },
+                executor_, [self, registry_position] { return self->follow_registry(registry_position); },
                 asio::detached);
             co_return;
         }
@@ -132,6 +147,14 @@
     }
 }
 
+void leader_service::publish()
+{
+    if (is_started_)
+    {
+        callbacks_.on_directory_change(*state_);
+    }
+}
+
 void leader_service::stop()
 {
     is_stopped_ = true;
@@ -159,6 +182,12 @@
         state_->set_report_interval(report_interval());
         state_->tick(now);
     }
+    if (!is_writing_ && is_rewrite_due())
+    {
+        is_writing_ = true;
+        asio::co_spawn(
+            executor_, [self = shared_from_this()] { return self->rewrite_rows(); }, asio::detached);
+    }
     if (!is_writing_ && now - last_write_ >= write_interval)
     {
         auto rows = state_->take_pending_rows();
@@ -241,8 +270,8 @@
     if (message.empty())
     {
         auto fields = update_header();
-        fields["directory"] =
-            directory::to_json(state_->update_for(revision == 0 ? 0 : term_, revision, now));
+        fields["directory"] = directory::to_json(
+            state_->update_for(revision == 0 ? directory::generation() : term_, revision, now));
         if (has_config)
         {
             fields["config"] = packed_config_;
@@ -272,7 +301,7 @@
         {
             const auto text = co_await callbacks_.send(peer, std::move(message), push_timeout);
             const auto reply = json::parse(text);
-            if (reply.value("term", std::int64_t{0}) > term_)
+            if (reply.value("term", directory::generation()) > term_)
             {
                 callbacks_.on_deposed("a router follows a later leader");
             }
@@ -302,7 +331,7 @@
 std::string leader_service::handle_report(const json& message)
 {
     auto report = leader::report_from_json(message.at("report"));
-    const auto term = message.at("term").get<std::int64_t>();
+    const auto term = message.at("term").get<directory::generation>();
     const auto revision = message.at("revision").get<std::int64_t>();
     report.term = term;
     report.revision = revision;
@@ -328,8 +357,8 @@
     {
         reply["confirmed_age"] = (now - confirmed_at()).ms;
     }
-    reply["config_revision"] = config_revision_;
-    reply["registry_revision"] = registry_revision_;
+    reply["config_position"] = position_to_json(config_position_);
+    reply["registry_position"] = position_to_json(registry_position_);
     reply["store_failing"] = health_.failing_for(now).ms;
     reply["report_interval"] = report_interval().ms;
     return reply.dump();
@@ -376,18 +405,20 @@
 {
     for (const auto& item : rows)
     {
-        const store::row row(item.at("key").get<std::string>(), item.at("version").get<std::int64_t>(), 0, "",
-                             item.at("value"));
+        const auto position = position_from_json(item.at("position"));
+        store::row row(item.at("key").get<std::string>(), position.number, 0, "", item.at("value"));
+        row.era = position.era;
         const bool is_config = item.at("table").get<std::string>() == "config";
-        const auto seen = is_config ? config_revision_ : registration_versions_[row.key];
-        if (row.version <= seen)
+        const auto seen = is_config ? config_position_ : known_registrations_[row.key].position;
+        if (position <= seen)
         {
             continue;
         }
-        log_.write("news of a deputy", {{"key", row.key}, {"version", row.version}, {"config", is_config}});
+        log_.write("news of a deputy",
+                   {{"key", row.key}, {"era", row.era}, {"version", row.version}, {"config", is_config}});
         if (is_config)
         {
-            config_revision_ = row.version;
+            config_position_ = position;
             apply_config(row.value);
         }
         else
--- a/src/edge/internal/leader_service.hpp
+++ b/src/edge/internal/leader_service.hpp
@@ -24,6 +24,34 @@
     std::function<void(const char* reason)> on_deposed;
 };
 
+/// Content of the leadership row.
+struct leadership_record
+{
+    directory::router leader;
+    /// Earlier leaders that have not been seen to follow this one: they may be cut off and still lead.
+    std::vector<directory::router> former_leaders;
+    /// Generation of this content. A restored store may hold one that is earlier than those of the routers.
+    directory::generation written;
+    /// Era in which a leader last knew the rows of assignments to be complete. In a later era they may be
+    /// older than what the routers know.
+    std::int64_t assigned_era = 0;
+
+    bool operator==(const leadership_record&) const = default;
+};
+
+nlohmann::json to_json(const leadership_record& value);
+/// Throws nlohmann::json::exception or core::error for a malformed value.
+leadership_record leadership_from_json(const nlohmann::json& value);
+
+/// How a router took the leadership.
+struct leadership_start
+{
+    leadership_record record;
+    std::int64_t version = 0;
+    /// Secret that all routers share, in case the store lost it.
+    std::string secret;
+};
+
 /// The leader role for one term: reads the store's tables, maintains the directory, writes assignments and
 /// pushes changes to the other routers. Not thread-safe: all calls on the executor's thread.
 class leader_service : public std::enable_shared_from_this<leader_service>
@@ -31,22 +59,49 @@
 public:
     leader_service(core::asio::any_io_executor executor, directory::router self, const protocol& adapter,
                    store_tables tables, store_health& health, event_log& log, leader_callbacks callbacks,
-                   std::int64_t term, std::string packed_config,
-                   std::vector<directory::router> former_leaders);
+                   leadership_start start, std::string packed_config);
 
     /// Reads the rows of the store, retrying until it succeeds, and starts. `former` is the directory known
     /// so far; its routers are kept.
     core::asio::awaitable<void> start(directory::snapshot former);
     void stop();
+    /// Makes the directory known to this router as far as it was sent to any.
+    void publish();
     /// Handles a report and returns the answer, with the changes that the reporting router does not have yet.
     std::string handle_report(const nlohmann::json& message);
     void on_own_report(const leader::router_report& report);
-    std::int64_t term() const { return term_; }
+    const directory::generation& term() const { return term_; }
     /// Returns when the leadership was last known to be undisputed.
     core::time_point confirmed_at() const;
     bool is_started() const { return state_.has_value() && is_started_; }
 
 private:
+    /// Directory that a router has applied.
+    struct directory_position
+    {
+        directory::generation term;
+        std::int64_t revision = 0;
+
+        auto operator<=>(const directory_position&) const = default;
+    };
+
+    struct position_survey
+    {
+        explicit position_survey(const core::asio::any_io_executor& executor) : done(executor) {}
+
+        core::asio::steady_timer done;
+        std::map<std::string, directory_position> positions;
+        std::size_t running = 0;
+    };
+
+    struct known_registration
+    {
+        store::position position;
+        std::int64_t start_time_ms = 0;
+        std::int64_t sequence = 0;
+        bool is_removed = false;
+    };
+
     struct follower
     {
         /// Revision that the router has; 0 when it needs the whole directory, -1 until its next report.
@@ -56,11 +111,25 @@
     };
 
     core::asio::awaitable<void> run_ticks();
-    core::asio::awaitable<void> follow_registry(std::int64_t revision);
-    core::asio::awaitable<void> follow_config(std::int64_t revision);
-    core::asio::awaitable<std::int64_t> read_registry();
-    core::asio::awaitable<std::int64_t> read_config();
+    core::asio::awaitable<void> follow_registry(store::position position);
+    core::asio::awaitable<void> follow_config(store::position position);
+    core::asio::awaitable<store::position> read_registry();
+    core::asio::awaitable<store::position> read_config();
     core::asio::awaitable<void> write_rows(std::vector<leader::assignment_row> rows);
+    /// Writes all assignments again after a restore of the store, which may have lost some.
+    core::asio::awaitable<void> rewrite_rows();
+    /// Takes over the versions of the rows as they are stored after a restore. Returns false if another
+    /// router has taken the leadership since.
+    bool adopt_versions(const store::row_batch& stored);
+    /// Returns the writes that make the stored rows those of this leader, in groups of one transaction each.
+    std::vector<std::vector<store::row_write>> make_rewrite(const store::row_batch& stored) const;
+    /// Fetches the latest directory that a router knows, when the stored rows may be older, and starts from
+    /// it. `known` is the directory that this router knows; returns the latest one.
+    core::asio::awaitable<directory::snapshot> recover_directory(directory::snapshot known);
+    core::asio::awaitable<void> ask_position(directory::router router,
+                                             std::shared_ptr<position_survey> survey);
+    bool is_rewrite_due() const { return health_.era() > assigned_era_; }
+    leadership_record make_record(std::int64_t era) const;
     core::asio::awaitable<void> check_leadership();
     core::asio::awaitable<void> push(std::string name);
     void apply_registration(const store::row& row);
@@ -89,18 +158,23 @@
     store_health& health_;
     event_log& log_;
     leader_callbacks callbacks_;
-    std::int64_t term_;
+    directory::generation term_;
+    /// Generation of the last write of the leadership row by this leader.
+    directory::generation written_;
     /// Version of the leadership row, which each write of assignments updates.
     std::int64_t leadership_version_;
+    /// Era in which the stored rows of assignments are complete.
+    std::int64_t assigned_era_;
+    std::string secret_;
     std::map<std::string, std::int64_t> assignment_versions_;
     std::int64_t config_version_ = 0;
     std::optional<leader::leader_state> state_;
     std::map<std::string, follower> followers_;
     std::set<std::string> registered_;
-    /// Versions of the applied registrations, by backend server id; older rows are ignored.
-    std::map<std::string, std::int64_t> registration_versions_;
-    std::int64_t config_revision_ = 0;
-    std::int64_t registry_revision_ = 0;
+    /// Last registration that was read, by backend server id; older ones are ignored.
+    std::map<std::string, known_registration> known_registrations_;
+    store::position config_position_;
+    store::position registry_position_;
     std::vector<directory::router> former_leaders_;
     leader::leadership_confirmation confirmation_;
     core::time_point last_handover_;
@@ -124,20 +198,6 @@
     bool is_writing_ = false;
 };
 
-/// Content of the leadership row.
-struct leadership_record
-{
-    directory::router leader;
-    /// Earlier leaders that have not been seen to follow this one: they may be cut off and still lead.
-    std::vector<directory::router> former_leaders;
-
-    bool operator==(const leadership_record&) const = default;
-};
-
-nlohmann::json to_json(const leadership_record& value);
-/// Throws nlohmann::json::exception or core::error for a malformed value.
-leadership_record leadership_from_json(const nlohmann::json& value);
-
 constexpr const char* leadership_key = "leader";
 constexpr const char* secret_key = "secret";
 constexpr const char* assignment_prefix = "assignment/";
--- a/src/edge/internal/leader_store.cpp
+++ b/src/edge/internal/leader_store.cpp
@@ -4,6 +4,8 @@
 #include "edge/internal/peer_message.hpp"
 
 #include <algorithm>
+#include <compare>
+#include <utility>
 
 namespace briarfold::edge::internal {
 
@@ -53,9 +55,16 @@
     }
 }
 
-asio::awaitable<std::int64_t> leader_service::read_config()
+asio::awaitable<store::position> leader_service::read_config()
 {
+    // The configuration in force is applied first: a restored store may hold an older one.
+    if (config_version_ == 0 && !packed_config_.empty())
+    {
+        const auto packed = packed_config_;
+        apply_config(unpack(packed), packed);
+    }
     const auto rows = co_await tables_.config->read_prefix(tables_.config_key, store_timeout);
+    note_store_answer(health_, log_, rows.era);
     for (const auto& row : rows.rows)
     {
         if (row.key == tables_.config_key)
@@ -63,29 +72,42 @@
             apply_config(row.value);
         }
     }
-    if (config_version_ == 0 && !packed_config_.empty())
-    {
-        const auto packed = packed_config_;
-        apply_config(unpack(packed), packed);
-    }
-    config_revision_ = std::max(config_revision_, rows.revision);
-    co_return rows.revision;
+    config_position_ = std::max(config_position_, rows.position());
+    co_return rows.position();
 }
 
 void leader_service::apply_registration(const store::row& row)
 {
     const auto now = clock::now();
-    auto& seen = registration_versions_[row.key];
-    if (row.version < seen)
+    auto& known = known_registrations_[row.key];
+    const auto former_position = std::exchange(known.position, std::max(known.position, row.position()));
+    if (row.position() < former_position)
     {
         return;
     }
-    seen = row.version;
-    const auto server = row.value.is_null() ? std::nullopt : adapter_.read_registration(row.key, row.value);
-    if (server)
+    const auto read = row.value.is_null() ? std::nullopt : adapter_.read_registration(row.key, row.value);
+    const bool is_known = known.start_time_ms > 0;
+    if (read && is_known && row.era > former_position.era)
     {
+        // A restored row may be older than what the backend server wrote before the restore.
+        const auto order = std::pair(read->server.start_time_ms, read->sequence) <=>
+                           std::pair(known.start_time_ms, known.sequence);
+        if (order < 0 || (known.is_removed && order == 0))
+        {
+            log_.write("registration outdated", {{"backend_server", row.key},
+                                                 {"sequence", read->sequence},
+                                                 {"known_sequence", known.sequence},
+                                                 {"removed", known.is_removed}});
+            return;
+        }
+    }
+    known.is_removed = !read;
+    if (read)
+    {
+        known.start_time_ms = read->server.start_time_ms;
+        known.sequence = read->sequence;
         registered_.insert(row.key);
-        state_->on_registered(*server, now);
+        state_->on_registered(read->server, now);
     }
     else if (registered_.erase(row.key) > 0)
     {
@@ -98,7 +120,7 @@
     }
 }
 
-asio::awaitable<std::int64_t> leader_service::read_registry()
+asio::awaitable<store::position> leader_service::read_registry()
 {
     const auto rows = co_await tables_.registry->read_prefix("", store_timeout);
     note_store_answer(health_, log_, rows.era);
@@ -111,13 +133,14 @@
     for (const auto& id : missing)
     {
         registered_.erase(id);
+        known_registrations_[id].is_removed = true;
         state_->on_unregistered(id, !health_.was_failing(min_healthy_time, clock::now()), clock::now());
     }
-    registry_revision_ = std::max(registry_revision_, rows.revision);
-    co_return rows.revision;
+    registry_position_ = std::max(registry_position_, rows.position());
+    co_return rows.position();
 }
 
-asio::awaitable<void> leader_service::follow_registry(std::int64_t revision)
+asio::awaitable<void> leader_service::follow_registry(store::position position)
 {
     const auto self = shared_from_this();
     while (is_running())
@@ -125,23 +148,25 @@
         core::duration pause = registry_read_pause;
         try
         {
-            auto batch = co_await tables_.registry->changes(revision, feed_wait);
+            const auto batch = co_await tables_.registry->changes(position.number, feed_wait);
             if (!is_running())
             {
                 co_return;
             }
             note_store_answer(health_, log_, batch.era);
-            if (batch.is_truncated)
+            // In another era, changes below this position may be new.
+            const bool is_gap = batch.is_truncated || batch.era != position.era;
+            if (is_gap)
             {
-                revision = co_await read_registry();
+                position = co_await read_registry();
             }
             else
             {
-                revision = batch.revision;
-                registry_revision_ = std::max(registry_revision_, revision);
+                position = batch.position();
+                registry_position_ = std::max(registry_position_, position);
                 std::ranges::for_each(batch.rows, [this](const auto& row) { apply_registration(row); });
             }
-            if (batch.rows.empty() && !batch.is_truncated)
+            if (batch.rows.empty() && !is_gap)
             {
                 pause = {};
             }
@@ -159,7 +184,7 @@
     }
 }
 
-asio::awaitable<void> leader_service::follow_config(std::int64_t revision)
+asio::awaitable<void> leader_service::follow_config(store::position position)
 {
     const auto self = shared_from_this();
     while (is_running())
@@ -167,20 +192,20 @@
         bool has_failed = false;
         try
         {
-            const auto batch = co_await tables_.config->changes(revision, feed_wait);
+            const auto batch = co_await tables_.config->changes(position.number, feed_wait);
             if (!is_running())
             {
                 co_return;
             }
             note_store_answer(health_, log_, batch.era);
-            if (batch.is_truncated)
+            if (batch.is_truncated || batch.era != position.era)
             {
-                revision = co_await read_config();
+                position = co_await read_config();
             }
             else
             {
-                revision = batch.revision;
-                config_revision_ = std::max(config_revision_, revision);
+                position = batch.position();
+                config_position_ = std::max(config_position_, position);
                 for (const auto& row : batch.rows)
                 {
                     if (row.key == tables_.config_key && !row.value.is_null())
@@ -209,6 +234,12 @@
     {
         const auto stored = co_await tables_.cluster_state->read_prefix(leadership_key, store_timeout);
         note_store_answer(health_, log_, stored.era);
+        if (is_rewrite_due())
+        {
+            // The versions are those of a restored copy; the rewrite finds out who leads.
+            propagate_changes();
+            co_return;
+        }
         if (stored.rows.empty() || stored.rows.front().version != leadership_version_)
         {
             callbacks_.on_deposed("the leadership row changed");
@@ -226,7 +257,8 @@
 {
     const auto self = shared_from_this();
     bool may_be_committed = false;
-    const auto leadership = to_json(leadership_record{self_, state_->former_leaders()});
+    const auto record = make_record(assigned_era_);
+    const auto leadership = to_json(record);
     while (is_running())
     {
         std::vector<store::row_write> writes;
@@ -257,6 +289,14 @@
         {
             note_store_answer(health_, log_, result.era);
         }
+        if (is_rewrite_due())
+        {
+            // Whatever became of this write, the rows are written again.
+            state_->on_write_failed();
+            is_writing_ = false;
+            propagate_changes();
+            co_return;
+        }
         if (is_answered && !result.is_committed && may_be_committed)
         {
             // An earlier unanswered try may have caused the conflict; then the rows hold exactly what it
@@ -272,13 +312,14 @@
         if (is_answered && result.is_committed)
         {
             leadership_version_ = result.revision;
+            written_ = record.written;
             confirmation_.on_confirmed(now);
             for (const auto& row : rows)
             {
                 assignment_versions_[row.name] = result.revision;
             }
             is_writing_ = false;
-            state_->on_written(result.revision);
+            state_->on_written(written_);
             log_.write("assignments written",
                        {{"rows", rows.size()}, {"version", result.revision}, {"era", result.era}});
             propagate_changes();
@@ -293,4 +334,137 @@
     }
 }
 
+leadership_record leader_service::make_record(std::int64_t era) const
+{
+    leadership_record record;
+    record.leader = self_;
+    record.former_leaders = state_->former_leaders();
+    record.written = {health_.era(), written_.number + 1};
+    record.assigned_era = era;
+    return record;
+}
+
+bool leader_service::adopt_versions(const store::row_batch& stored)
+{
+    leadership_version_ = 0;
+    assignment_versions_.clear();
+    for (const auto& row : stored.rows)
+    {
+        if (row.key.starts_with(assignment_prefix))
+        {
+            assignment_versions_[row.key.substr(std::string(assignment_prefix).size())] = row.version;
+        }
+        if (row.key != leadership_key)
+        {
+            continue;
+        }
+        leadership_version_ = row.version;
+        const auto record = leadership_from_json(row.value);
+        const bool is_own = record.leader.incarnation == self_.incarnation;
+        if (record.written > written_ && !is_own)
+        {
+            return false;
+        }
+        written_.number = std::max(written_.number, record.written.number);
+    }
+    return true;
+}
+
+std::vector<std::vector<store::row_write>> leader_service::make_rewrite(const store::row_batch& stored) const
+{
+    // Limits of a transaction of the platform's store, with room for the leadership row and the encoding.
+    constexpr std::size_t max_rows = 90;
+    constexpr std::size_t max_bytes = std::size_t{500} * 1024;
+    std::map<std::string, json> rows;
+    for (const auto& [name, version] : assignment_versions_)
+    {
+        rows[name] = json{{"servers", json::array()}};
+    }
+    for (auto& row : state_->all_rows())
+    {
+        rows[row.name] = std::move(row.document);
+    }
+    std::vector<std::vector<store::row_write>> groups(1);
+    if (std::ranges::find(stored.rows, secret_key, &store::row::key) == stored.rows.end())
+    {
+        groups.back().emplace_back(secret_key, 0, json{{"secret", secret_}});
+    }
+    std::size_t bytes = 0;
+    for (const auto& [name, document] : rows)
+    {
+        bytes += document.dump().size();
+        if (groups.back().size() >= max_rows || bytes > max_bytes)
+        {
+            groups.emplace_back();
+            bytes = document.dump().size();
+        }
+        const auto version = assignment_versions_.find(name);
+        groups.back().emplace_back(assignment_prefix + name,
+                                   version == assignment_versions_.end() ? 0 : version->second, document);
+    }
+    return groups;
+}
+
+asio::awaitable<void> leader_service::rewrite_rows()
+{
+    const auto self = shared_from_this();
+    while (is_running() && is_rewrite_due())
+    {
+        try
+        {
+            const auto stored = co_await tables_.cluster_state->read_prefix("", store_timeout);
+            note_store_answer(health_, log_, stored.era);
+            if (!is_running())
+            {
+                co_return;
+            }
+            if (!adopt_versions(stored))
+            {
+                callbacks_.on_deposed("another router took the leadership after the store was restored");
+                co_return;
+            }
+            auto groups = make_rewrite(stored);
+            bool is_complete = true;
+            for (auto& writes : groups)
+            {
+                const bool is_last = &writes == &groups.back();
+                const auto record = make_record(is_last ? stored.era : assigned_era_);
+                writes.emplace_back(leadership_key, leadership_version_, to_json(record));
+                const auto result = co_await tables_.cluster_state->commit("", writes, store_timeout);
+                note_store_answer(health_, log_, result.era);
+                is_complete = result.is_committed && result.era == stored.era && is_running();
+                if (!is_complete)
+                {
+                    break;
+                }
+                leadership_version_ = result.revision;
+                written_ = record.written;
+                for (const auto& write : writes)
+                {
+                    if (write.key.starts_with(assignment_prefix))
+                    {
+                        const auto name = write.key.substr(std::string(assignment_prefix).size());
+                        assignment_versions_[name] = result.revision;
+                    }
+                }
+            }
+            if (is_complete)
+            {
+                assigned_era_ = stored.era;
+                confirmation_.on_confirmed(clock::now());
+                log_.write("assignments written again",
+                           {{"rows", assignment_versions_.size()}, {"era", stored.era}, {"term", term_}});
+                continue;
+            }
+        }
+        catch (const std::exception& failure)
+        {
+            note_store_failure(health_, log_, "rewrite", failure);
+        }
+        co_await core::pause_for(store_retry);
+    }
+    is_writing_ = false;
+    propagate_changes();
+}
+
 } // namespace briarfold::edge::internal
--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -102,7 +102,8 @@
 
 bool member::is_connected() const
 {
-    return state_->snapshot.term > 0 && (state_->leadership || state_->contact.is_connected(clock::now()));
+    return !state_->snapshot.term.is_none() &&
+           (state_->leadership || state_->contact.is_connected(clock::now()));
 }
 
 std::int64_t member::store_era() const
@@ -142,8 +143,7 @@
                 if (row.key == internal::leadership_key)
                 {
                     leader = directory::router_from_json(row.value.at("router"));
-                    leadership_version = row.version;
-                    snapshot.term = 0;
+                    leadership_position = row.position();
                 }
             }
             const auto secret = std::ranges::find(rows.rows, internal::secret_key, &store::row::key);
@@ -172,7 +172,8 @@
 asio::awaitable<void> member::state::run()
 {
     const auto self_reference = shared_from_this();
-    const auto secret = co_await load_or_create_secret();
+    joined_at = clock::now();
+    secret = co_await load_or_create_secret();
     if (is_ended)
     {
         co_return;
@@ -223,7 +224,7 @@
             co_await run_election("the leader cannot read the store");
         }
         boost::system::error_code ignored;
-        const bool is_joining = snapshot.term == 0 && !leadership;
+        const bool is_joining = snapshot.term.is_none() && !leadership;
         const auto wait = is_report_requested ? report_delay
                           : is_joining        ? joining_report_interval
                                               : contact.report_interval();
@@ -294,7 +295,12 @@
     {
         const auto text = co_await link->send_message(recipient.peer, message.dump(), report_timeout);
         const auto reply = json::parse(text);
-        if (reply.value("kind", "") == "update")
+        const bool is_update = reply.value("kind", "") == "update";
+        if (is_update && reply.at("term").get<directory::generation>() < promised_term)
+        {
+            contact.on_failure();
+        }
+        else if (is_update)
         {
             apply_update(reply);
             contact.on_contact(clock::now());
@@ -336,8 +342,8 @@
 
 void member::state::apply_update(const json& message)
 {
-    const auto term = message.at("term").get<std::int64_t>();
-    if (term < snapshot.term || is_ended)
+    const auto term = message.at("term").get<directory::generation>();
+    if (term < std::max(snapshot.term, promised_term) || is_ended)
     {
         return;
     }
@@ -380,13 +386,32 @@
     }
 }
 
+std::string member::state::report_position(const directory::generation& term)
+{
+    if (term <= std::max(snapshot.term, promised_term))
+    {
+        return json{{"kind", "none"}}.dump();
+    }
+    promised_term = term;
+    if (leadership)
+    {
+        leadership->publish();
+        step_down("a later leader collects the directories");
+    }
+    const json reply = {{"kind", "directory position"},
+                        {"term", snapshot.term},
+                        {"revision", snapshot.revision},
+                        {"incarnation", self.incarnation}};
+    return reply.dump();
+}
+
 asio::awaitable<std::string> member::state::on_message(std::string from, std::string text)
 {
     const auto message = internal::decode_message(text);
     const auto kind = message.at("kind").get<std::string>();
     if (kind == "report" && leadership && leadership->is_started())
     {
-        const auto term = message.at("term").get<std::int64_t>();
+        const auto term = message.at("term").get<directory::generation>();
         if (term > leadership->term())
         {
             step_down("a router follows a later leader");
@@ -406,7 +431,7 @@
     if (kind == "update")
     {
         apply_update(message);
-        if (message.at("term").get<std::int64_t>() == snapshot.term)
+        if (message.at("term").get<directory::generation>() == snapshot.term)
         {
             contact.on_contact(clock::now());
         }
@@ -418,7 +443,18 @@
         const bool is_seen = is_same && (leadership || contact.can_vouch(clock::now()));
         co_return json{{"kind", "leader seen"}, {"seen", is_seen}}.dump();
     }
-    if (kind == "take over" && !leadership && message.at("term").get<std::int64_t>() == snapshot.term)
+    if (kind == "directory position")
+    {
+        co_return report_position(message.at("term").get<directory::generation>());
+    }
+    if (kind == "directory" && message.at("term").get<directory::generation>() == promised_term)
+    {
+        const auto all = directory::make_update(snapshot, {}, {}, 0);
+        const json reply = {{"kind", "directory"}, {"directory", directory::to_json(all)}};
+        co_return internal::encode_message(reply.dump());
+    }
+    if (kind == "take over" && !leadership &&
+        message.at("term").get<directory::generation>() == snapshot.term)
     {
         asio::co_spawn(
             executor, [self = shared_from_this()] { return self->run_election("the leader stops"); },
--- a/src/edge/internal/member_deputy.cpp
+++ b/src/edge/internal/member_deputy.cpp
@@ -1,6 +1,7 @@
 #include "core/error.hpp"
 #include "core/pause.hpp"
 #include "edge/internal/member_state.hpp"
+#include "edge/internal/peer_message.hpp"
 
 #include <algorithm>
 
@@ -29,20 +30,26 @@
     const bool is_config = table == "config";
     const auto rows = is_config ? tables.config : tables.registry;
     const std::string prefix = is_config ? tables.config_key : std::string();
-    std::int64_t revision = 0;
+    std::optional<store::position> position;
     while (is_deputy())
     {
         core::duration pause = is_config ? core::duration{0} : registry_read_pause;
         try
         {
-            if (revision == 0)
+            if (!position)
             {
                 const auto all = co_await rows->read_prefix(prefix, store_timeout);
-                revision = all.revision;
+                position = all.position();
             }
-            const auto batch = co_await rows->changes(revision, deputy_feed_wait);
+            const auto batch = co_await rows->changes(position->number, deputy_feed_wait);
             internal::note_store_answer(health, log, batch.era);
-            revision = batch.is_truncated ? 0 : batch.revision;
+            // In another era, changes below this position may be new.
+            if (batch.is_truncated || batch.era != position->era)
+            {
+                position.reset();
+                continue;
+            }
+            position = batch.position();
             for (const auto& row : batch.rows)
             {
                 if (!is_config || row.key == tables.config_key)
@@ -80,7 +87,7 @@
         {
             list.push_back({{"table", name.first},
                             {"key", name.second},
-                            {"version", item.row.version},
+                            {"position", internal::position_to_json(item.row.position())},
                             {"value", item.row.value}});
         }
     }
@@ -92,11 +99,15 @@
 
 void member::state::drop_confirmed_rows(const json& reply)
 {
-    const auto config_revision = reply.value("config_revision", std::int64_t{0});
-    const auto registry_revision = reply.value("registry_revision", std::int64_t{0});
+    if (!reply.contains("config_position"))
+    {
+        return;
+    }
+    const auto config_position = internal::position_from_json(reply.at("config_position"));
+    const auto registry_position = internal::position_from_json(reply.at("registry_position"));
     std::erase_if(deputy_rows, [&](const auto& item) {
-        const auto known_revision = item.first.first == "config" ? config_revision : registry_revision;
-        return item.second.row.version <= known_revision;
+        const auto& known = item.first.first == "config" ? config_position : registry_position;
+        return item.second.row.position() <= known;
     });
     if (!is_deputy())
     {
--- a/src/edge/internal/member_election.cpp
+++ b/src/edge/internal/member_election.cpp
@@ -2,6 +2,7 @@
 #include "edge/internal/member_state.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -17,6 +18,9 @@
 /// Time for which the deputies, who read the store already, are the only candidates.
 constexpr core::duration deputy_head_start{600};
 constexpr std::size_t witness_count = 4;
+/// Time for which a router leaves the leadership to one that knows more, when the stored assignments may be
+/// older than what that one knows.
+constexpr core::duration informed_head_start{1500};
 /// A router that answers at all does so within this time, unless it is as busy as the leader may be.
 constexpr core::duration witness_timeout{350};
 
@@ -30,7 +34,7 @@
     constexpr double steps_per_ratio = 2;
     constexpr double max_weak_steps = 10;
     // After a restart of all routers the former leader is a good choice and known to all.
-    if (snapshot.term == 0 && leader.name == settings.name)
+    if (snapshot.term.is_none() && leader.name == settings.name)
     {
         return {};
     }
@@ -40,7 +44,7 @@
         max_cpu = std::max(max_cpu, router.cpu);
     }
     const auto weak_steps = std::clamp((max_cpu / settings.cpu - 1) * steps_per_ratio, 0.0, max_weak_steps);
-    const auto rank = core::text_hash(settings.name + std::to_string(snapshot.term)) % max_steps +
+    const auto rank = core::text_hash(settings.name + json(snapshot.term).dump()) % max_steps +
                       static_cast<std::uint64_t>(weak_steps);
     const auto position = std::ranges::find(snapshot.deputies, settings.name);
     const bool is_listed = position != snapshot.deputies.end();
@@ -140,52 +144,34 @@
             co_await tables.cluster_state->read_prefix(internal::leadership_key, store_timeout);
         internal::note_store_answer(health, log, stored.era);
         const auto* const row = stored.rows.empty() ? nullptr : &stored.rows.front();
-        std::optional<directory::router> holder;
-        std::vector<directory::router> former_leaders;
+        std::optional<internal::leadership_record> record;
         if (row != nullptr)
         {
-            auto record = internal::leadership_from_json(row->value);
-            holder = record.leader;
-            former_leaders = std::move(record.former_leaders);
-            std::erase_if(former_leaders, [&](const auto& item) { return item.name == holder->name; });
-            former_leaders.push_back(std::move(record.leader));
+            record = internal::leadership_from_json(row->value);
         }
-        const bool is_other_leader = holder && holder->name != leader.name && holder->name != settings.name;
+        if (must_defer_election(record, stored.era))
+        {
+            is_electing = false;
+            co_return;
+        }
+        const bool is_other_leader = record && record->written >= snapshot.term &&
+                                     record->leader.name != leader.name &&
+                                     record->leader.name != settings.name;
         // A router without a directory knows no witnesses. The same leader may have taken the leadership
         // again after a restart of all, and may not have come to answer this router yet.
-        const bool is_renewed = snapshot.term == 0 && holder && holder->name != settings.name &&
-                                row->version != std::exchange(leadership_version, row->version);
+        const bool is_renewed = snapshot.term.is_none() && record && record->leader.name != settings.name &&
+                                row->position() != std::exchange(leadership_position, row->position());
         if (is_other_leader || is_renewed)
         {
-            leader = *holder;
+            leader = record->leader;
             contact.on_leader_named(clock::now());
             log.write("leader found",
                       {{"leader", leader.name}, {"version", row->version}, {"era", row->era}});
         }
         else
         {
-            const internal::leadership_record next{self, former_leaders};
-            std::vector<store::row_write> writes;
-            writes.emplace_back(internal::leadership_key, row != nullptr ? row->version : 0,
-                                internal::to_json(next));
-            const auto result = co_await tables.cluster_state->commit("", std::move(writes), store_timeout);
-            if (result.is_committed && !is_stopping)
-            {
-                log.write("leadership taken", {{"term", result.revision},
-                                               {"era", result.era},
-                                               {"reason", reason},
-                                               {"former", leader.name}});
-                become_leader(result.revision, std::move(former_leaders));
-            }
-            else
-            {
-                log.write("leadership not taken", {{"reason", "another router was faster"}});
-                if (!result.conflicts.empty() && result.conflicts.front().value.contains("router"))
-                {
-                    leader = directory::router_from_json(result.conflicts.front().value.at("router"));
-                    contact.on_leader_named(clock::now());
-                }
-            }
+            co_await take_leadership(std::move(record), row != nullptr ? row->version : 0, stored.era,
+                                     reason);
         }
     }
     catch (const std::exception& failure)
@@ -195,9 +181,83 @@
     is_electing = false;
 }
 
-void member::state::become_leader(std::int64_t term, std::vector<directory::router> former_leaders)
+bool member::state::must_defer_election(const std::optional<internal::leadership_record>& record,
+                                        std::int64_t era) const
+{
+    const auto now = clock::now();
+    if (!record || record->assigned_era >= era)
+    {
+        return false;
+    }
+    // The leader knows the assignments that the restored store lost, and has just got the store back too.
+    const bool is_leader_near =
+        health.was_restored(informed_head_start, now) && contact.is_connected(now) && !leader.name.empty();
+    const bool is_uninformed = snapshot.term.is_none() && now - joined_at < informed_head_start;
+    return is_leader_near || is_uninformed;
+}
+
+asio::awaitable<void> member::state::take_leadership(std::optional<internal::leadership_record> former,
+                                                     std::int64_t version, std::int64_t era,
+                                                     const char* reason)
+{
+    internal::leadership_start start;
+    auto& next = start.record;
+    next.leader = self;
+    next.assigned_era = era;
+    if (!leader.name.empty())
+    {
+        next.former_leaders.push_back(leader);
+    }
+    auto number = snapshot.term.number;
+    if (former)
+    {
+        number = std::max(number, former->written.number);
+        next.assigned_era = former->assigned_era;
+        // A restored row may name an earlier leader than the one that this router followed.
+        auto named = std::move(former->former_leaders);
+        named.push_back(std::move(former->leader));
+        std::ranges::copy_if(named, std::back_inserter(next.former_leaders),
+                             [&](const auto& item) { return item.name != leader.name; });
+    }
+    else if (!snapshot.term.is_none())
+    {
+        // The store was restored to a time before the first assignment.
+        next.assigned_era = snapshot.term.era;
+    }
+    next.written = {era, number + 1};
+    start.secret = secret;
+    std::vector<store::row_write> writes;
+    writes.emplace_back(internal::leadership_key, version, internal::to_json(next));
+    const auto result = co_await tables.cluster_state->commit("", std::move(writes), store_timeout);
+    internal::note_store_answer(health, log, result.era);
+    if (result.is_committed && !is_stopping)
+    {
+        start.version = result.revision;
+        log.write("leadership taken", {{"term", next.written},
+                                       {"assigned_era", next.assigned_era},
+                                       {"era", result.era},
+                                       {"reason", reason},
+                                       {"former", leader.name}});
+        become_leader(std::move(start));
+        co_return;
+    }
+    log.write("leadership not taken", {{"reason", "another router was faster"}});
+    if (!result.conflicts.empty() && result.conflicts.front().value.contains("router"))
+    {
+        const auto stored = internal::leadership_from_json(result.conflicts.front().value);
+        if (stored.written >= snapshot.term)
+        {
+            leader = stored.leader;
+            contact.on_leader_named(clock::now());
+        }
+    }
+}
+
+void member::state::become_leader(internal::leadership_start start)
 {
     leader = self;
+    // What an earlier leader sends from now on is not part of the directory that this one starts from.
+    promised_term = start.record.written;
     contact.on_leader_named(clock::now());
     internal::leader_callbacks new_callbacks;
     new_callbacks.on_config = [weak = weak_from_this()](routes::routing_config config,
@@ -250,9 +310,9 @@
             state->step_down(why);
         }
     };
-    leadership = std::make_shared<internal::leader_service>(executor, self, adapter, tables, health, log,
-                                                            std::move(new_callbacks), term, packed_config,
-                                                            std::move(former_leaders));
+    leadership =
+        std::make_shared<internal::leader_service>(executor, self, adapter, tables, health, log,
+                                                   std::move(new_callbacks), std::move(start), packed_config);
     asio::co_spawn(
         executor, [service = leadership, former = snapshot] { return service->start(former); },
         asio::detached);
--- a/src/edge/internal/member_state.hpp
+++ b/src/edge/internal/member_state.hpp
@@ -37,8 +37,16 @@
     void record_deputy_row(const std::string& table, const store::row& row);
     void add_deputy_rows(nlohmann::json& message);
     void drop_confirmed_rows(const nlohmann::json& reply);
+    /// Answers a new leader that collects the directories, and lets no earlier leader change this one any
+    /// more.
+    std::string report_position(const directory::generation& term);
     core::asio::awaitable<std::string> on_message(std::string from, std::string text);
-    void become_leader(std::int64_t term, std::vector<directory::router> former_leaders);
+    /// Whether another router should lead, since the stored assignments may be older than those it knows.
+    bool must_defer_election(const std::optional<internal::leadership_record>& record,
+                             std::int64_t era) const;
+    core::asio::awaitable<void> take_leadership(std::optional<internal::leadership_record> former,
+                                                std::int64_t version, std::int64_t era, const char* reason);
+    void become_leader(internal::leadership_start start);
     void step_down(const char* reason);
     void apply_update(const nlohmann::json& message);
     leader::router_report make_report();
@@ -57,8 +65,12 @@
     internal::store_health health;
     directory::snapshot snapshot;
     directory::router leader;
-    /// Version of the leadership row as this router last read it.
-    std::int64_t leadership_version = 0;
+    /// Term of a leader that collects the directories; updates of earlier leaders are ignored.
+    directory::generation promised_term;
+    /// Position of the leadership row as this router last read it.
+    store::position leadership_position;
+    std::string secret;
+    core::time_point joined_at;
     /// Document of the configuration in force, as encoded by `internal::pack`.
     std::string packed_config;
     std::int64_t config_version = 0;
--- a/src/edge/internal/peer_message.cpp
+++ b/src/edge/internal/peer_message.cpp
@@ -35,6 +35,16 @@
     return json::parse(core::decompress(std::string_view(bytes).substr(1), max_text_bytes));
 }
 
+json position_to_json(const store::position& value)
+{
+    return json::array({value.era, value.number});
+}
+
+store::position position_from_json(const json& value)
+{
+    return {value.at(0).get<std::int64_t>(), value.at(1).get<std::int64_t>()};
+}
+
 std::string pack(const json& document)
 {
     return core::encode_base64(core::compress(document.dump()));
--- a/src/edge/internal/peer_message.hpp
+++ b/src/edge/internal/peer_message.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "store/store_types.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <string>
@@ -13,6 +15,10 @@
 /// Parses the bytes of `encode_message`. Throws core::error or nlohmann::json::exception for malformed bytes.
 nlohmann::json decode_message(const std::string& bytes);
 
+nlohmann::json position_to_json(const store::position& value);
+/// Throws nlohmann::json::exception for a malformed value.
+store::position position_from_json(const nlohmann::json& value);
+
 /// Returns a document as compressed Base64 text for messages between routers. Uncompressed, a configuration
 /// with thousands of routes takes most of a small instance's bandwidth for some tenths of a second.
 std::string pack(const nlohmann::json& document);
--- a/src/edge/internal/store_health.hpp
+++ b/src/edge/internal/store_health.hpp
@@ -27,6 +27,10 @@
         {
             recovered_at_ = now;
         }
+        if (is_restored)
+        {
+            restored_at_ = now;
+        }
         failing_since_.reset();
         era_ = std::max(era, era_.value_or(era));
         return is_restored;
@@ -52,8 +56,15 @@
         return is_failing() || (recovered_at_ && now - *recovered_at_ < span);
     }
 
+    /// Whether the store was found restored less than `span` ago.
+    bool was_restored(core::duration span, core::time_point now) const
+    {
+        return restored_at_ && now - *restored_at_ < span;
+    }
+
 private:
     std::optional<core::time_point> failing_since_;
+    std::optional<core::time_point> restored_at_;
     std::optional<core::time_point> recovered_at_;
     std::optional<std::int64_t> era_;
 };
--- a/src/edge/protocol.hpp
+++ b/src/edge/protocol.hpp
@@ -63,7 +63,7 @@
     /// Parses a configuration. Throws core::error for a document that is not one.
     std::function<routes::routing_config(const nlohmann::json&)> read_config;
     /// Parses a registration. Returns nothing when it names no usable backend server.
-    std::function<std::optional<directory::backend_server>(const std::string& id, const nlohmann::json&)>
+    std::function<std::optional<directory::registration>(const std::string& id, const nlohmann::json&)>
         read_registration;
 };
 
--- a/src/leader/internal/front_assignment.cpp
+++ b/src/leader/internal/front_assignment.cpp
@@ -143,7 +143,7 @@
 {
     auto& entry = find_entry(id);
     auto& state = entry_states_[id];
-    if (state.front_changes == max_front_changes)
+    if (state.front_changes == directory::max_front_changes)
     {
         // A further change would reuse the former front's token or reach into those of the next owner.
         return;
@@ -158,7 +158,7 @@
     servers_by_front_[front].insert(id);
     const auto former = std::exchange(entry.front, front);
     ++state.front_changes;
-    if (needs_new_version(id))
+    if (needs_new_generation(id))
     {
         mark_dirty(id);
     }
--- a/src/leader/internal/key_assignment.cpp
+++ b/src/leader/internal/key_assignment.cpp
@@ -186,6 +186,10 @@
 
 void leader_state::assign_initial_keys(core::time_point now)
 {
+    if (are_all_keys_withheld(now))
+    {
+        return;
+    }
     const bool is_settled =
         now - last_registration_ >= settings_.settle_time && now - started_ >= settings_.settle_time;
     if (!is_settled && now - started_ < settings_.max_settle_time)
@@ -217,7 +221,7 @@
         {
             continue;
         }
-        keyspace::key_set held;
+        auto held = now < withheld_until_ ? withheld_keys_[service] : keyspace::key_set();
         for (const auto& [id, entry] : published_.entries)
         {
             if (entry.server.service == service)
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -11,21 +11,28 @@
 
 namespace {
 
-/// Layout of a token: the version of the stored row from bit 20, the number of front changes since that
-/// version, which need no write, from bit 12. The front uses the lower bits for calls without an answer.
-constexpr int version_shift = 20;
-constexpr int front_shift = 12;
-/// Number of front changes after which the next write gives the entry a new version. The rest of the range
+/// Number of front changes after which the next write gives the entry a new generation. The rest of the range
 /// lasts for an outage of the store.
-constexpr std::int64_t front_changes_until_write = leader_state::max_front_changes / 2;
+constexpr std::int64_t front_changes_until_write = directory::max_front_changes / 2;
 /// With 64 KB per row and about 150 bytes per backend server, enough for more than 10,000 backend servers.
 constexpr std::uint64_t rows_per_service = 32;
 /// A transaction of the platform's store has at most 100 entries, one of which renews the leadership.
 constexpr std::size_t max_rows_per_write = 96;
 
+nlohmann::json row_item(const directory::entry& item, const keyspace::key_set& keys)
+{
+    return {item.server.id, item.server.start_time_ms, http::to_string(item.server.address), item.front,
+            directory::to_json(keys)};
+}
+
+assignment_row make_row(const std::string& name, nlohmann::json servers)
+{
+    return {name, {{"servers", std::move(servers)}}};
+}
+
 } // namespace
 
-leader_state::leader_state(leader_settings settings, directory::router self, std::int64_t term,
+leader_state::leader_state(leader_settings settings, directory::router self, directory::generation term,
                            core::time_point now, decision_hook on_decision)
     : settings_(settings), self_(self.name), on_decision_(std::move(on_decision)), started_(now),
       last_registration_(now), last_plan_(now), last_decay_(now), last_balance_(now)
@@ -60,6 +67,7 @@
         return;
     }
     const auto until = confirmed_grants_end(now);
+    withheld_until_ = std::min(withheld_until_, until);
     for (auto& [id, state] : entry_states_)
     {
         state.prior_grants_until = std::min(state.prior_grants_until, until);
@@ -70,7 +78,14 @@
     }
 }
 
-void leader_state::load_row(const assignment_row& row, std::int64_t version, core::time_point now)
+core::time_point leader_state::former_grants_end(core::time_point now) const
+{
+    // Former leaders assigned fronts without a write, so any router may have granted keys until its
+    // confirmation expired.
+    return confirmed_grants_end(former_leaders_.empty() ? now : now + settings_.max_storeless_time);
+}
+
+void leader_state::load_row(const assignment_row& row, core::time_point now)
 {
     const auto service = row.name.substr(0, row.name.rfind('/'));
     initialized_services_.insert(service);
@@ -84,25 +99,68 @@
         entry.front = item.at(3).get<std::string>();
         entry.keys = directory::keys_from_json(item.at(4));
         entry.is_listed = false;
-        entry.revision = published_.revision;
-        entry_state state;
-        // The term is later than every version that a former leader wrote or used.
-        state.version = std::max(version, published_.term);
-        // Former leaders assigned fronts without a write, so any router may have granted keys until its
-        // confirmation expired.
-        state.prior_grants_until =
-            confirmed_grants_end(former_leaders_.empty() ? now : now + settings_.max_storeless_time);
-        state.next_keys = entry.keys;
-        state.listed_at = now;
-        state.unregistered_at = now;
-        entry_states_[entry.server.id] = state;
-        servers_by_front_[entry.front].insert(entry.server.id);
-        published_.entries[entry.server.id] = entry;
-        update_token_base(entry.server.id);
-        find_entry(entry.server.id).front_token = find_entry(entry.server.id).token_base;
+        load_entry(std::move(entry), now);
     }
 }
 
+void leader_state::load_entry(directory::entry entry, core::time_point now)
+{
+    const auto id = entry.server.id;
+    entry.revision = published_.revision;
+    entry_state state;
+    // The term is later than every generation that a former leader wrote or used.
+    state.written = published_.term;
+    state.prior_grants_until = former_grants_end(now);
+    state.next_keys = entry.keys;
+    state.listed_at = now;
+    state.unregistered_at = now;
+    entry_states_[id] = state;
+    servers_by_front_[entry.front].insert(id);
+    published_.entries[id] = std::move(entry);
+    update_token_base(id);
+    find_entry(id).front_token = find_entry(id).token_base;
+}
+
+void leader_state::load_directory(const directory::snapshot& known, const std::set<std::string>& silent,
+                                  core::time_point now)
+{
+    withheld_until_ = former_grants_end(now);
+    is_everything_withheld_ = known.term.is_none();
+    for (const auto& [id, item] : known.entries)
+    {
+        auto entry = item;
+        const auto& service = entry.server.service;
+        if (!entry.keys.empty())
+        {
+            initialized_services_.insert(service);
+        }
+        const bool is_front_silent = silent.contains(entry.front);
+        // A front that is silent may have seen keys withdrawn that this directory does not show as such; keys
+        // already withdrawn may have been granted to another backend server by a silent front.
+        const auto withheld = is_front_silent   ? entry.keys
+                              : !silent.empty() ? entry.withdrawn
+                                                : keyspace::key_set();
+        withheld_keys_[service] = keyspace::set_union(withheld_keys_[service], withheld);
+        entry.keys = keyspace::set_difference(entry.keys, withheld);
+        entry.withdrawn.clear();
+        entry.handovers.clear();
+        load_entry(std::move(entry), now);
+    }
+    for (const auto& [service, keys] : withheld_keys_)
+    {
+        if (!keys.empty())
+        {
+            on_decision_("keys withheld", service,
+                         {{"keys", directory::to_json(keys)}, {"for_ms", (withheld_until_ - now).ms}});
+        }
+    }
+}
+
+bool leader_state::are_all_keys_withheld(core::time_point now) const
+{
+    return is_everything_withheld_ && now < withheld_until_;
+}
+
 void leader_state::load_router(const directory::router& known, core::time_point now)
 {
     if (known.name != self_)
@@ -120,7 +178,7 @@
            std::to_string(core::text_hash(id) % rows_per_service);
 }
 
-bool leader_state::needs_new_version(const std::string& id) const
+bool leader_state::needs_new_generation(const std::string& id) const
 {
     return entry_states_.at(id).front_changes >= front_changes_until_write;
 }
@@ -133,7 +191,7 @@
 void leader_state::update_token_base(const std::string& id)
 {
     const auto& state = entry_states_[id];
-    find_entry(id).token_base = (state.version << version_shift) + (state.front_changes << front_shift);
+    find_entry(id).token_base = directory::first_token(state.written, state.front_changes);
 }
 
 bool leader_state::knows_its_fronts(const std::string& router, std::int64_t revision) const
@@ -172,7 +230,7 @@
         servers_by_front_[""].insert(server.id);
         changes_.removed.erase(server.id);
         entry_states_[server.id].listed_at = now;
-        entry_states_[server.id].version = published_.term;
+        entry_states_[server.id].written = published_.term;
         update_token_base(server.id);
         last_registration_ = now;
         on_decision_("backend server registered", server.id,
@@ -197,7 +255,11 @@
                       {"draining", server.is_draining}});
         state.unreachable_since.reset();
     }
+    const bool is_same_process = entry.server.start_time_ms == server.start_time_ms;
+    const bool was_draining = is_same_process && entry.server.is_draining;
     entry.server = server;
+    // A process that drains does not become ready again; a restored registration may say so.
+    entry.server.is_draining = server.is_draining || was_draining;
     entry.is_listed = true;
     state.unregistered_at.reset();
     bump_revision(server.id);
@@ -352,22 +414,41 @@
         in_flight_entries_[id] = {next.next_keys, next.next_handovers};
         if (!next.next_keys.empty())
         {
-            list->second.push_back({id, item.server.start_time_ms, http::to_string(item.server.address),
-                                    item.front, directory::to_json(next.next_keys)});
+            list->second.push_back(row_item(item, next.next_keys));
+        }
+    }
+    std::vector<assignment_row> rows;
+    rows.reserve(lists.size());
+    for (auto& [name, list] : lists)
+    {
+        rows.push_back(make_row(name, std::move(list)));
+    }
+    return rows;
+}
+
+std::vector<assignment_row> leader_state::all_rows() const
+{
+    std::map<std::string, nlohmann::json> lists;
+    for (const auto& [id, item] : published_.entries)
+    {
+        if (!item.keys.empty())
+        {
+            auto& list = lists[row_name(id)];
+            list.push_back(row_item(item, item.keys));
         }
     }
     std::vector<assignment_row> rows;
     rows.reserve(lists.size());
     for (auto& [name, list] : lists)
     {
-        rows.push_back({name, {{"servers", std::move(list)}}});
+        rows.push_back(make_row(name, std::move(list)));
     }
     return rows;
 }
 
-void leader_state::on_written(std::int64_t version)
+void leader_state::on_written(const directory::generation& written)
 {
-    for (const auto& [id, written] : in_flight_entries_)
+    for (const auto& [id, next] : in_flight_entries_)
     {
         const auto position = published_.entries.find(id);
         if (position == published_.entries.end())
@@ -376,18 +457,18 @@
         }
         auto& entry = position->second;
         auto& state = entry_states_[id];
-        if (entry.keys == written.keys && !needs_new_version(id))
+        if (entry.keys == next.keys && !needs_new_generation(id))
         {
             continue;
         }
-        entry.keys = written.keys;
+        entry.keys = next.keys;
         entry.withdrawn = keyspace::set_intersection(entry.withdrawn, entry.keys);
         state.freed = keyspace::set_intersection(state.freed, entry.keys);
         std::erase_if(state.withdrawals, [&](const withdrawal& item) {
             return keyspace::set_intersection({item.range}, entry.withdrawn).empty();
         });
-        entry.handovers = written.handovers;
-        state.version = version;
+        entry.handovers = next.handovers;
+        state.written = written;
         state.front_changes = 0;
         update_token_base(id);
         bump_revision(id);
@@ -413,7 +494,7 @@
     return std::max(entry_states_.at(id).prior_grants_until - now, core::duration{0});
 }
 
-directory::update leader_state::update_for(std::int64_t term, std::int64_t revision,
+directory::update leader_state::update_for(const directory::generation& term, std::int64_t revision,
                                            core::time_point now) const
 {
     auto change = directory::make_update(published_, changes_, term, revision);
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -50,20 +50,22 @@
 class leader_state
 {
 public:
-    /// Changes of front that fit into a token between two versions.
-    static constexpr std::int64_t max_front_changes = 255;
-
-    leader_state(leader_settings settings, directory::router self, std::int64_t term, core::time_point now,
-                 decision_hook on_decision);
+    leader_state(leader_settings settings, directory::router self, directory::generation term,
+                 core::time_point now, decision_hook on_decision);
 
     /// Restores the state from the rows of the store and the routers known before. Call before the first
     /// `tick`.
-    void load_row(const assignment_row& row, std::int64_t version, core::time_point now);
+    void load_row(const assignment_row& row, core::time_point now);
     void load_router(const directory::router& known, core::time_point now);
     /// Names the routers that led before and may go on leading until they report to this one or restart. Call
     /// before `load_row`.
     void set_former_leaders(std::vector<directory::router> former);
     const std::vector<directory::router>& former_leaders() const { return former_leaders_; }
+    /// Restores the state from the latest directory that the routers know, in place of rows that are older.
+    /// Keys that a router of `silent` may have seen move are withheld until all earlier grants have ended;
+    /// all keys are when no router knows a directory.
+    void load_directory(const directory::snapshot& known, const std::set<std::string>& silent,
+                        core::time_point now);
 
     /// Sets the services with key ownership, as configured.
     void set_keyed_services(std::set<std::string> names) { keyed_services_ = std::move(names); }
@@ -83,12 +85,15 @@
     /// Returns the rows to write now; empty while a write is in flight or nothing has changed. The write must
     /// be conditional on the leadership.
     std::vector<assignment_row> take_pending_rows();
-    void on_written(std::int64_t version);
+    void on_written(const directory::generation& written);
     void on_write_failed();
+    /// Returns the rows of all published keys, as the store should hold them while no write is in flight.
+    std::vector<assignment_row> all_rows() const;
 
     const directory::snapshot& current() const { return published_; }
     /// Returns the update for a router that has `revision` of `term`.
-    directory::update update_for(std::int64_t term, std::int64_t revision, core::time_point now) const;
+    directory::update update_for(const directory::generation& term, std::int64_t revision,
+                                 core::time_point now) const;
     /// Returns the time for which a grant of an earlier front may still be valid; zero when none is.
     core::duration prior_grant_remaining(const std::string& id, core::time_point now) const;
     /// Returns whether a router with this revision of the directory knows of every front role that was taken
@@ -120,9 +125,9 @@
         std::optional<core::time_point> unreachable_since;
         double slowness = 1;
         core::time_point prior_grants_until;
-        /// Version of the row that holds the backend server's keys, or the term when that is later.
-        std::int64_t version = 0;
-        /// Number of fronts assigned since that version.
+        /// Generation in which the backend server's keys were written, or the term when that is later.
+        directory::generation written;
+        /// Number of fronts assigned since then.
         std::int64_t front_changes = 0;
     };
 
@@ -153,7 +158,13 @@
     /// Recomputes the token base of the entry, so that its front's tokens exceed those of all earlier fronts.
     void update_token_base(const std::string& id);
     /// Whether its tokens have little room left for further changes of front.
-    bool needs_new_version(const std::string& id) const;
+    bool needs_new_generation(const std::string& id) const;
+    /// Adds a backend server that an earlier leader knew, with the keys that it may still hold.
+    void load_entry(directory::entry entry, core::time_point now);
+    /// Returns when grants of the fronts of earlier leaders have ended.
+    core::time_point former_grants_end(core::time_point now) const;
+    /// Whether all keys are withheld because nobody knows who holds them.
+    bool are_all_keys_withheld(core::time_point now) const;
     void withdraw(const std::string& id, const keyspace::key_set& keys, const char* reason);
     void remove_lost_routers(core::time_point now);
     void assign_fronts(core::time_point now);
@@ -229,6 +240,11 @@
     std::map<std::string, std::set<std::string>> dirty_rows_;
     std::vector<directory::router> former_leaders_;
     core::time_point last_router_loss_;
+    /// Keys by service that are not assigned until `withheld_until_`, since a backend server that is not
+    /// known may hold them.
+    std::map<std::string, keyspace::key_set> withheld_keys_;
+    core::time_point withheld_until_;
+    bool is_everything_withheld_ = false;
     core::time_point started_;
     core::time_point last_registration_;
     core::time_point last_plan_;
--- a/src/leader/leader_types.hpp
+++ b/src/leader/leader_types.hpp
@@ -36,7 +36,7 @@
     directory::router router;
     /// Term and revision of the directory that the router had applied when it made the report. Keys withdrawn
     /// later are not freed by it.
-    std::int64_t term = 0;
+    directory::generation term;
     std::int64_t revision = 0;
     std::vector<freed_report> freed;
     /// Backend servers that do not answer the front's calls.
--- a/src/leader/tests/leader_fixture.hpp
+++ b/src/leader/tests/leader_fixture.hpp
@@ -44,7 +44,7 @@
 
     void restart(std::int64_t term)
     {
-        state.emplace(leader_settings(), make_router("r1"), term, now,
+        state.emplace(leader_settings(), make_router("r1"), directory::generation{0, term}, now,
                       [this](const char* decision, const std::string&, const nlohmann::json&) {
                           decisions.emplace_back(decision);
                       });
@@ -83,7 +83,7 @@
         {
             written = rows;
             std::ranges::for_each(rows, [this](const auto& row) { stored[row.name] = row; });
-            state->on_written(++version);
+            state->on_written({0, ++version});
         }
         return rows.size();
     }
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -110,7 +110,7 @@
     state->on_report(late, now);
     BOOST_CHECK_EQUAL(write(), 0U);
     late.revision = state->current().revision;
-    late.term = state->current().term - 1;
+    late.term = {};
     state->on_report(late, now);
     BOOST_CHECK_EQUAL(write(), 0U);
     late.term = state->current().term;
@@ -128,7 +128,7 @@
     restart(1000);
     for (const auto& [name, row] : rows)
     {
-        state->load_row(row, 1, now);
+        state->load_row(row, now);
     }
     const auto bound = state->prior_grant_remaining("s0", now);
     report(entry("s0").front, {}, {}, "2");
@@ -145,7 +145,7 @@
     state->set_former_leaders({make_router("r2", "b"), make_router("r3")});
     for (const auto& [name, row] : rows)
     {
-        state->load_row(row, 1, now);
+        state->load_row(row, now);
     }
     const auto confirmed_until = now + leader_settings().max_storeless_time;
     const auto renewed_until = confirmed_until + grants::max_confirmation_age;
@@ -356,11 +356,10 @@
 {
     start(3);
     std::map<std::string, directory::entry> former = state->current().entries;
-    const auto row_version = version;
     restart(version + 5);
     for (const auto& [name, row] : stored)
     {
-        state->load_row(row, row_version, now);
+        state->load_row(row, now);
     }
     for (const auto& [id, item] : former)
     {
@@ -371,18 +370,87 @@
     }
 }
 
+// Guards against two owners after the store lost assignments: a new leader gave away keys that a silent
+// router may have granted, or that were being withdrawn.
+BOOST_AUTO_TEST_CASE(keys_of_silent_routers_are_withheld_until_their_grants_end)
+{
+    start(3);
+    auto known = state->current();
+    const auto silent = entry("s0").front;
+    const auto keys = entry("s0").keys;
+    const auto& other = std::ranges::find_if(known.entries, [&](const auto& item) {
+                            return item.second.front != silent;
+                        })->second;
+    const auto moving = keyspace::key_set{other.keys.front()};
+    known.entries.at(other.server.id).withdrawn = moving;
+    restart(1000);
+    state->load_directory(known, {silent}, now);
+    for (const auto& [id, item] : known.entries)
+    {
+        state->on_registered(item.server, now);
+    }
+    const auto is_assigned = [&](const keyspace::key_set& range) {
+        return std::ranges::any_of(state->current().entries, [&](const auto& item) {
+            return !keyspace::set_intersection(item.second.keys, range).empty();
+        });
+    };
+    const auto renewed_until = now + grants::max_confirmation_age;
+    const auto end = grants::latest_grant_end(renewed_until, grants::outage_grant_duration);
+    while (now + duration{100} < end)
+    {
+        advance(100);
+        BOOST_REQUIRE(!is_assigned(keys));
+        BOOST_REQUIRE(!is_assigned(moving));
+    }
+    advance(1000);
+    BOOST_CHECK_EQUAL(state->unassigned_keys(), 0U);
+}
+
+// Guards against two owners when no router knows any assignment, and against keys that stay without an owner.
+BOOST_AUTO_TEST_CASE(all_keys_are_withheld_when_nobody_knows_a_directory)
+{
+    state->load_directory({}, {}, now);
+    state->on_registered(make_server("s0"), now);
+    const auto renewed_until = now + grants::max_confirmation_age;
+    const auto end = grants::latest_grant_end(renewed_until, grants::outage_grant_duration);
+    while (now + duration{100} < end)
+    {
+        advance(100);
+        BOOST_REQUIRE(entry("s0").keys.empty());
+    }
+    advance(1000);
+    BOOST_CHECK_EQUAL(keyspace::size(entry("s0").keys), keyspace::key_count);
+}
+
+// Guards against a backend server that gets requests although it drains, since a restored registration says
+// that it is ready.
+BOOST_AUTO_TEST_CASE(a_draining_process_does_not_become_ready_again)
+{
+    start(2);
+    auto server = make_server("s0");
+    server.is_draining = true;
+    state->on_registered(server, now);
+    server.is_draining = false;
+    state->on_registered(server, now);
+    BOOST_CHECK(entry("s0").server.is_draining);
+    server.start_time_ms = 2;
+    state->on_registered(server, now);
+    BOOST_CHECK(!entry("s0").server.is_draining);
+}
+
 // Guards against a directory update that is applied after a gap or out of order.
 BOOST_AUTO_TEST_CASE(followers_apply_updates_without_gaps)
 {
     start(2);
     directory::snapshot follower;
-    BOOST_CHECK(directory::apply(follower, state->update_for(0, 0, now)));
+    BOOST_CHECK(directory::apply(follower, state->update_for({}, 0, now)));
     const auto known = follower.revision;
     state->on_registered(make_server("late"), now);
-    const auto first = directory::update_from_json(directory::to_json(state->update_for(10, known, now)));
+    const auto first =
+        directory::update_from_json(directory::to_json(state->update_for({0, 10}, known, now)));
     const auto behind = state->current().revision;
     state->on_registered(make_server("later"), now);
-    const auto second = state->update_for(10, behind, now);
+    const auto second = state->update_for({0, 10}, behind, now);
     BOOST_CHECK(!directory::apply(follower, second));
     BOOST_CHECK(directory::apply(follower, first));
     BOOST_CHECK(directory::apply(follower, second));
