Simulate one owner for each key with faults drawn from a seed

Cause: OWNER needs several faults at once, such as a leader that is cut off and a backend server that only it reaches.

Change: a model without I/O drives leader_state, server_grants and the directory for 4 to 5 routers and 4 to 6 backend servers on a simulated clock, with a store of conditional writes. Links are cut, slow or lossy, routers freeze, end and start, backend servers drain and apply calls late. It checks at each grant that no other backend server holds the key, and that its token is above all earlier ones; a violation prints the seed and the trace of its key. It copies leader_service, member and front by hand; restarts of backend servers, news of deputies, offers of the leadership and routers that stop in order are left out.

--- /dev/null
+++ b/src/leader/tests/ownership_model.cpp
@@ -0,0 +1,1117 @@
+#include "leader/tests/ownership_model.hpp"
+
+#include <cmath>
+#include <ranges>
+#include <sstream>
+
+namespace briarfold::leader::tests {
+
+namespace {
+
+constexpr int min_routers = 4;
+constexpr int max_routers = 5;
+constexpr int min_backends = 4;
+constexpr int max_backends = 6;
+constexpr duration tick_interval{20};
+constexpr duration leader_tick_interval{50};
+constexpr duration min_tick_interval{15};
+constexpr duration publish_interval{40};
+constexpr duration write_interval{60};
+constexpr duration registry_interval{300};
+constexpr duration leadership_check{4000};
+constexpr duration max_storeless_leadership{10000};
+constexpr duration store_timeout{1000};
+constexpr duration store_retry{150};
+constexpr duration push_timeout{700};
+constexpr duration report_timeout{450};
+constexpr duration joining_report_interval{130};
+constexpr duration witness_timeout{350};
+constexpr duration max_election_delay{900};
+constexpr duration store_failure_limit{300};
+constexpr duration outage_threshold{800};
+constexpr duration connect_timeout{400};
+constexpr duration grant_timeout{500};
+constexpr duration release_timeout{3000};
+constexpr duration probe_interval{700};
+constexpr duration probe_timeout{300};
+constexpr duration hot_key_interval{8000};
+constexpr double hot_key_work_ms = 250;
+constexpr int failures_until_unreachable = 2;
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_superseded = 409;
+const std::string service = "keyed";
+
+} // namespace
+
+commit_answer store_model::commit(int router, const std::string& incarnation, std::int64_t expected,
+                                  const std::map<std::string, row>& changes)
+{
+    const auto find = [this](const std::string& name) {
+        const auto known = rows.find(name);
+        return known == rows.end() ? row() : known->second;
+    };
+    const bool has_expected_rows = std::ranges::all_of(
+        changes, [&](const auto& item) { return find(item.first).version == item.second.version; });
+    if (leader_version == expected && has_expected_rows)
+    {
+        leader = router;
+        leader_incarnation = incarnation;
+        leader_version = ++version;
+        for (const auto& [name, change] : changes)
+        {
+            rows[name] = {change.document, version};
+        }
+        return {true, true, version, leader};
+    }
+    const bool is_same = leader == router && leader_incarnation == incarnation &&
+                         std::ranges::all_of(changes, [&](const auto& item) {
+                             return find(item.first).document == item.second.document;
+                         });
+    return {false, is_same, leader_version, leader};
+}
+
+ownership_model::ownership_model(const model_options& options) : options_(options), random_(options.seed)
+{
+    routers_.resize(static_cast<std::size_t>(draw(min_routers, max_routers)));
+    backends_.resize(static_cast<std::size_t>(draw(min_backends, max_backends)));
+    constexpr std::array zones{"a", "b", "c"};
+    for (int i = 0; i < backend_node(0); ++i)
+    {
+        routers_[i].self = make_router("r" + std::to_string(i), zones.at(i % zones.size()), "0");
+        restart(i);
+    }
+    constexpr double max_drift_percent = 2;
+    for (int i = 0; i < store_node() - backend_node(0); ++i)
+    {
+        backends_[i].id = "s" + std::to_string(i);
+        backends_[i].drift = static_cast<double>(draw(0, 100)) / 100 * max_drift_percent / 100;
+        store_.registry[backends_[i].id] = make_server(backends_[i].id, zones.at(i % zones.size()));
+    }
+    schedule(duration{8000}, -1, true, [this] { inject_fault(); });
+}
+
+std::string ownership_model::run()
+{
+    const auto end = now_ + options_.length;
+    while (violation_.empty() && now_ < end)
+    {
+        auto next = events_.extract(events_.begin());
+        now_.ms = next.key().first;
+        auto& item = next.mapped();
+        if (item.router >= 0)
+        {
+            const auto& router = routers_[item.router];
+            if (!router.is_up || router.life != item.life)
+            {
+                continue;
+            }
+            if (router.frozen_until > now_)
+            {
+                // A process that continues reads what has arrived before it handles expired timers.
+                const auto at = router.frozen_until + duration{item.is_timer ? 1 : 0};
+                events_.emplace(std::pair{at.ms, next.key().second}, std::move(item));
+                continue;
+            }
+        }
+        item.run();
+    }
+    if (violation_.empty())
+    {
+        return {};
+    }
+    std::ostringstream text;
+    text << "seed " << options_.seed << ": " << violation_ << '\n';
+    constexpr duration trace_span{40000};
+    for (const auto& line : trace_)
+    {
+        if (line.range.contains(violated_key_) && now_ - line.at < trace_span)
+        {
+            text << "  " << line.at.ms - (end - options_.length).ms << " ms  " << line.text << '\n';
+        }
+    }
+    return text.str();
+}
+
+std::int64_t ownership_model::draw(std::int64_t first, std::int64_t last)
+{
+    return first + static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(last - first + 1));
+}
+
+void ownership_model::trace(std::string text, keyspace::key_range range)
+{
+    trace_.push_back({now_, range, std::move(text)});
+}
+
+void ownership_model::schedule(duration delay, int router, bool is_timer, std::function<void()> run)
+{
+    const int life = router >= 0 ? routers_[router].life : 0;
+    events_.emplace(std::pair{(now_ + delay).ms, ++order_}, event{router, life, is_timer, std::move(run)});
+}
+
+void ownership_model::send(int from, int to, std::function<void()> deliver)
+{
+    const bool is_slow = links_[link(from, to)].slow_until > now_;
+    const bool is_late = draw_chance(is_slow ? 50 : 2);
+    if (is_cut(from, to) || draw_chance(is_slow ? 25 : 1))
+    {
+        return;
+    }
+    const duration delay{is_late ? draw(30, 480) : draw(1, 4)};
+    schedule(delay, to < backend_node(0) ? to : -1, false, [this, from, to, run = std::move(deliver)] {
+        if (!is_cut(from, to))
+        {
+            run();
+        }
+    });
+}
+
+template <class Answer>
+void ownership_model::call(int from, int to, duration timeout, std::function<std::optional<Answer>()> serve,
+                           std::function<void(std::optional<Answer>)> done)
+{
+    const auto is_done = std::make_shared<bool>(false);
+    const auto finish = [is_done, run = std::move(done)](std::optional<Answer> answer) {
+        if (!std::exchange(*is_done, true))
+        {
+            run(std::move(answer));
+        }
+    };
+    schedule(timeout, from, true, [finish] { finish(std::nullopt); });
+    send(from, to, [this, from, to, run = std::move(serve), finish] {
+        if (auto answer = run())
+        {
+            send(to, from, [finish, item = std::move(*answer)] { finish(item); });
+        }
+    });
+}
+
+void ownership_model::cut(int a, int b, duration span)
+{
+    auto& item = links_[link(a, b)];
+    item.cut_until = std::max(item.cut_until, now_ + span);
+}
+
+void ownership_model::inject_fault()
+{
+    schedule(duration{draw(300, 4000)}, -1, true, [this] { inject_fault(); });
+    const int routers = backend_node(0);
+    const int router = static_cast<int>(draw(0, routers - 1));
+    const int backend = static_cast<int>(draw(0, store_node() - routers - 1));
+    const duration span{draw(1, 4) == 1 ? draw(8000, 40000) : draw(500, 8000)};
+    const auto note = [&](const std::string& text) { trace(text + " for " + std::to_string(span.ms)); };
+    const auto leader =
+        std::ranges::find_if(routers_, [](const auto& item) { return item.office != nullptr; });
+    switch (draw(0, 8))
+    {
+    case 0:
+        cut(router, store_node(), span);
+        note("fault: r" + std::to_string(router) + " without store");
+        return;
+    case 1: {
+        if (leader == routers_.end())
+        {
+            return;
+        }
+        const int index = static_cast<int>(leader - routers_.begin());
+        const int percent = draw_chance(60) ? 100 : 50;
+        const bool is_last_to_reach = draw_chance(50);
+        cut(index, store_node(), span);
+        for (int i = 0; i < routers; ++i)
+        {
+            if (i != index && draw_chance(percent))
+            {
+                cut(index, i, span);
+            }
+            if (i != index && is_last_to_reach)
+            {
+                cut(i, backend_node(backend), span);
+            }
+        }
+        note("fault: leader r" + std::to_string(index) + " cut off " + std::to_string(percent) + "%" +
+             (is_last_to_reach ? ", alone reaches s" + std::to_string(backend) : ""));
+        return;
+    }
+    case 2:
+        for (int i = 0; i < routers; ++i)
+        {
+            if (draw_chance(60))
+            {
+                cut(i, backend_node(backend), span);
+                note("fault: s" + std::to_string(backend) + " unreachable from r" + std::to_string(i));
+            }
+        }
+        return;
+    case 3:
+        routers_[router].frozen_until = std::max(routers_[router].frozen_until, now_ + span);
+        note("fault: r" + std::to_string(router) + " frozen");
+        return;
+    case 4:
+        if (routers_[router].is_up)
+        {
+            routers_[router].is_up = false;
+            note("fault: r" + std::to_string(router) + " killed");
+            schedule(std::max(span, duration{1000}), -1, true, [this, router] { restart(router); });
+        }
+        return;
+    case 5: {
+        store_.registry[backends_[backend].id].is_draining = true;
+        note("fault: s" + std::to_string(backend) + " draining");
+        schedule(span, -1, true,
+                 [this, id = backends_[backend].id] { store_.registry[id].is_draining = false; });
+        return;
+    }
+    case 6:
+        backends_[backend].late_until = now_ + span;
+        note("fault: s" + std::to_string(backend) + " applies calls late");
+        return;
+    case 7:
+        for (int i = 0; i <= store_node(); ++i)
+        {
+            links_[link(router, i)].slow_until = now_ + span;
+        }
+        note("fault: links of r" + std::to_string(router) + " lossy");
+        return;
+    default: {
+        const int other = static_cast<int>(draw(0, routers - 1));
+        cut(router, other, span);
+        note("fault: r" + std::to_string(router) + " and r" + std::to_string(other) + " cut");
+        return;
+    }
+    }
+}
+
+void ownership_model::restart(int index)
+{
+    auto self = routers_[index].self;
+    const int life = routers_[index].life + 1;
+    self.incarnation = std::to_string(life);
+    routers_[index] = router_model();
+    auto& router = routers_[index];
+    router.self = self;
+    router.life = life;
+    router.contact = leader_contact(now_);
+    trace(self.name + " started");
+    for (int i = 0; i <= backend_node(max_backends); ++i)
+    {
+        links_.try_emplace(link(index, i));
+    }
+    schedule(duration{draw(1, 100)}, index, true, [this, index] { tick(index); });
+    call<stored_copy>(
+        index, store_node(), store_timeout, [this] { return copy_store(); },
+        [this, index](std::optional<stored_copy> stored) {
+            if (stored && routers_[index].leader < 0 && (*stored)->leader >= 0)
+            {
+                routers_[index].leader = (*stored)->leader;
+                routers_[index].leadership_version = (*stored)->leader_version;
+            }
+        });
+}
+
+void ownership_model::tick(int index)
+{
+    auto& router = routers_[index];
+    schedule(tick_interval, index, true, [this, index] { tick(index); });
+    const auto present = router.fronts;
+    for (const auto& [id, server] : present)
+    {
+        run_grants(index, server);
+        if (server->unreachable_since && now_ - server->last_probe >= probe_interval)
+        {
+            server->last_probe = now_;
+            probe(index, server);
+        }
+    }
+    const bool is_joining = router.snapshot.term == 0 && !router.office;
+    const auto interval = is_joining ? joining_report_interval : router.contact.report_interval();
+    const bool is_due = router.is_report_requested || now_ - router.last_report >= interval;
+    if (!router.is_reporting && is_due)
+    {
+        report(index);
+    }
+    if (!router.is_reporting)
+    {
+        consider_election(index);
+    }
+    const auto office = router.office;
+    if (!office || !office->is_started || now_ - office->last_tick < leader_tick_interval)
+    {
+        return;
+    }
+    office->state->choose_deputies(now_);
+    propagate(index);
+    check_leadership(index);
+    if (!office->is_reading && now_ - office->last_read >= registry_interval)
+    {
+        read_registry(index);
+    }
+}
+
+void ownership_model::report(int index)
+{
+    auto& router = routers_[index];
+    router.is_report_requested = false;
+    router.last_report = now_;
+    router_report message;
+    message.router = router.self;
+    message.term = router.snapshot.term;
+    message.revision = router.snapshot.revision;
+    for (const auto& [id, server] : router.fronts)
+    {
+        if (server->unreachable_since)
+        {
+            message.unreachable.push_back(id);
+        }
+        for (const auto& item : server->grants.freed(now_))
+        {
+            message.freed.push_back({id, item.range, item.handover});
+        }
+    }
+    if (now_.ms / hot_key_interval.ms != (now_ - duration{400}).ms / hot_key_interval.ms)
+    {
+        std::ranges::generate(
+            hot_keys_, [this] { return static_cast<std::uint32_t>(draw(0, keyspace::key_count - 1)); });
+    }
+    for (const auto key : hot_keys_)
+    {
+        message.work[service].push_back({key, hot_key_work_ms});
+    }
+    if (router.office)
+    {
+        if (router.office->is_started)
+        {
+            router.office->state->on_report(message, now_);
+            propagate(index);
+        }
+        return;
+    }
+    if (router.leader < 0 || router.leader == index)
+    {
+        router.contact.on_no_leader();
+        return;
+    }
+    router.is_reporting = true;
+    const int to = router.leader;
+    call<report_answer>(
+        index, to, report_timeout,
+        [this, to, index, message]() -> std::optional<report_answer> {
+            return handle_report(to, index, message);
+        },
+        [this, index, to, sent = now_](std::optional<report_answer> answer) {
+            auto& self = routers_[index];
+            self.is_reporting = false;
+            if (!answer)
+            {
+                self.contact.on_timeout();
+                return;
+            }
+            if (!answer->is_update)
+            {
+                if (answer->leader < 0 || answer->leader == self.leader)
+                {
+                    self.contact.on_failure();
+                }
+                self.leader = answer->leader >= 0 ? answer->leader : self.leader;
+                return;
+            }
+            apply_update(index, answer->term, to, {});
+            self.contact.on_contact(now_);
+            self.leader_failing = answer->store_failing;
+            if (answer->confirmed_age)
+            {
+                self.confirmed_at = std::max(self.confirmed_at, sent - *answer->confirmed_age);
+            }
+        });
+}
+
+ownership_model::report_answer ownership_model::handle_report(int index, int from,
+                                                              const router_report& message)
+{
+    const auto office = routers_[index].office;
+    if (!office || !office->is_started)
+    {
+        return {false, 0, routers_[index].leader == index ? -1 : routers_[index].leader, {}, {}};
+    }
+    if (message.term > office->term)
+    {
+        step_down(index, "a router follows a later leader");
+        return {};
+    }
+    office->state->on_report(message, now_);
+    auto& recipient = office->followers[from];
+    if (!recipient.is_pushing)
+    {
+        recipient.revision = message.term == office->term ? message.revision : 0;
+    }
+    propagate(index);
+    report_answer answer{true, office->term, index, {}, {}};
+    if (message.term == office->term &&
+        office->state->knows_its_fronts(message.router.name, message.revision))
+    {
+        answer.confirmed_age = now_ - office_confirmed_at(routers_[index]);
+    }
+    const auto failing_since = routers_[index].store_failing_since;
+    answer.store_failing = failing_since ? now_ - *failing_since : duration{0};
+    return answer;
+}
+
+void ownership_model::apply_update(int index, std::int64_t term, int leader, const directory::update& change)
+{
+    auto& router = routers_[index];
+    if (term < router.snapshot.term)
+    {
+        return;
+    }
+    router.leader = leader;
+    if (router.office && term > router.office->term)
+    {
+        step_down(index, "a later leader sent an update");
+    }
+    if (change.changed.term > 0 && directory::apply(router.snapshot, change))
+    {
+        apply_fronts(index);
+    }
+}
+
+void ownership_model::consider_election(int index)
+{
+    auto& router = routers_[index];
+    if (router.office || router.is_electing)
+    {
+        return;
+    }
+    const duration delay{draw(0, max_election_delay.ms)};
+    if (router.leader < 0 || router.contact.is_lost(now_, delay))
+    {
+        router.is_electing = true;
+        schedule(delay, index, true, [this, index] { survey(index); });
+    }
+    else if (router.leader_failing > store_failure_limit + delay)
+    {
+        router.is_electing = true;
+        elect(index);
+    }
+}
+
+void ownership_model::survey(int index)
+{
+    auto& router = routers_[index];
+    if (router.contact.is_heard_of_since(now_, router.contact.report_interval()) && router.leader >= 0)
+    {
+        router.is_electing = false;
+        return;
+    }
+    const auto is_seen = std::make_shared<bool>(false);
+    for (int other = 0; other < backend_node(0); ++other)
+    {
+        if (other == index || other == router.leader)
+        {
+            continue;
+        }
+        call<bool>(
+            index, other, witness_timeout,
+            [this, other, leader = router.leader]() -> std::optional<bool> {
+                const auto& witness = routers_[other];
+                return witness.leader == leader && (witness.office || witness.contact.can_vouch(now_));
+            },
+            [is_seen](std::optional<bool> answer) { *is_seen = *is_seen || answer.value_or(false); });
+    }
+    schedule(witness_timeout, index, true, [this, index, is_seen] {
+        if (*is_seen)
+        {
+            routers_[index].is_electing = false;
+            routers_[index].contact.on_leader_named(now_);
+            return;
+        }
+        elect(index);
+    });
+}
+
+void ownership_model::elect(int index)
+{
+    const auto fail = [this, index] {
+        routers_[index].is_electing = false;
+        routers_[index].store_failing_since = routers_[index].store_failing_since.value_or(now_);
+    };
+    const auto on_commit = [this, index, fail](std::optional<commit_answer> answer) {
+        auto& router = routers_[index];
+        if (!answer)
+        {
+            fail();
+            return;
+        }
+        router.is_electing = false;
+        router.store_failing_since.reset();
+        if (answer->is_committed)
+        {
+            become_leader(index, answer->version);
+            return;
+        }
+        router.leader = answer->leader;
+        router.contact.on_leader_named(now_);
+    };
+    const auto on_read = [this, index, fail, on_commit](std::optional<commit_answer> stored) {
+        auto& router = routers_[index];
+        if (!stored || router.office)
+        {
+            fail();
+            return;
+        }
+        const bool is_other = stored->leader >= 0 && stored->leader != index;
+        const bool is_renewed = router.snapshot.term == 0 && is_other &&
+                                stored->version != std::exchange(router.leadership_version, stored->version);
+        if ((is_other && stored->leader != router.leader) || is_renewed)
+        {
+            router.is_electing = false;
+            router.leader = stored->leader;
+            router.contact.on_leader_named(now_);
+            return;
+        }
+        call<commit_answer>(
+            index, store_node(), store_timeout,
+            [this, index, incarnation = router.self.incarnation, expected = stored->version] {
+                return std::optional(store_.commit(index, incarnation, expected, {}));
+            },
+            on_commit);
+    };
+    call<commit_answer>(
+        index, store_node(), store_timeout,
+        [this] {
+            return std::optional(commit_answer{false, false, store_.leader_version, store_.leader});
+        },
+        on_read);
+}
+
+void ownership_model::become_leader(int index, std::int64_t term)
+{
+    auto& router = routers_[index];
+    trace(router.self.name + " took the leadership, term " + std::to_string(term));
+    ++terms_;
+    router.leader = index;
+    router.contact.on_leader_named(now_);
+    router.office = std::make_shared<office_model>();
+    auto& office = *router.office;
+    office.term = office.version = term;
+    office.confirmed_at = now_;
+    office.state.emplace(
+        options_.leader, router.self, term, now_,
+        [this](const char* decision, const std::string& subject, const nlohmann::json& fields) {
+            trace(decision + (" " + subject) + " " + fields.dump());
+        });
+    read_store(index);
+}
+
+void ownership_model::step_down(int index, const char* reason)
+{
+    auto& router = routers_[index];
+    trace(router.self.name + " gave up the leadership: " + reason);
+    router.office = nullptr;
+    router.leader = router.leader == index ? -1 : router.leader;
+    router.contact.on_leader_named(now_);
+}
+
+void ownership_model::read_store(int index)
+{
+    call<stored_copy>(
+        index, store_node(), store_timeout, [this] { return copy_store(); },
+        [this, index, office = routers_[index].office,
+         former = routers_[index].snapshot](std::optional<stored_copy> stored) {
+            auto& router = routers_[index];
+            if (router.office != office)
+            {
+                return;
+            }
+            if (!stored)
+            {
+                router.store_failing_since = router.store_failing_since.value_or(now_);
+                schedule(store_retry, index, true, [this, index, office] {
+                    if (routers_[index].office == office)
+                    {
+                        read_store(index);
+                    }
+                });
+                return;
+            }
+            router.store_failing_since.reset();
+            for (const auto& [name, row] : (*stored)->rows)
+            {
+                office->row_versions[name] = row.version;
+                office->state->load_row({name, row.document}, row.version, now_);
+            }
+            for (const auto& [name, item] : former.routers)
+            {
+                office->state->load_router(item, now_);
+            }
+            office->state->set_keyed_services({service});
+            for (const auto& [id, server] : (*stored)->registry)
+            {
+                office->state->on_registered(server, now_);
+            }
+            office->is_started = true;
+        });
+}
+
+void ownership_model::read_registry(int index)
+{
+    routers_[index].office->is_reading = true;
+    call<stored_copy>(
+        index, store_node(), store_timeout, [this] { return copy_store(); },
+        [this, index, office = routers_[index].office](std::optional<stored_copy> stored) {
+            office->is_reading = false;
+            office->last_read = now_;
+            auto& router = routers_[index];
+            if (router.office != office)
+            {
+                return;
+            }
+            if (!stored)
+            {
+                router.store_failing_since = router.store_failing_since.value_or(now_);
+                return;
+            }
+            router.store_failing_since.reset();
+            for (const auto& [id, server] : (*stored)->registry)
+            {
+                office->state->on_registered(server, now_);
+            }
+            propagate(index);
+        });
+}
+
+void ownership_model::check_leadership(int index)
+{
+    const auto office = routers_[index].office;
+    if (!office || now_ - office->confirmed_at <= leadership_check || office->is_writing ||
+        office->is_checking)
+    {
+        return;
+    }
+    office->is_checking = true;
+    call<std::int64_t>(
+        index, store_node(), store_timeout, [this] { return std::optional(store_.leader_version); },
+        [this, index, office](std::optional<std::int64_t> version) {
+            office->is_checking = false;
+            auto& router = routers_[index];
+            if (router.office != office)
+            {
+                return;
+            }
+            if (!version)
+            {
+                router.store_failing_since = router.store_failing_since.value_or(now_);
+                return;
+            }
+            router.store_failing_since.reset();
+            if (*version != office->version)
+            {
+                step_down(index, "the leadership row changed");
+                return;
+            }
+            office->confirmed_at = now_;
+        });
+}
+
+void ownership_model::propagate(int index)
+{
+    auto& router = routers_[index];
+    const auto office = router.office;
+    if (!office || !office->is_started)
+    {
+        return;
+    }
+    if (now_ - office->last_tick >= min_tick_interval)
+    {
+        office->last_tick = now_;
+        office->state->tick(now_);
+    }
+    if (!office->is_writing && now_ - office->last_write >= write_interval)
+    {
+        const auto rows = office->state->take_pending_rows();
+        if (!rows.empty())
+        {
+            office->is_writing = true;
+            office->last_write = now_;
+            write_rows(index, rows, false);
+        }
+    }
+    const auto revision = office->state->current().revision;
+    if (now_ - office->last_publish < publish_interval)
+    {
+        return;
+    }
+    if (revision != office->published)
+    {
+        office->last_publish = now_;
+        office->published = revision;
+        const auto change = office->state->update_for(router.snapshot.term, router.snapshot.revision, now_);
+        if (directory::apply(router.snapshot, change))
+        {
+            apply_fronts(index);
+        }
+    }
+    for (auto& [to, recipient] : office->followers)
+    {
+        const bool is_known = office->state->current().routers.contains(routers_[to].self.name);
+        if (is_known && recipient.revision >= 0 && recipient.revision < revision && !recipient.is_pushing)
+        {
+            recipient.is_pushing = true;
+            push(index, to);
+        }
+    }
+}
+
+void ownership_model::write_rows(int index, const std::vector<assignment_row>& rows, bool may_be_committed)
+{
+    const auto office = routers_[index].office;
+    std::map<std::string, store_model::row> changes;
+    for (const auto& row : rows)
+    {
+        changes[row.name] = {row.document, office->row_versions[row.name]};
+    }
+    call<commit_answer>(
+        index, store_node(), store_timeout,
+        [this, index, incarnation = routers_[index].self.incarnation, expected = office->version, changes] {
+            return std::optional(store_.commit(index, incarnation, expected, changes));
+        },
+        [this, index, office, rows, may_be_committed](std::optional<commit_answer> answer) {
+            auto& router = routers_[index];
+            if (router.office != office)
+            {
+                return;
+            }
+            if (!answer)
+            {
+                router.store_failing_since = router.store_failing_since.value_or(now_);
+                schedule(store_retry, index, true, [this, index, office, rows] {
+                    if (routers_[index].office == office)
+                    {
+                        write_rows(index, rows, true);
+                    }
+                });
+                return;
+            }
+            router.store_failing_since.reset();
+            if (!answer->is_committed && !(may_be_committed && answer->is_same))
+            {
+                step_down(index, "a write met another leader");
+                return;
+            }
+            office->version = answer->version;
+            office->confirmed_at = now_;
+            office->is_writing = false;
+            for (const auto& row : rows)
+            {
+                office->row_versions[row.name] = answer->version;
+            }
+            trace(router.self.name + " wrote version " + std::to_string(answer->version));
+            office->state->on_written(answer->version);
+            propagate(index);
+        });
+}
+
+void ownership_model::push(int index, int to)
+{
+    const auto office = routers_[index].office;
+    const auto known = office->followers[to].revision;
+    auto change = office->state->update_for(known == 0 ? 0 : office->term, known, now_);
+    using answer = std::pair<std::int64_t, std::int64_t>;
+    call<answer>(
+        index, to, push_timeout,
+        [this, index, to, term = office->term, change = std::move(change)] {
+            apply_update(to, term, index, change);
+            auto& router = routers_[to];
+            if (term == router.snapshot.term)
+            {
+                router.contact.on_contact(now_);
+            }
+            return std::optional(answer(router.snapshot.term, router.snapshot.revision));
+        },
+        [this, index, to, office](std::optional<answer> reply) {
+            auto& recipient = office->followers[to];
+            recipient.is_pushing = false;
+            recipient.revision = reply ? reply->second : -1;
+            if (routers_[index].office == office && reply && reply->first > office->term)
+            {
+                step_down(index, "a router follows a later leader");
+            }
+        });
+}
+
+time_point ownership_model::office_confirmed_at(const router_model& router) const
+{
+    const auto& office = *router.office;
+    if (!options_.is_confirmed_at_once && router.snapshot.term != office.term)
+    {
+        return router.confirmed_at;
+    }
+    if (now_ - office.confirmed_at < max_storeless_leadership)
+    {
+        return now_;
+    }
+    const bool all_follow = options_.has_endless_leadership &&
+                            std::ranges::all_of(office.state->current().routers, [&](const auto& item) {
+                                return office.state->is_alive(item.first, now_);
+                            });
+    return all_follow && router.store_failing_since ? now_ : office.confirmed_at + max_storeless_leadership;
+}
+
+void ownership_model::apply_fronts(int index)
+{
+    auto& router = routers_[index];
+    std::erase_if(router.fronts, [&](auto& item) {
+        const auto entry = router.snapshot.entries.find(item.first);
+        item.second->is_removed =
+            entry == router.snapshot.entries.end() || entry->second.front != router.self.name;
+        return item.second->is_removed;
+    });
+    for (const auto& [id, entry] : router.snapshot.entries)
+    {
+        if (entry.front != router.self.name)
+        {
+            continue;
+        }
+        auto& server = router.fronts[id];
+        if (!server)
+        {
+            server = std::make_shared<fronted_model>(entry, now_);
+            router.is_report_requested = true;
+            trace(router.self.name + " became the front of " + id + ", earlier grants end in " +
+                  std::to_string(entry.prior_grant_remaining.ms));
+        }
+        else if (server->entry.revision != entry.revision || server->entry.token_base != entry.token_base)
+        {
+            server->entry = entry;
+            server->grants.update(entry, now_);
+        }
+        run_grants(index, server);
+    }
+}
+
+void ownership_model::run_grants(int index, const std::shared_ptr<fronted_model>& server)
+{
+    const auto& router = routers_[index];
+    const auto confirmed_at = router.office ? office_confirmed_at(router) : router.confirmed_at;
+    const bool is_confirmed =
+        now_ - confirmed_at < grants::max_confirmation_age && server->connected_at < confirmed_at;
+    if (server->grants.next_due(now_) <= now_ && !server->is_grant_pending && server->idle_connections == 0)
+    {
+        server->is_grant_pending = true;
+        const int to = backend_node(std::stoi(server->entry.server.id.substr(1)));
+        call<bool>(
+            index, to, connect_timeout, [] { return std::optional(true); },
+            [this, index, server](std::optional<bool> answer) {
+                server->is_grant_pending = false;
+                if (server->is_removed)
+                {
+                    return;
+                }
+                if (answer)
+                {
+                    ++server->idle_connections;
+                    server->connected_at = now_;
+                    routers_[index].is_report_requested = true;
+                    return;
+                }
+                server->grants.pause(now_);
+                record_contact(index, *server, false);
+            });
+    }
+    const auto failing_for = !router.office               ? router.leader_failing
+                             : router.store_failing_since ? now_ - *router.store_failing_since
+                                                          : duration{0};
+    const bool is_outage =
+        failing_for > outage_threshold || (!router.office && router.contact.may_be_outage(now_));
+    const auto length = is_outage ? grants::outage_grant_duration : grants::grant_duration;
+    while (!server->is_removed)
+    {
+        const auto item = server->grants.next_call(now_, is_confirmed && !server->is_grant_pending, length);
+        if (!item)
+        {
+            return;
+        }
+        server->is_grant_pending = server->is_grant_pending || item->kind == grants::call_kind::grant;
+        send_grant_call(index, server, *item);
+    }
+}
+
+void ownership_model::send_grant_call(int index, const std::shared_ptr<fronted_model>& server,
+                                      grants::grant_call item)
+{
+    const bool is_grant = item.kind == grants::call_kind::grant;
+    const int backend = std::stoi(server->entry.server.id.substr(1));
+    item.sent = now_;
+    if (server->idle_connections == 0 && is_grant)
+    {
+        server->is_grant_pending = false;
+        server->grants.on_not_sent(item, now_);
+        record_contact(index, *server, false);
+        return;
+    }
+    if (server->idle_connections == 0)
+    {
+        server->connected_at = now_;
+    }
+    server->idle_connections = std::max(server->idle_connections - 1, 0);
+    const auto is_done = std::make_shared<bool>(false);
+    const auto finish = [this, index, server, item, is_done](std::optional<unsigned> status) {
+        if (!std::exchange(*is_done, true))
+        {
+            end_grant_call(index, server, item, status);
+        }
+    };
+    schedule(is_grant ? grant_timeout : release_timeout, index, true, [finish] { finish(std::nullopt); });
+    send(index, backend_node(backend), [this, index, backend, item, is_grant, is_done, finish] {
+        // A call does not arrive after its connection was reset.
+        if (*is_done)
+        {
+            return;
+        }
+        const bool is_late = backends_[backend].late_until > now_ && draw_chance(40);
+        const bool has_work = !is_grant && draw_chance(50);
+        const duration delay{(is_late ? draw(200, 6000) : 0) + (has_work ? draw(20, 2000) : 0)};
+        schedule(delay, -1, true, [this, index, backend, item, arrival = now_, finish] {
+            const bool is_accepted = apply_grant(backend, item, arrival);
+            send(backend_node(backend), index,
+                 [finish, is_accepted] { finish(is_accepted ? status_ok : status_superseded); });
+        });
+    });
+}
+
+void ownership_model::end_grant_call(int index, const std::shared_ptr<fronted_model>& server,
+                                     const grants::grant_call& item, std::optional<unsigned> status)
+{
+    const bool is_grant = item.kind == grants::call_kind::grant;
+    server->is_grant_pending = server->is_grant_pending && !is_grant;
+    server->idle_connections += status ? 1 : 0;
+    if (server->is_removed)
+    {
+        return;
+    }
+    auto& router = routers_[index];
+    if (!status)
+    {
+        trace(router.self.name + " got no answer from " + server->entry.server.id +
+                  (is_grant ? " to grant " : " to release ") + std::to_string(item.token),
+              item.range);
+        server->grants.on_lost(item, now_);
+    }
+    else if (!is_grant)
+    {
+        server->grants.on_released(item, "", now_);
+        router.is_report_requested = true;
+    }
+    else if (*status == status_ok)
+    {
+        server->grants.on_granted(item, now_);
+    }
+    else
+    {
+        server->grants.on_superseded(item, now_);
+        router.is_report_requested = true;
+    }
+    record_contact(index, *server, status.has_value());
+    if (status)
+    {
+        run_grants(index, server);
+    }
+}
+
+void ownership_model::record_contact(int index, fronted_model& server, bool is_reached)
+{
+    if (is_reached)
+    {
+        server.failures = 0;
+        routers_[index].is_report_requested |=
+            std::exchange(server.unreachable_since, std::nullopt).has_value();
+        return;
+    }
+    if (++server.failures >= failures_until_unreachable && !server.unreachable_since)
+    {
+        server.unreachable_since = now_;
+        routers_[index].is_report_requested = true;
+    }
+}
+
+void ownership_model::probe(int index, const std::shared_ptr<fronted_model>& server)
+{
+    call<bool>(
+        index, backend_node(std::stoi(server->entry.server.id.substr(1))), probe_timeout,
+        [] { return std::optional(true); },
+        [this, index, server](std::optional<bool> answer) {
+            if (answer && !server->is_removed)
+            {
+                record_contact(index, *server, true);
+            }
+        });
+}
+
+bool ownership_model::apply_grant(int index, const grants::grant_call& item, time_point arrival)
+{
+    auto& backend = backends_[index];
+    auto keys = std::views::iota(item.range.first, item.range.last + 1);
+    const bool is_grant = item.kind == grants::call_kind::grant;
+    const auto describe = [&](const char* what) {
+        trace(backend.id + ": " + what + " " + std::to_string(item.range.first) + "-" +
+                  std::to_string(item.range.last) + " token " + std::to_string(item.token) + " for " +
+                  std::to_string(item.valid_for.ms) + " sent " + std::to_string((now_ - item.sent).ms) +
+                  " ms ago",
+              item.range);
+    };
+    if (!is_grant)
+    {
+        describe("release answered");
+        std::ranges::for_each(keys, [&](auto key) { backend.keys[key].held_until = now_; });
+        return true;
+    }
+    if (std::ranges::any_of(keys, [&](auto key) { return backend.keys[key].token > item.token; }))
+    {
+        describe("grant refused");
+        return false;
+    }
+    describe("grant applied");
+    const auto held_ms = static_cast<double>(item.valid_for.ms) * (1 + backend.drift);
+    const auto end = arrival + duration{static_cast<std::int64_t>(std::floor(held_ms))};
+    for (const auto key : keys)
+    {
+        // A grant that ended before it was applied makes its token known and holds nothing.
+        if (end > now_)
+        {
+            check_owner(index, key, item.token);
+        }
+        backend.keys[key] = {item.token, std::max(backend.keys[key].held_until, end)};
+    }
+    return true;
+}
+
+void ownership_model::check_owner(int index, std::uint32_t key, std::int64_t token)
+{
+    auto& known = owners_[key];
+    const auto fail = [&](const std::string& what) {
+        if (violation_.empty())
+        {
+            violated_key_ = key;
+            violation_ = "key " + std::to_string(key) + ": " + what;
+        }
+    };
+    for (std::size_t other = 0; other < backends_.size(); ++other)
+    {
+        const auto& held = backends_[other].keys[key];
+        if (static_cast<int>(other) != index && held.held_until > now_)
+        {
+            fail(backends_[other].id + " holds it for " + std::to_string((held.held_until - now_).ms) +
+                 " ms more, with token " + std::to_string(held.token) + ", while " + backends_[index].id +
+                 " gets it with " + std::to_string(token));
+        }
+    }
+    if (known.backend >= 0 && known.backend != index)
+    {
+        ++moves_;
+        if (token <= known.token)
+        {
+            fail(backends_[index].id + " gets it with token " + std::to_string(token) + " after " +
+                 backends_[known.backend].id + " with " + std::to_string(known.token));
+        }
+    }
+    known = {index, std::max(known.token, token)};
+}
+
+} // namespace briarfold::leader::tests
