Reproduce two ways in which a front frees held keys

Cause: the simulation of one owner found keys reported as free while a grant was in force. server_grants::update adds keys that a front first learns of in a new term with `now` as the end of earlier grants, not with prior_grant_remaining. on_granted drops the bound of a lost call; one of 9.5 s that was applied outlives the 4 s grant that follows it.

The logic is unchanged.

--- a/src/grants/tests/server_grants_tests.cpp
+++ b/src/grants/tests/server_grants_tests.cpp
@@ -338,4 +338,44 @@
     BOOST_CHECK_EQUAL(grants.freed(now).size(), 1U);
 }
 
+// Guards against two owners: keys that a front first learned of in a new term of office counted as free of
+// earlier grants, while another front had granted them to this backend server in between.
+BOOST_AUTO_TEST_CASE(keys_first_seen_in_a_new_term_wait_for_the_fronts_in_between)
+{
+    auto entry = make_entry({{0, 99}});
+    entry.front_token = 100;
+    server_grants grants(entry, now);
+    grant_all(grants);
+    const duration prior_remaining{13800};
+    entry.keys = {{0, 199}};
+    entry.token_base = 300;
+    entry.front_token = 300;
+    entry.prior_grant_remaining = prior_remaining;
+    entry.withdrawn = {{100, 199}};
+    grants.update(entry, now);
+    BOOST_CHECK(grants.freed(now).empty());
+    BOOST_CHECK(grants.freed(now + prior_remaining - duration{1}).empty());
+}
+
+// Guards against two owners: a grant whose answer was lost may have been applied, and a shorter grant with a
+// higher token does not shorten it.
+BOOST_AUTO_TEST_CASE(a_shorter_grant_does_not_end_a_lost_outage_grant)
+{
+    auto entry = make_entry({{0, 99}});
+    server_grants grants(entry, now);
+    grant_all(grants);
+    now = now + renewal_interval;
+    const auto outage_grant = grants.next_call(now, true, outage_grant_duration);
+    BOOST_REQUIRE(outage_grant.has_value());
+    const auto applied = now;
+    now = now + duration{500};
+    grants.on_lost(*outage_grant, now);
+    now = now + duration{200};
+    grants.on_granted(next(grants), now);
+    entry.withdrawn = {{0, 99}};
+    ++entry.revision;
+    grants.update(entry, now);
+    BOOST_CHECK(grants.freed(applied + outage_grant_duration - duration{1}).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
