Let the stand-in store apply a write after its answer was lost

Cause: the platform may perform an unanswered write seconds later if its condition still holds, also after it came back from a copy; the stand-in could only apply a write at once. A feed that waited when the store became busy was still answered with rows, or with 410, so it learned of a restore that nobody can see while the store is away.

Change: a transaction can be kept back and applied later; waiting feeds that wake while the store is busy get 503; the newest version can be read.

--- a/standins/edge/metadata_store.cpp
+++ b/standins/edge/metadata_store.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <utility>
 
 namespace briarfold::standins {
 
@@ -125,6 +126,16 @@
     notify_feeds();
 }
 
+bool metadata_store::apply_held_write()
+{
+    if (!held_write_ || transact(*held_write_).status != status_ok)
+    {
+        return false;
+    }
+    held_write_.reset();
+    return true;
+}
+
 asio::awaitable<http::response> metadata_store::handle(http::request message)
 {
     auto result = co_await serve_call(std::move(message));
@@ -142,9 +153,15 @@
         co_return http::response(status_unavailable);
     }
     http::response answer(status_not_found);
-    if (mode != store_mode::silent)
+    const bool is_write = path == "/-/rows-tx";
+    const bool is_held = is_write && mode != store_mode::silent && std::exchange(holds_next_write_, false);
+    if (is_held)
     {
-        if (path == "/-/rows-tx")
+        held_write_ = json::parse(message.body);
+    }
+    else if (mode != store_mode::silent)
+    {
+        if (is_write)
         {
             answer = transact(json::parse(message.body));
         }
@@ -157,7 +174,7 @@
             answer = co_await feed(read_query(message.target));
         }
     }
-    const bool is_lost = mode == store_mode::losing_answers && path == "/-/rows-tx";
+    const bool is_lost = is_held || (mode == store_mode::losing_answers && is_write);
     if (mode == store_mode::silent || is_lost)
     {
         asio::steady_timer timer(executor_, std::chrono::seconds(5));
@@ -232,6 +249,10 @@
     const auto end = core::clock::now() + core::duration{std::stoll(query.at("wait-ms"))};
     while (true)
     {
+        if (mode_ == store_mode::busy)
+        {
+            co_return http::response(status_unavailable);
+        }
         if (after < oldest_version_ || after > version_)
         {
             co_return http::response(status_gone);
--- a/standins/edge/metadata_store.hpp
+++ b/standins/edge/metadata_store.hpp
@@ -40,6 +40,13 @@
     void save_copy() { copy_ = {rows_, version_}; }
     /// Loses all that was written since the last copy and begins the next era.
     void restore();
+    /// Keeps the next transaction back and loses its answer.
+    void hold_next_write() { holds_next_write_ = true; }
+    /// Applies the transaction kept back if its condition holds now; otherwise it stays kept back. Returns
+    /// whether it was applied.
+    bool apply_held_write();
+    /// Returns the version of the newest write.
+    std::int64_t version() const { return version_; }
     /// Writes a row as the operator or a backend server does.
     void put(const std::string& table, const std::string& key, const nlohmann::json& value);
     void remove(const std::string& table, const std::string& key);
@@ -77,6 +84,8 @@
     std::int64_t oldest_version_ = 0;
     std::int64_t era_ = 0;
     copy copy_;
+    bool holds_next_write_ = false;
+    std::optional<nlohmann::json> held_write_;
     std::int64_t calls_ = 0;
     store_mode mode_ = store_mode::serving;
     std::list<core::asio::steady_timer*> waiting_feeds_;
