Send both kinds of test requests to every router

Cause: the router and the kind of a request both followed from its number, so in clusters of four routers two got only requests that are idempotent and two only others; a_configuration_is_in_force_everywhere looked for the new prefix on half of the routers.

Change: the router follows from half the number. Attempt ids differ between loads, so that a case can start several. A killed router can be started again; its log lives on for operations that still end.

--- a/standins/edge/tests/edge_cluster.hpp
+++ b/standins/edge/tests/edge_cluster.hpp
@@ -72,8 +72,12 @@
                          {"max-attempts", 2}}}}}}}});
     }
 
+    /// Starts a router, also one that was killed.
     void start_router(std::size_t i)
     {
+        ended_nodes_.push_back(std::move(nodes[i]));
+        // Operations of a killed router may still end and use its log.
+        ended_logs_.push_back(std::move(logs[i]));
         auto& log_output = log_text;
         logs[i] = std::make_unique<edge::event_log>(edge::event_log_settings{names[i]},
                                                     [&log_output](const char* data, std::size_t size) {
@@ -143,9 +147,11 @@
     void start_load(std::size_t clients, std::int64_t ms)
     {
         const auto end = core::clock::now() + core::duration{ms};
+        ++loads_;
         for (std::size_t i = 0; i < clients; ++i)
         {
-            core::asio::co_spawn(context, run_client(i, end), core::asio::detached);
+            const auto name = "q" + std::to_string(loads_) + "-" + std::to_string(i);
+            core::asio::co_spawn(context, run_client(name, i, end), core::asio::detached);
         }
     }
 
@@ -159,19 +165,19 @@
         return message;
     }
 
-    core::asio::awaitable<void> run_client(std::size_t number, core::time_point end)
+    core::asio::awaitable<void> run_client(std::string name, std::size_t sequence, core::time_point end)
     {
-        std::size_t sequence = number;
         while (core::clock::now() < end)
         {
             call_record record;
-            record.attempt = "q" + std::to_string(number) + "-" + std::to_string(++sequence);
+            record.attempt = name + "-" + std::to_string(++sequence);
             record.is_idempotent = sequence % 2 == 0;
             constexpr std::size_t key_step = 7919;
             auto message =
                 make_request(record.attempt, record.is_idempotent,
                              static_cast<std::uint32_t>(sequence * key_step % keyspace::key_count));
-            const auto peer = settings[sequence % settings.size()].frontend;
+            // Halved, so that both kinds of requests reach every router.
+            const auto peer = settings[sequence / 2 % settings.size()].frontend;
             record.sent = core::clock::now();
             try
             {
@@ -219,6 +225,10 @@
     std::vector<call_record> records;
 
 private:
+    std::vector<std::unique_ptr<edge::event_log>> ended_logs_;
+    std::vector<std::unique_ptr<edge::router_node>> ended_nodes_;
+    std::size_t loads_ = 0;
+
     unsigned short free_port()
     {
         core::asio::ip::tcp::acceptor acceptor(context, {core::asio::ip::make_address("127.0.0.1"), 0});
