Bound earlier grants of keys that a front first learns of in a new term

What callers could see: two backend servers that hold the same keys (OWNER).

Cause: a front that is assigned again after others took the keys of a later move as free of earlier grants, although the fronts in between may have granted them. Change: the bound of earlier fronts covers them too.

--- a/src/grants/internal/server_grants.cpp
+++ b/src/grants/internal/server_grants.cpp
@@ -85,6 +85,7 @@
 
 void server_grants::update(const directory::entry& entry, core::time_point now)
 {
+    const bool is_new_term = entry.front_token > front_token_;
     update_prior_grants(entry, now);
     if (entry.token_base > token_base_)
     {
@@ -101,7 +102,8 @@
     std::ranges::for_each(entry.keys, [this](const auto& range) { split_at(range); });
     std::erase_if(ranges_,
                   [&](const range_state& item) { return !keyspace::covers(entry.keys, {item.range}); });
-    add_missing_ranges(entry, now);
+    // Another front may have been given these keys first.
+    add_missing_ranges(entry, is_new_term ? now + entry.prior_grant_remaining : now);
     std::ranges::for_each(entry.withdrawn, [this](const auto& range) { split_at(range); });
     for (auto& item : ranges_)
     {
