Grant no keys while their release is in flight

What callers could see: two backend servers that hold the same keys (OWNER).

Cause, found by review: in a new term of office, a front granted keys once more so that the backend server rejects earlier fronts, also keys whose release it had sent. The answer to that release then freed keys that were granted. Change: no such grant once the release is sent. Result: keys_are_not_granted_while_their_release_is_in_flight failed before: the second grant was made.

--- a/src/grants/internal/server_grants.cpp
+++ b/src/grants/internal/server_grants.cpp
@@ -173,7 +173,7 @@
     {
         const bool is_renewal_due = item.release == release_state::none &&
                                     (!item.is_granted || item.renewed + renewal_interval <= now);
-        const bool is_due = is_renewal_due || (item.release != release_state::done && may_fence(item, now));
+        const bool is_due = is_renewal_due || may_fence(item, now);
         if (is_due && !item.is_in_flight && item.retry_at <= now)
         {
             item.is_in_flight = true;
@@ -246,8 +246,10 @@
 
 bool server_grants::may_fence(const range_state& item, core::time_point now)
 {
-    // A lost grant is not repeated for this: each one may be applied and would hold the keys for longer.
-    return !item.is_fenced && item.prior_end > now && item.unanswered_latest_end <= now;
+    // The answer to a release that was sent would free keys that are granted after it. A lost grant is not
+    // repeated for this: each one may be applied and would hold the keys for longer.
+    const bool is_releasing = item.release == release_state::in_flight || item.release == release_state::done;
+    return !is_releasing && !item.is_fenced && item.prior_end > now && item.unanswered_latest_end <= now;
 }
 
 bool server_grants::is_current_release(const range_state& item, const grant_call& call)
--- a/src/grants/tests/server_grants_tests.cpp
+++ b/src/grants/tests/server_grants_tests.cpp
@@ -378,4 +378,21 @@
     BOOST_CHECK(grants.freed(applied + outage_grant_duration - duration{1}).empty());
 }
 
+// Guards against two owners: keys were granted again while their release was on its way, and its answer then
+// freed them.
+BOOST_AUTO_TEST_CASE(keys_are_not_granted_while_their_release_is_in_flight)
+{
+    auto entry = make_entry({{0, 99}});
+    server_grants grants(entry, now);
+    grant_all(grants);
+    entry.withdrawn = {{0, 99}};
+    grants.update(entry, now);
+    BOOST_REQUIRE(next(grants).kind == call_kind::release);
+    entry.token_base = 300;
+    entry.front_token = 300;
+    entry.prior_grant_remaining = duration{13800};
+    grants.update(entry, now);
+    BOOST_CHECK(!grants.next_call(now, true, grant_duration).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
