Keep the bound of a lost grant after a shorter one was accepted

What callers could see: two backend servers that hold the same keys (OWNER).

Cause: an accepted grant dropped the bound of an earlier one whose answer was lost. That one may have been applied, and a higher token does not shorten it. Change: the longer bound stays. Result: a_shorter_grant_does_not_end_a_lost_outage_grant failed before.

--- a/src/grants/internal/server_grants.cpp
+++ b/src/grants/internal/server_grants.cpp
@@ -215,9 +215,10 @@
         item.is_fenced = call.token >= front_token_;
         item.renewed = call.sent;
         item.valid_until = call.sent + call.valid_for - send_margin;
-        // A grant does not shorten a longer one.
+        // A grant does not shorten a longer one, also one that was applied although its answer was lost.
+        const auto former_end = std::max(item.latest_end, item.unanswered_latest_end);
         item.latest_end = std::max(latest_grant_end(now, call.valid_for),
-                                   std::min(item.latest_end, latest_grant_end(now, outage_grant_duration)));
+                                   std::min(former_end, latest_grant_end(now, outage_grant_duration)));
         if (item.is_fenced)
         {
             // Grants of earlier fronts arrived before this one, whose token fences them.
