Hide freed keys from a front that is assigned before they are written

What callers could see: two backend servers that hold the same keys (OWNER).

Cause: between the report that freed keys and the committed write of their next owner, the entry still lists them as withdrawn. A front that is assigned in that time granted them, to release them properly, while the write may have been committed without an answer. Change: a change of front drops the freed keys from the entry. Result: a_new_front_does_not_see_freed_keys failed before.

--- a/src/leader/internal/front_assignment.cpp
+++ b/src/leader/internal/front_assignment.cpp
@@ -154,6 +154,9 @@
         // The former front may renew until it knows of the change or its confirmation expires.
         state.prior_grants_until = std::max(state.prior_grants_until, confirmed_grants_end(now));
     }
+    // Freed keys may be granted elsewhere as soon as the write is committed, which this leader may not learn.
+    entry.keys = keyspace::set_difference(entry.keys, state.freed);
+    entry.withdrawn = keyspace::set_difference(entry.withdrawn, state.freed);
     servers_by_front_[entry.front].erase(id);
     servers_by_front_[front].insert(id);
     const auto former = std::exchange(entry.front, front);
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -74,6 +74,28 @@
     }
 }
 
+// Guards against two owners: a front that was assigned while the write of the next owner was on its way saw
+// the freed keys as withdrawn and granted them again.
+BOOST_AUTO_TEST_CASE(a_new_front_does_not_see_freed_keys)
+{
+    start(3);
+    auto leaving = make_server("s0");
+    leaving.is_draining = true;
+    state->on_registered(leaving, now);
+    advance(200);
+    const auto keys = entry("s0").keys;
+    const auto front = entry("s0").front;
+    report(front, {{"s0", keys.front(), ""}});
+    BOOST_REQUIRE(!state->take_pending_rows().empty());
+    router_report stopping;
+    stopping.router = make_router(front, front == "r2" ? "b" : "a");
+    stopping.router.is_stopping = true;
+    state->on_report(stopping, now);
+    state->tick(now);
+    BOOST_REQUIRE(entry("s0").front != front);
+    BOOST_CHECK(entry("s0").keys.empty());
+}
+
 // Guards against freed keys reported by a router that is not the front any more.
 BOOST_AUTO_TEST_CASE(only_the_front_frees_keys)
 {
