Confirm a new leader's fronts only with its own directory

What callers could see: two backend servers that hold the same keys (OWNER).

Cause: a router that had taken the leadership counted as confirmed at once, while its fronts still acted on the directory of the former leader, for as long as reading the rows takes. Change: it is confirmed once the rows are read and its own directory is in force.

--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -128,6 +128,7 @@
             const auto config_position = co_await read_config();
             const auto registry_position = co_await read_registry();
             is_started_ = true;
+            publish();
             asio::co_spawn(
                 executor_, [self] { return self->run_ticks(); }, asio::detached);
             asio::co_spawn(
--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -83,7 +83,9 @@
 
 core::time_point member::last_confirmation() const
 {
-    return state_->leadership ? state_->leadership->confirmed_at() : state_->confirmed_at;
+    // Until a leader has read the rows, its fronts act on the directory of the former one.
+    const bool is_leading = state_->leadership && state_->leadership->is_started();
+    return is_leading ? state_->leadership->confirmed_at() : state_->confirmed_at;
 }
 
 bool member::is_store_failing() const
