Start a leader only from rows that were written before its term

What callers could see: keys that move with a lower token (OWNER).

Cause: a leader that was replaced before it had read the rows took the rows of its successor for its own. Change: the rows are read together with the leadership row, and a leader that was replaced gives up.

--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -103,8 +103,15 @@
     {
         try
         {
-            const auto rows = co_await tables_.cluster_state->read_prefix(assignment_prefix, store_timeout);
+            const auto rows = co_await tables_.cluster_state->read_prefix("", store_timeout);
             note_store_answer(health_, log_, rows.era);
+            const auto row = std::ranges::find(rows.rows, leadership_key, &store::row::key);
+            const bool is_replaced = row == rows.rows.end() || row->version != leadership_version_;
+            if (is_replaced && !is_rewrite_due())
+            {
+                callbacks_.on_deposed("another router took the leadership before the start");
+                co_return;
+            }
             if (!is_loaded && is_rewrite_due())
             {
                 former = co_await recover_directory(std::move(former));
@@ -112,11 +119,15 @@
             else if (!is_loaded)
             {
                 const auto now = clock::now();
-                for (const auto& row : rows.rows)
+                for (const auto& item : rows.rows)
                 {
-                    const auto name = row.key.substr(std::string(assignment_prefix).size());
-                    assignment_versions_[name] = row.version;
-                    state_->load_row({name, row.value}, now);
+                    if (!item.key.starts_with(assignment_prefix))
+                    {
+                        continue;
+                    }
+                    const auto name = item.key.substr(std::string(assignment_prefix).size());
+                    assignment_versions_[name] = item.version;
+                    state_->load_row({name, item.value}, now);
                 }
             }
             is_loaded = true;
