Count lost routers when a leader without the store confirms itself

What callers could see: two backend servers that hold the same keys (OWNER).

Cause, found by review: the loss of routers was forgotten with the next confirmation by the store. A leader that loses its routers first and the store a moment later had nobody left in its directory and confirmed itself for ever. Change: every router that was lost in this term counts until it reports again, unless it announced its stop; a leader that knows no other router stops too.

--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -175,10 +175,7 @@
 core::time_point leader_service::confirmed_at() const
 {
     const auto now = clock::now();
-    const auto& routers = state_->current().routers;
-    const bool all_follow =
-        std::ranges::all_of(routers, [&](const auto& item) { return state_->is_alive(item.first, now); });
-    return confirmation_.undisputed_at(now, state_->last_router_loss(), all_follow, health_.is_failing());
+    return confirmation_.undisputed_at(now, state_->do_all_routers_follow(now), health_.is_failing());
 }
 
 void leader_service::propagate_changes()
--- a/src/leader/internal/front_assignment.cpp
+++ b/src/leader/internal/front_assignment.cpp
@@ -44,9 +44,12 @@
     for (const auto& name : lost)
     {
         on_decision_("router lost", name, {{"silent_ms", (now - peers_[name].last_report).ms}});
+        if (!published_.routers.at(name).is_stopping)
+        {
+            lost_routers_.insert(name);
+        }
         published_.routers.erase(name);
         bump_router_revision(name);
-        last_router_loss_ = now;
     }
 }
 
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -210,6 +210,14 @@
     return position != peers_.end() && now - position->second.last_report < settings_.router_timeout;
 }
 
+bool leader_state::do_all_routers_follow(core::time_point now) const
+{
+    const auto& routers = published_.routers;
+    const bool are_all_alive =
+        std::ranges::all_of(routers, [&](const auto& item) { return is_alive(item.first, now); });
+    return routers.size() > 1 && lost_routers_.empty() && are_all_alive;
+}
+
 void leader_state::set_report_interval(core::duration interval)
 {
     constexpr std::int64_t reports_until_lost = 3;
@@ -305,6 +313,7 @@
         }
     }
     peers_[name].last_report = now;
+    lost_routers_.erase(name);
     note_former_leader(report, now);
     update_entries(report, now);
     for (const auto& [service, keys] : report.work)
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -100,8 +100,9 @@
     /// from it. Otherwise it must not be confirmed, since it might go on granting keys.
     bool knows_its_fronts(const std::string& router, std::int64_t revision) const;
     bool is_alive(const std::string& router, core::time_point now) const;
-    /// Returns when a router was last taken for lost; the start of the clock when none was.
-    core::time_point last_router_loss() const { return last_router_loss_; }
+    /// Whether every router that was known in this term reports to this leader. Lost routers leave the
+    /// directory but still count, until they report again; those that announced their stop do not.
+    bool do_all_routers_follow(core::time_point now) const;
     /// Returns the number of keys of keyed services that no backend server of the directory holds.
     std::size_t unassigned_keys() const;
 
@@ -239,7 +240,7 @@
     std::map<std::string, std::set<std::string>> in_flight_rows_;
     std::map<std::string, std::set<std::string>> dirty_rows_;
     std::vector<directory::router> former_leaders_;
-    core::time_point last_router_loss_;
+    std::set<std::string> lost_routers_;
     /// Keys by service that are not assigned until `withheld_until_`, since a backend server that is not
     /// known may hold them.
     std::map<std::string, keyspace::key_set> withheld_keys_;
--- a/src/leader/leadership_confirmation.hpp
+++ b/src/leader/leadership_confirmation.hpp
@@ -20,10 +20,10 @@
     void on_confirmed(core::time_point now) { confirmed_at_ = now; }
     core::time_point confirmed_at() const { return confirmed_at_; }
 
-    /// Returns when the leadership was last undisputed. `last_router_loss` is the time at which a router was
-    /// last taken for lost: it may follow another leader.
-    core::time_point undisputed_at(core::time_point now, core::time_point last_router_loss,
-                                   bool all_routers_follow, bool is_store_failing) const;
+    /// Returns when the leadership was last undisputed. `all_routers_follow` is whether every router that
+    /// this leader has ever known follows it: the others may follow another leader.
+    core::time_point undisputed_at(core::time_point now, bool all_routers_follow,
+                                   bool is_store_failing) const;
 
 private:
     core::time_point confirmed_at_;
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -181,6 +181,20 @@
     BOOST_CHECK(state->prior_grant_remaining("s0", now) == shorter - now);
 }
 
+// Guards against a cut-off leader that takes the few routers left in its directory, or itself alone, for all.
+BOOST_AUTO_TEST_CASE(a_lost_router_counts_until_it_reports_again)
+{
+    start(2);
+    BOOST_CHECK(state->do_all_routers_follow(now));
+    advance(3000, {"r1", "r2"});
+    BOOST_REQUIRE(!state->current().routers.contains("r3"));
+    BOOST_CHECK(!state->do_all_routers_follow(now));
+    advance(300);
+    BOOST_CHECK(state->do_all_routers_follow(now));
+    restart(1000);
+    BOOST_CHECK(!state->do_all_routers_follow(now));
+}
+
 // Guards against a silent front that keeps its backend servers. Another front gets them without a write, with
 // a higher token and with the time for which grants of the silent front may still be valid.
 BOOST_AUTO_TEST_CASE(a_silent_front_is_replaced_without_a_write)
