Refuse to forward once a router has ended

Result: keys_keep_their_owner_when_all_routers_are_lost_under_load ended with a segmentation fault before; it passes.

--- a/src/edge/internal/router_node.cpp
+++ b/src/edge/internal/router_node.cpp
@@ -126,9 +126,15 @@
                                   std::shared_ptr<core::cancellation> cancellation) {
         return front.serve(std::move(request), std::move(cancellation));
     };
-    result.forward_to_router = [this](http::endpoint peer, wire::forward_request request,
-                                      std::shared_ptr<core::cancellation> cancellation) {
-        return network->forward(std::move(peer), std::move(request), std::move(cancellation));
+    result.forward_to_router =
+        [this](http::endpoint peer, wire::forward_request request,
+               std::shared_ptr<core::cancellation> cancellation) -> asio::awaitable<wire::forward_result> {
+        const auto link = network;
+        if (!link)
+        {
+            co_return wire::forward_result();
+        }
+        co_return co_await link->forward(std::move(peer), std::move(request), std::move(cancellation));
     };
     return result;
 }
