Hand out no key that nobody can vouch for after a restore

What callers could see: two backend servers that hold the same keys after a restore of the store beside a lost router (OWNER).

A router asked again after a lost answer refused. - A leader that was replaced while it stood still, and that the restored row names again, wrote what it knew.

Change: while a router is silent, keys without a holder wait until all earlier grants have ended, and until then the rows do not count as complete. The sitting leader writes only once every router has reported to it since the restore; otherwise it gives up and the next one collects the directories. After a restart of all, a router waits 0.6 s for others that know more, in place of 1.5 s, unless one reports to it. Numbers of terms start above versions that rows of earlier releases hold.

--- a/src/edge/internal/leader_recovery.cpp
+++ b/src/edge/internal/leader_recovery.cpp
@@ -69,14 +69,6 @@
         survey->done.expires_after(std::chrono::milliseconds(answer_timeout.ms * (max_tries + 1)));
         co_await survey->done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
-    std::set<std::string> silent;
-    for (const auto& [name, router] : known.routers)
-    {
-        if (name != self_.name && !survey->positions.contains(name))
-        {
-            silent.insert(name);
-        }
-    }
     const auto latest =
         std::ranges::max_element(survey->positions, {}, [](const auto& item) { return item.second; });
     const bool is_behind =
@@ -94,15 +86,25 @@
         catch (const std::exception& failure)
         {
             // Nobody can tell what it knew, so it counts like a router that did not answer.
-            silent.insert(latest->first);
+            survey->positions.erase(latest);
             log_.write("directory not fetched", {{"router", latest->first}, {"reason", failure.what()}});
         }
     }
+    // Routers that only the fetched directory names were not asked.
+    std::vector<directory::router> silent;
+    for (const auto& [name, router] : known.routers)
+    {
+        if (name != self_.name && !survey->positions.contains(name))
+        {
+            silent.push_back(router);
+        }
+    }
     log_.write("directory recovered", {{"term", term_},
                                        {"known_term", known.term},
                                        {"revision", known.revision},
                                        {"routers", known.routers.size()},
-                                       {"silent", silent}});
+                                       {"silent", silent.size()}});
+    recovered_era_ = health_.era();
     state_->load_directory(known, silent, clock::now());
     co_return known;
 }
--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -66,8 +66,8 @@
 {
     leadership_record result;
     result.leader = directory::router_from_json(value.at("router"));
-    result.written = value.at("written").get<directory::generation>();
-    result.assigned_era = value.at("assigned_era").get<std::int64_t>();
+    result.written = value.value("written", directory::generation());
+    result.assigned_era = value.value("assigned_era", std::int64_t{0});
     if (value.contains("former"))
     {
         std::ranges::transform(value.at("former"), std::back_inserter(result.former_leaders),
@@ -83,8 +83,9 @@
     : executor_(std::move(executor)), self_(std::move(self)), adapter_(adapter), tables_(std::move(tables)),
       health_(health), log_(log), callbacks_(std::move(callbacks)), term_(start.record.written),
       written_(term_), leadership_version_(start.version), assigned_era_(start.record.assigned_era),
-      secret_(std::move(start.secret)), former_leaders_(std::move(start.record.former_leaders)),
-      confirmation_(clock::now()), last_handover_(clock::now()), packed_config_(std::move(packed_config))
+      rewritten_era_(start.record.assigned_era), secret_(std::move(start.secret)),
+      former_leaders_(std::move(start.record.former_leaders)), confirmation_(clock::now()),
+      last_handover_(clock::now()), packed_config_(std::move(packed_config))
 {}
 
 asio::awaitable<void> leader_service::start(directory::snapshot former)
--- a/src/edge/internal/leader_service.hpp
+++ b/src/edge/internal/leader_service.hpp
@@ -118,6 +118,9 @@
     core::asio::awaitable<void> write_rows(std::vector<leader::assignment_row> rows);
     /// Writes all assignments again after a restore of the store, which may have lost some.
     core::asio::awaitable<void> rewrite_rows();
+    /// Whether all routers follow this leader since the restore, so that its assignments are the latest.
+    /// Waits for their reports.
+    core::asio::awaitable<bool> is_followed_since_restore();
     /// Takes over the versions of the rows as they are stored after a restore. Returns false if another
     /// router has taken the leadership since.
     bool adopt_versions(const store::row_batch& stored);
@@ -128,8 +131,9 @@
     core::asio::awaitable<directory::snapshot> recover_directory(directory::snapshot known);
     core::asio::awaitable<void> ask_position(directory::router router,
                                              std::shared_ptr<position_survey> survey);
-    bool is_rewrite_due() const { return health_.era() > assigned_era_; }
-    leadership_record make_record(std::int64_t era) const;
+    bool is_rewrite_due() const { return health_.era() > rewritten_era_; }
+    /// Returns the next content of the leadership row; `has_all_rows` is whether it goes with the last rows.
+    leadership_record make_record(bool has_all_rows) const;
     core::asio::awaitable<void> check_leadership();
     core::asio::awaitable<void> push(std::string name);
     void apply_registration(const store::row& row);
@@ -163,8 +167,12 @@
     directory::generation written_;
     /// Version of the leadership row, which each write of assignments updates.
     std::int64_t leadership_version_;
-    /// Era in which the stored rows of assignments are complete.
+    /// Era in which a leader last knew the stored rows to be complete.
     std::int64_t assigned_era_;
+    /// Era in which this leader has written or read the rows.
+    std::int64_t rewritten_era_ = -1;
+    /// Era in which this leader collected the latest directory; in another one it relies on its own.
+    std::int64_t recovered_era_ = -1;
     std::string secret_;
     std::map<std::string, std::int64_t> assignment_versions_;
     std::int64_t config_version_ = 0;
--- a/src/edge/internal/leader_store.cpp
+++ b/src/edge/internal/leader_store.cpp
@@ -21,6 +21,9 @@
 /// Pause between reads of the registry. Changes are batched, since each answer wakes all routers.
 constexpr core::duration registry_read_pause{120};
 constexpr core::duration min_healthy_time{2200};
+/// Every router reports within this time, also one that is throttled for most of a second.
+constexpr core::duration max_report_wait{1300};
+constexpr core::duration report_poll_interval{20};
 
 } // namespace
 
@@ -257,7 +260,7 @@
 {
     const auto self = shared_from_this();
     bool may_be_committed = false;
-    const auto record = make_record(assigned_era_);
+    const auto record = make_record(true);
     const auto leadership = to_json(record);
     while (is_running())
     {
@@ -334,16 +337,33 @@
     }
 }
 
-leadership_record leader_service::make_record(std::int64_t era) const
+leadership_record leader_service::make_record(bool has_all_rows) const
 {
     leadership_record record;
     record.leader = self_;
     record.former_leaders = state_->former_leaders();
     record.written = {health_.era(), written_.number + 1};
-    record.assigned_era = era;
+    // Rows without the keys that are withheld do not tell a next leader who may hold them.
+    const bool is_complete = has_all_rows && !state_->is_withholding(clock::now());
+    record.assigned_era = is_complete ? health_.era() : assigned_era_;
     return record;
 }
 
+asio::awaitable<bool> leader_service::is_followed_since_restore()
+{
+    const auto start = clock::now();
+    const auto since = health_.restored_at().value_or(start);
+    while (is_running() && clock::now() - start < max_report_wait)
+    {
+        if (state_->have_all_reported(since, clock::now()))
+        {
+            co_return true;
+        }
+        co_await core::pause_for(report_poll_interval);
+    }
+    co_return false;
+}
+
 bool leader_service::adopt_versions(const store::row_batch& stored)
 {
     leadership_version_ = 0;
@@ -408,6 +428,12 @@
 asio::awaitable<void> leader_service::rewrite_rows()
 {
     const auto self = shared_from_this();
+    // A leader that was replaced while it stood still must not write what it knew.
+    if (recovered_era_ != health_.era() && !co_await is_followed_since_restore() && is_running())
+    {
+        callbacks_.on_deposed("a router does not follow since the store was restored");
+        co_return;
+    }
     while (is_running() && is_rewrite_due())
     {
         try
@@ -428,7 +454,7 @@
             for (auto& writes : groups)
             {
                 const bool is_last = &writes == &groups.back();
-                const auto record = make_record(is_last ? stored.era : assigned_era_);
+                const auto record = make_record(is_last);
                 writes.emplace_back(leadership_key, leadership_version_, to_json(record));
                 const auto result = co_await tables_.cluster_state->commit("", writes, store_timeout);
                 note_store_answer(health_, log_, result.era);
@@ -450,7 +476,7 @@
             }
             if (is_complete)
             {
-                assigned_era_ = stored.era;
+                rewritten_era_ = stored.era;
                 confirmation_.on_confirmed(clock::now());
                 log_.write("assignments written again",
                            {{"rows", assignment_versions_.size()}, {"era", stored.era}, {"term", term_}});
--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -390,7 +390,8 @@
 
 std::string member::state::report_position(const directory::generation& term)
 {
-    if (term <= std::max(snapshot.term, promised_term))
+    // The same leader asks again when the first answer was lost.
+    if (term <= snapshot.term || term < promised_term)
     {
         return json{{"kind", "none"}}.dump();
     }
@@ -423,6 +424,8 @@
     }
     if (kind == "report")
     {
+        const bool is_informed = !message.at("term").get<directory::generation>().is_none();
+        has_informed_reporter = has_informed_reporter || is_informed;
         json reply = {{"kind", "elsewhere"}};
         if (!leader.name.empty() && leader.name != settings.name)
         {
--- a/src/edge/internal/member_election.cpp
+++ b/src/edge/internal/member_election.cpp
@@ -21,6 +21,9 @@
 /// Time for which a router leaves the leadership to one that knows more, when the stored assignments may be
 /// older than what that one knows.
 constexpr core::duration informed_head_start{1500};
+/// The same while this router has not heard of any that knows more. Routers that follow the stored leader
+/// report to it within this time.
+constexpr core::duration unseen_head_start{600};
 /// A router that answers at all does so within this time, unless it is as busy as the leader may be.
 constexpr core::duration witness_timeout{350};
 
@@ -192,7 +195,8 @@
     // The leader knows the assignments that the restored store lost, and has just got the store back too.
     const bool is_leader_near =
         health.was_restored(informed_head_start, now) && contact.is_connected(now) && !leader.name.empty();
-    const bool is_uninformed = snapshot.term.is_none() && now - joined_at < informed_head_start;
+    const auto head_start = has_informed_reporter ? informed_head_start : unseen_head_start;
+    const bool is_uninformed = snapshot.term.is_none() && now - joined_at < head_start;
     return is_leader_near || is_uninformed;
 }
 
@@ -208,7 +212,8 @@
     {
         next.former_leaders.push_back(leader);
     }
-    auto number = snapshot.term.number;
+    // Rows of releases without generations had tokens made of the row's version.
+    auto number = std::max({snapshot.term.number, promised_term.number, version});
     if (former)
     {
         number = std::max(number, former->written.number);
--- a/src/edge/internal/member_state.hpp
+++ b/src/edge/internal/member_state.hpp
@@ -71,6 +71,8 @@
     store::position leadership_position;
     std::string secret;
     core::time_point joined_at;
+    /// Whether a router that has a directory took this one for its leader.
+    bool has_informed_reporter = false;
     /// Document of the configuration in force, as encoded by `internal::pack`.
     std::string packed_config;
     std::int64_t config_version = 0;
--- a/src/edge/internal/store_health.hpp
+++ b/src/edge/internal/store_health.hpp
@@ -56,6 +56,8 @@
         return is_failing() || (recovered_at_ && now - *recovered_at_ < span);
     }
 
+    /// Returns when the store was found restored; nothing while it has not been.
+    std::optional<core::time_point> restored_at() const { return restored_at_; }
     /// Whether the store was found restored less than `span` ago.
     bool was_restored(core::duration span, core::time_point now) const
     {
--- a/src/leader/internal/key_assignment.cpp
+++ b/src/leader/internal/key_assignment.cpp
@@ -186,7 +186,7 @@
 
 void leader_state::assign_initial_keys(core::time_point now)
 {
-    if (are_all_keys_withheld(now))
+    if (is_withholding(now))
     {
         return;
     }
@@ -215,13 +215,17 @@
 
 void leader_state::assign_unowned_keys(core::time_point now)
 {
+    if (is_withholding(now))
+    {
+        return;
+    }
     for (const auto& service : keyed_services_)
     {
         if (!initialized_services_.contains(service))
         {
             continue;
         }
-        auto held = now < withheld_until_ ? withheld_keys_[service] : keyspace::key_set();
+        keyspace::key_set held;
         for (const auto& [id, entry] : published_.entries)
         {
             if (entry.server.service == service)
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -121,46 +121,43 @@
     find_entry(id).front_token = find_entry(id).token_base;
 }
 
-void leader_state::load_directory(const directory::snapshot& known, const std::set<std::string>& silent,
-                                  core::time_point now)
+void leader_state::load_directory(const directory::snapshot& known,
+                                  const std::vector<directory::router>& silent, core::time_point now)
 {
-    withheld_until_ = former_grants_end(now);
-    is_everything_withheld_ = known.term.is_none();
+    // A silent router may be a leader that nobody else remembers.
+    former_leaders_.insert(former_leaders_.end(), silent.begin(), silent.end());
+    if (known.term.is_none() || !silent.empty())
+    {
+        withheld_until_ = former_grants_end(now);
+    }
+    std::size_t withheld_count = 0;
     for (const auto& [id, item] : known.entries)
     {
         auto entry = item;
-        const auto& service = entry.server.service;
         if (!entry.keys.empty())
         {
-            initialized_services_.insert(service);
+            initialized_services_.insert(entry.server.service);
         }
-        const bool is_front_silent = silent.contains(entry.front);
+        const bool is_front_silent =
+            std::ranges::find(silent, entry.front, &directory::router::name) != silent.end();
         // A front that is silent may have seen keys withdrawn that this directory does not show as such; keys
         // already withdrawn may have been granted to another backend server by a silent front.
         const auto withheld = is_front_silent   ? entry.keys
                               : !silent.empty() ? entry.withdrawn
                                                 : keyspace::key_set();
-        withheld_keys_[service] = keyspace::set_union(withheld_keys_[service], withheld);
+        withheld_count += keyspace::size(withheld);
         entry.keys = keyspace::set_difference(entry.keys, withheld);
         entry.withdrawn.clear();
         entry.handovers.clear();
         load_entry(std::move(entry), now);
     }
-    for (const auto& [service, keys] : withheld_keys_)
+    if (is_withholding(now))
     {
-        if (!keys.empty())
-        {
-            on_decision_("keys withheld", service,
-                         {{"keys", directory::to_json(keys)}, {"for_ms", (withheld_until_ - now).ms}});
-        }
+        on_decision_("keys withheld", known.leader,
+                     {{"keys", withheld_count}, {"for_ms", (withheld_until_ - now).ms}});
     }
 }
 
-bool leader_state::are_all_keys_withheld(core::time_point now) const
-{
-    return is_everything_withheld_ && now < withheld_until_;
-}
-
 void leader_state::load_router(const directory::router& known, core::time_point now)
 {
     if (known.name != self_)
@@ -218,6 +215,15 @@
     return routers.size() > 1 && lost_routers_.empty() && are_all_alive;
 }
 
+bool leader_state::have_all_reported(core::time_point since, core::time_point now) const
+{
+    const bool is_alone = published_.routers.size() == 1 && lost_routers_.empty();
+    return is_alone ||
+           (do_all_routers_follow(now) && std::ranges::all_of(published_.routers, [&](const auto& item) {
+                return item.first == self_ || peers_.at(item.first).last_report >= since;
+            }));
+}
+
 void leader_state::set_report_interval(core::duration interval)
 {
     constexpr std::int64_t reports_until_lost = 3;
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -62,10 +62,12 @@
     void set_former_leaders(std::vector<directory::router> former);
     const std::vector<directory::router>& former_leaders() const { return former_leaders_; }
     /// Restores the state from the latest directory that the routers know, in place of rows that are older.
-    /// Keys that a router of `silent` may have seen move are withheld until all earlier grants have ended;
-    /// all keys are when no router knows a directory.
-    void load_directory(const directory::snapshot& known, const std::set<std::string>& silent,
+    /// Keys without a holder, and those that a router of `silent` may have seen move, are withheld until all
+    /// earlier grants have ended. All keys are when no router knows a directory.
+    void load_directory(const directory::snapshot& known, const std::vector<directory::router>& silent,
                         core::time_point now);
+    /// Whether keys are withheld, so that the rows do not tell who may hold them.
+    bool is_withholding(core::time_point now) const { return now < withheld_until_; }
 
     /// Sets the services with key ownership, as configured.
     void set_keyed_services(std::set<std::string> names) { keyed_services_ = std::move(names); }
@@ -103,6 +105,8 @@
     /// Whether every router that was known in this term reports to this leader. Lost routers leave the
     /// directory but still count, until they report again; those that announced their stop do not.
     bool do_all_routers_follow(core::time_point now) const;
+    /// Whether, besides, each of them has reported since `since`.
+    bool have_all_reported(core::time_point since, core::time_point now) const;
     /// Returns the number of keys of keyed services that no backend server of the directory holds.
     std::size_t unassigned_keys() const;
 
@@ -164,8 +168,6 @@
     void load_entry(directory::entry entry, core::time_point now);
     /// Returns when grants of the fronts of earlier leaders have ended.
     core::time_point former_grants_end(core::time_point now) const;
-    /// Whether all keys are withheld because nobody knows who holds them.
-    bool are_all_keys_withheld(core::time_point now) const;
     void withdraw(const std::string& id, const keyspace::key_set& keys, const char* reason);
     void remove_lost_routers(core::time_point now);
     void assign_fronts(core::time_point now);
@@ -241,11 +243,8 @@
     std::map<std::string, std::set<std::string>> dirty_rows_;
     std::vector<directory::router> former_leaders_;
     std::set<std::string> lost_routers_;
-    /// Keys by service that are not assigned until `withheld_until_`, since a backend server that is not
-    /// known may hold them.
-    std::map<std::string, keyspace::key_set> withheld_keys_;
+    /// Until then, keys without a holder are not assigned: a backend server that is not known may hold them.
     core::time_point withheld_until_;
-    bool is_everything_withheld_ = false;
     core::time_point started_;
     core::time_point last_registration_;
     core::time_point last_plan_;
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -420,7 +420,7 @@
     const auto moving = keyspace::key_set{other.keys.front()};
     known.entries.at(other.server.id).withdrawn = moving;
     restart(1000);
-    state->load_directory(known, {silent}, now);
+    state->load_directory(known, {known.routers.at(silent)}, now);
     for (const auto& [id, item] : known.entries)
     {
         state->on_registered(item.server, now);
