Accept registrations that return unchanged after a restore, and check each only once

Cause, found by review: a registration that the restored store lacked counted as removed, so that the same one, written again, was ignored; an outdated row was accepted when it was read a second time. Change: only a registration that is missing in the same era was removed, and a row that was checked before is not applied again.

--- a/src/edge/internal/leader_store.cpp
+++ b/src/edge/internal/leader_store.cpp
@@ -84,7 +84,7 @@
     const auto now = clock::now();
     auto& known = known_registrations_[row.key];
     const auto former_position = std::exchange(known.position, std::max(known.position, row.position()));
-    if (row.position() < former_position)
+    if (row.position() <= former_position)
     {
         return;
     }
@@ -136,7 +136,9 @@
     for (const auto& id : missing)
     {
         registered_.erase(id);
-        known_registrations_[id].is_removed = true;
+        auto& known = known_registrations_[id];
+        // A restored store may lack a registration that its backend server is about to write again.
+        known.is_removed = known.position.era == rows.era;
         state_->on_unregistered(id, !health_.was_failing(min_healthy_time, clock::now()), clock::now());
     }
     registry_position_ = std::max(registry_position_, rows.position());
