--- a/standins/edge/tests/restored_store_tests.cpp
+++ b/standins/edge/tests/restored_store_tests.cpp
@@ -375,4 +375,53 @@
     check_ownership(cluster);
 }
 
+// Guards against a backend server that registered after the copy and is ignored when it writes the same
+// registration again.
+BOOST_AUTO_TEST_CASE(a_backend_server_registered_since_the_copy_is_served_again)
+{
+    edge_cluster cluster(3, 4);
+    BOOST_REQUIRE(cluster.await_ready());
+    auto& late = *cluster.backends[3];
+    cluster.store.put("servers", late.id(), late.registration(true));
+    cluster.run_for(1500);
+    cluster.store.remove("servers", late.id());
+    cluster.run_for(1000);
+    cluster.store.save_copy();
+    const auto registration = late.registration();
+    cluster.store.put("servers", late.id(), registration);
+    cluster.run_for(500);
+    restore_store(cluster, 500);
+    cluster.run_for(500);
+    cluster.store.put("servers", late.id(), registration);
+    cluster.run_for(1000);
+    // The others leave, so that all keys go to the backend server that came late.
+    for (std::size_t i = 0; i + 1 < cluster.backends.size(); ++i)
+    {
+        const auto& item = cluster.backends[i];
+        cluster.store.put("servers", item->id(), item->registration(true));
+    }
+    cluster.run_for(2500);
+    const auto runs = late.runs().size();
+    cluster.start_load(2, 1000);
+    cluster.run_for(2000);
+    BOOST_CHECK_GT(late.runs().size(), runs);
+    check_ownership(cluster);
+}
+
+// Guards against routers that cannot join because the store lost the secret that all others share.
+BOOST_AUTO_TEST_CASE(a_lost_secret_is_written_again)
+{
+    edge_cluster cluster(3, 2);
+    BOOST_REQUIRE(cluster.await_ready());
+    const auto secret = cluster.store.get("briarfold", "secret");
+    BOOST_REQUIRE(secret.has_value());
+    cluster.store.remove("briarfold", "secret");
+    cluster.store.save_copy();
+    restore_store(cluster, 300);
+    cluster.run_for(1500);
+    const auto stored = cluster.store.get("briarfold", "secret");
+    BOOST_REQUIRE(stored.has_value());
+    BOOST_CHECK(*stored == *secret);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
