Compare the leadership row only with the version it had when it was read

What could happen, found by review: a leader gave up although nobody else led, because a write of its own ended while it waited for the row. Change: the check ends when a write has started or ended meanwhile. Result: the cluster tests pass; no test of its own.

--- a/src/edge/internal/leader_store.cpp
+++ b/src/edge/internal/leader_store.cpp
@@ -237,8 +237,14 @@
 {
     try
     {
+        const auto expected_version = leadership_version_;
         const auto stored = co_await tables_.cluster_state->read_prefix(leadership_key, store_timeout);
         note_store_answer(health_, log_, stored.era);
+        if (is_writing_ || leadership_version_ != expected_version)
+        {
+            // A write of this leader has changed the row meanwhile, or is about to.
+            co_return;
+        }
         if (is_rewrite_due())
         {
             // The versions are those of a restored copy; the rewrite finds out who leads.
