Check after each restore that all routers follow

Cause: the check was made once, before the first rewrite; a second restore meanwhile went without it. Change: it precedes every try. Result: the cluster tests pass, among them that of two restores.

--- a/src/edge/internal/leader_store.cpp
+++ b/src/edge/internal/leader_store.cpp
@@ -436,14 +436,15 @@
 asio::awaitable<void> leader_service::rewrite_rows()
 {
     const auto self = shared_from_this();
-    // A leader that was replaced while it stood still must not write what it knew.
-    if (recovered_era_ != health_.era() && !co_await is_followed_since_restore() && is_running())
-    {
-        callbacks_.on_deposed("a router does not follow since the store was restored");
-        co_return;
-    }
     while (is_running() && is_rewrite_due())
     {
+        const bool is_latest = recovered_era_ == health_.era() || co_await is_followed_since_restore();
+        if (!is_latest && is_running())
+        {
+            // A leader that was replaced while it stood still must not write what it knew.
+            callbacks_.on_deposed("a router does not follow since the store was restored");
+            co_return;
+        }
         try
         {
             const auto stored = co_await tables_.cluster_state->read_prefix("", store_timeout);
