--- a/src/edge/internal/leader_recovery.cpp
+++ b/src/edge/internal/leader_recovery.cpp
@@ -86,8 +86,8 @@
         catch (const std::exception& failure)
         {
             // Nobody can tell what it knew, so it counts like a router that did not answer.
-            survey->positions.erase(latest);
             log_.write("directory not fetched", {{"router", latest->first}, {"reason", failure.what()}});
+            survey->positions.erase(latest);
         }
     }
     // Routers that only the fetched directory names were not asked.
