Carry withheld keys over to the next leader

Change: a directory says for how long keys without a holder are withheld, and the next leader keeps to it. Result: withheld_keys_stay_withheld_with_the_next_leader failed before.

--- a/src/directory/directory_types.hpp
+++ b/src/directory/directory_types.hpp
@@ -108,6 +108,9 @@
     /// Routers that read the store besides the leader, in other zones than the leader if possible. The first
     /// one takes over from a leader that cannot read the store.
     std::vector<std::string> deputies;
+    /// Longest time, from receipt, for which keys without a holder may be held by a backend server that is
+    /// not known. Zero when the directory shows all holders.
+    core::duration withheld_remaining;
     std::map<std::string, entry> entries;
     std::map<std::string, router> routers;
 
--- a/src/directory/internal/update.cpp
+++ b/src/directory/internal/update.cpp
@@ -66,6 +66,7 @@
     current.revision = std::max(current.revision, change.changed.revision);
     current.leader = change.changed.leader;
     current.deputies = change.changed.deputies;
+    current.withheld_remaining = change.changed.withheld_remaining;
     // An older update that arrives late must not restore former states of routers.
     if (change.has_routers() && change.changed.routers_revision >= current.routers_revision)
     {
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -126,9 +126,10 @@
 {
     // A silent router may be a leader that nobody else remembers.
     former_leaders_.insert(former_leaders_.end(), silent.begin(), silent.end());
+    withheld_until_ = now + known.withheld_remaining;
     if (known.term.is_none() || !silent.empty())
     {
-        withheld_until_ = former_grants_end(now);
+        withheld_until_ = std::max(withheld_until_, former_grants_end(now));
     }
     std::size_t withheld_count = 0;
     for (const auto& [id, item] : known.entries)
@@ -513,6 +514,7 @@
                                            core::time_point now) const
 {
     auto change = directory::make_update(published_, changes_, term, revision);
+    change.changed.withheld_remaining = std::max(withheld_until_ - now, core::duration{0});
     for (auto& [id, entry] : change.changed.entries)
     {
         entry.prior_grant_remaining = prior_grant_remaining(id, now);
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -442,6 +442,33 @@
     BOOST_CHECK_EQUAL(state->unassigned_keys(), 0U);
 }
 
+// Guards against two owners: the next leader gave keys away that its predecessor had withheld, since all
+// routers answered it and the directory showed no holder.
+BOOST_AUTO_TEST_CASE(withheld_keys_stay_withheld_with_the_next_leader)
+{
+    start(3);
+    const auto known = state->current();
+    const auto silent = entry("s0").front;
+    const auto keys = entry("s0").keys;
+    restart(1000);
+    state->load_directory(known, {known.routers.at(silent)}, now);
+    directory::snapshot recovered;
+    const auto update = directory::update_from_json(directory::to_json(state->update_for({}, 0, now)));
+    BOOST_REQUIRE(directory::apply(recovered, update));
+    restart(2000);
+    state->load_directory(recovered, {}, now);
+    for (const auto& [id, item] : known.entries)
+    {
+        state->on_registered(item.server, now);
+    }
+    BOOST_CHECK(state->is_withholding(now));
+    advance(3000);
+    for (const auto& [id, item] : state->current().entries)
+    {
+        BOOST_CHECK(keyspace::set_intersection(item.keys, keys).empty());
+    }
+}
+
 // Guards against two owners when no router knows any assignment, and against keys that stay without an owner.
 BOOST_AUTO_TEST_CASE(all_keys_are_withheld_when_nobody_knows_a_directory)
 {
