Let a new leader finish its start before others stand

Change: a router that is asked for its directory follows the new leader from then on, with a new timeout; a leader that starts says so in its answers, together with how long the store has failed for it.

--- a/src/edge/internal/leader_recovery.cpp
+++ b/src/edge/internal/leader_recovery.cpp
@@ -21,7 +21,8 @@
 asio::awaitable<void> leader_service::ask_position(directory::router router,
                                                    std::shared_ptr<position_survey> survey)
 {
-    const json question = {{"kind", "directory position"}, {"term", term_}};
+    const json question = {
+        {"kind", "directory position"}, {"term", term_}, {"leader", directory::to_json(self_)}};
     for (int i = 0; i < max_tries; ++i)
     {
         try
--- a/src/edge/internal/leader_store.cpp
+++ b/src/edge/internal/leader_store.cpp
@@ -4,7 +4,6 @@
 #include "edge/internal/peer_message.hpp"
 
 #include <algorithm>
-#include <compare>
 #include <utility>
 
 namespace briarfold::edge::internal {
@@ -93,9 +92,9 @@
     if (read && is_known && row.era > former_position.era)
     {
         // A restored row may be older than what the backend server wrote before the restore.
-        const auto order = std::pair(read->server.start_time_ms, read->sequence) <=>
-                           std::pair(known.start_time_ms, known.sequence);
-        if (order < 0 || (known.is_removed && order == 0))
+        const std::pair stated(read->server.start_time_ms, read->sequence);
+        const std::pair last_stated(known.start_time_ms, known.sequence);
+        if (stated < last_stated || (known.is_removed && stated == last_stated))
         {
             log_.write("registration outdated", {{"backend_server", row.key},
                                                  {"sequence", read->sequence},
--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -297,12 +297,10 @@
     {
         const auto text = co_await link->send_message(recipient.peer, message.dump(), report_timeout);
         const auto reply = json::parse(text);
-        const bool is_update = reply.value("kind", "") == "update";
-        if (is_update && reply.at("term").get<directory::generation>() < promised_term)
-        {
-            contact.on_failure();
-        }
-        else if (is_update)
+        const auto kind = reply.value("kind", "");
+        const bool is_superseded =
+            kind == "update" && reply.at("term").get<directory::generation>() < promised_term;
+        if (kind == "update" && !is_superseded)
         {
             apply_update(reply);
             contact.on_contact(clock::now());
@@ -315,7 +313,12 @@
             contact.set_report_interval(core::duration{reply.value("report_interval", std::int64_t{0})});
             drop_confirmed_rows(reply);
         }
-        else if (reply.contains("leader"))
+        else if (kind == "starting")
+        {
+            contact.on_leader_named(clock::now());
+            leader_store_failing_for.ms = reply.value("store_failing", std::int64_t{0});
+        }
+        else if (!is_superseded && reply.contains("leader"))
         {
             const auto named = directory::router_from_json(reply.at("leader"));
             if (named.name == leader.name)
@@ -388,8 +391,9 @@
     }
 }
 
-std::string member::state::report_position(const directory::generation& term)
+std::string member::state::report_position(const json& message)
 {
+    const auto term = message.at("term").get<directory::generation>();
     // The same leader asks again when the first answer was lost.
     if (term <= snapshot.term || term < promised_term)
     {
@@ -401,6 +405,9 @@
         leadership->publish();
         step_down("a later leader collects the directories");
     }
+    leader = directory::router_from_json(message.at("leader"));
+    contact.on_leader_named(clock::now());
+    leader_store_failing_for = {};
     const json reply = {{"kind", "directory position"},
                         {"term", snapshot.term},
                         {"revision", snapshot.revision},
@@ -422,6 +429,11 @@
         }
         co_return leadership->handle_report(message);
     }
+    if (kind == "report" && leadership)
+    {
+        // It may have to ask all routers first, which takes longer than their patience with a silent leader.
+        co_return json{{"kind", "starting"}, {"store_failing", health.failing_for(clock::now()).ms}}.dump();
+    }
     if (kind == "report")
     {
         const bool is_informed = !message.at("term").get<directory::generation>().is_none();
@@ -450,7 +462,7 @@
     }
     if (kind == "directory position")
     {
-        co_return report_position(message.at("term").get<directory::generation>());
+        co_return report_position(message);
     }
     if (kind == "directory" && message.at("term").get<directory::generation>() == promised_term)
     {
--- a/src/edge/internal/member_state.hpp
+++ b/src/edge/internal/member_state.hpp
@@ -39,7 +39,7 @@
     void drop_confirmed_rows(const nlohmann::json& reply);
     /// Answers a new leader that collects the directories, and lets no earlier leader change this one any
     /// more.
-    std::string report_position(const directory::generation& term);
+    std::string report_position(const nlohmann::json& message);
     core::asio::awaitable<std::string> on_message(std::string from, std::string text);
     /// Whether another router should lead, since the stored assignments may be older than those it knows.
     bool must_defer_election(const std::optional<internal::leadership_record>& record,
