--- a/src/leader/tests/ownership_model.cpp
+++ b/src/leader/tests/ownership_model.cpp
@@ -428,7 +428,7 @@
     const auto office = routers_[index].office;
     if (!office || !office->is_started)
     {
-        return {false, 0, routers_[index].leader == index ? -1 : routers_[index].leader, {}, {}};
+        return {false, {}, routers_[index].leader == index ? -1 : routers_[index].leader, {}, {}};
     }
     if (message.term > office->term)
     {
