Review: record the method, the path and the size of each request that runs

Cause: the record of a script named only the key of a request. Done: the servers' record; a const that prevented a move, found by the linter.

--- a/review/support/rig.cpp
+++ b/review/support/rig.cpp
@@ -158,7 +158,7 @@
         // Not from the range of outgoing connections, so that the port can be used again after a crash.
         settings.port = scenarios::take_port();
     }
-    const auto server = std::make_shared<target_server>(context.get_executor(), std::move(settings), log);
+    auto server = std::make_shared<target_server>(context.get_executor(), std::move(settings), log);
     server->start();
     servers.push_back(server);
     put_registration(*server);
--- a/review/support/target_server.cpp
+++ b/review/support/target_server.cpp
@@ -303,7 +303,9 @@
     running_[run_id] = {attempt, key};
     ++runs_[attempt];
     run_spans_[attempt].begin = clock::now();
-    log_.write("server " + settings_.id + " begins " + attempt + " key " + std::to_string(key));
+    log_.write("server " + settings_.id + " begins " + attempt + " key " + std::to_string(key) + ": " +
+               message.method + " " + message.target + " with " + std::to_string(message.body.size()) +
+               " bytes");
     const auto left = deadline - clock::now();
     const auto work =
         run_id % long_work_interval == 0 ? std::max(settings_.work, settings_.long_work) : settings_.work;
