Send a rejected attempt again on another connection

Cause: answers are matched by the id of the attempt, which does not tell two sends of one attempt apart. The retry of a rejected request used the connection that carried the rejection, and a late copy of the rejection was taken for the answer to the retry, which ran.

Change: a connection remembers the attempts that did not end with a signed success until their deadline, and does not carry them again. It is kept with the connection, since an attempt can come back to a front after a move of its keys. Copies arrive on the connection of their original only.

--- a/src/edge/backend_link.hpp
+++ b/src/edge/backend_link.hpp
@@ -5,8 +5,10 @@
 #include "edge/protocol.hpp"
 #include "http/client_connection.hpp"
 
-#include <deque>
 #include <memory>
+#include <optional>
+#include <string>
+#include <vector>
 
 namespace briarfold::edge {
 
@@ -58,7 +60,10 @@
 
     /// Sends the request on an idle connection, or on a new one when none is idle and `may_connect` is true.
     /// Reports failures of the peer in the result and never throws for them. An answer to an attempt other
-    /// than `attempt_id` is a mismatch; an empty `attempt_id` accepts every answer.
+    /// than `attempt_id` is a mismatch; an empty `attempt_id` accepts every answer. `timeout` is the time
+    /// left for the attempt. Within it, a second exchange with the same id uses no connection on which the
+    /// first one got anything but a signed success: a late copy of that answer would be taken for the second
+    /// one's.
     core::asio::awaitable<exchange_result> exchange(http::request message, std::string attempt_id,
                                                     core::duration timeout,
                                                     std::shared_ptr<exchange_handle> handle,
@@ -74,19 +79,29 @@
     core::time_point connected_at() const { return connected_at_; }
 
 private:
-    struct idle_connection
+    /// Attempt that a connection carried and that may be sent again.
+    struct carried_attempt
+    {
+        std::string id;
+        core::time_point ends_at;
+    };
+
+    struct pooled_connection
     {
         std::shared_ptr<http::client_connection> connection;
+        std::vector<carried_attempt> carried;
         core::time_point usable_until;
     };
 
-    std::shared_ptr<http::client_connection> take_idle();
-    void return_idle(std::shared_ptr<http::client_connection> connection, const response_head& head);
+    /// Returns an idle connection that has not carried the attempt.
+    std::optional<pooled_connection> take_idle(const std::string& attempt_id);
+    void return_idle(pooled_connection pooled, const response_head& head);
+    core::asio::awaitable<void> connect(pooled_connection& pooled, core::duration timeout);
 
     core::asio::any_io_executor executor_;
     http::endpoint peer_;
     const protocol& adapter_;
-    std::deque<idle_connection> idle_;
+    std::vector<pooled_connection> idle_;
     std::uint64_t opened_ = 0;
     core::time_point connected_at_;
 };
--- a/src/edge/internal/backend_link.cpp
+++ b/src/edge/internal/backend_link.cpp
@@ -3,6 +3,8 @@
 #include "core/error.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <ranges>
 
 namespace briarfold::edge {
 
@@ -19,6 +21,9 @@
 /// the backend server closes it.
 constexpr std::int64_t idle_share_numerator = 7;
 constexpr std::int64_t idle_share_denominator = 10;
+/// Time after the end of an attempt in which another router, whose view of the deadline is later by the delay
+/// of a forwarded request, may still send it again.
+constexpr core::duration attempt_end_margin{1000};
 /// The answers of all slots of a few faulty backend servers fit into the memory of a small instance.
 constexpr std::size_t max_answer_bytes = std::size_t{4} * 1024 * 1024;
 
@@ -40,58 +45,76 @@
     }
 }
 
-std::shared_ptr<http::client_connection> backend_link::take_idle()
+std::optional<backend_link::pooled_connection> backend_link::take_idle(const std::string& attempt_id)
 {
-    while (!idle_.empty())
+    const auto can_carry = [&](const pooled_connection& item) {
+        return attempt_id.empty() ||
+               std::ranges::find(item.carried, attempt_id, &carried_attempt::id) == item.carried.end();
+    };
+    while (true)
     {
-        auto next = std::move(idle_.back());
-        idle_.pop_back();
-        if (clock::now() < next.usable_until && next.connection->is_reusable())
+        const auto newest = std::ranges::find_if(idle_ | std::views::reverse, can_carry);
+        if (newest == idle_.rend())
         {
-            return next.connection;
+            return std::nullopt;
         }
-        next.connection->close();
+        auto taken = std::move(*newest);
+        idle_.erase(std::next(newest).base());
+        if (clock::now() < taken.usable_until && taken.connection->is_reusable())
+        {
+            return taken;
+        }
+        taken.connection->close();
     }
-    return nullptr;
 }
 
-void backend_link::return_idle(std::shared_ptr<http::client_connection> connection, const response_head& head)
+void backend_link::return_idle(pooled_connection pooled, const response_head& head)
 {
-    if (head.closes_connection || !connection->is_reusable())
+    if (head.closes_connection || !pooled.connection->is_reusable())
     {
-        connection->close();
+        pooled.connection->close();
         return;
     }
+    const auto now = clock::now();
     const auto usable =
         head.keep_alive ? core::duration{head.keep_alive->ms * idle_share_numerator / idle_share_denominator}
                         : default_idle_time;
-    idle_.push_back({std::move(connection), clock::now() + usable});
+    pooled.usable_until = now + usable;
+    std::erase_if(pooled.carried, [now](const carried_attempt& item) { return item.ends_at < now; });
+    idle_.push_back(std::move(pooled));
 }
 
 void backend_link::close_idle()
 {
-    std::ranges::for_each(idle_, [](idle_connection& item) { item.connection->close(); });
+    std::ranges::for_each(idle_, [](pooled_connection& item) { item.connection->close(); });
     idle_.clear();
 }
 
 bool backend_link::has_idle()
 {
-    auto connection = take_idle();
-    if (connection)
+    auto taken = take_idle("");
+    if (taken)
     {
-        idle_.push_back({std::move(connection), clock::now() + default_idle_time});
+        taken->usable_until = clock::now() + default_idle_time;
+        idle_.push_back(std::move(*taken));
     }
     return !idle_.empty();
 }
 
+asio::awaitable<void> backend_link::connect(pooled_connection& pooled, core::duration timeout)
+{
+    pooled.connection = std::make_shared<http::client_connection>(executor_, peer_, make_answer_limits());
+    ++opened_;
+    co_await pooled.connection->connect(timeout);
+}
+
 asio::awaitable<bool> backend_link::open()
 {
     const auto self = shared_from_this();
-    const auto connection = std::make_shared<http::client_connection>(executor_, peer_, make_answer_limits());
-    ++opened_;
+    pooled_connection pooled;
     try
     {
-        co_await connection->connect(connect_timeout);
+        co_await connect(pooled, connect_timeout);
     }
     catch (const core::error&)
     {
@@ -99,7 +122,8 @@
         co_return false;
     }
     connected_at_ = clock::now();
-    idle_.push_back({connection, clock::now() + default_idle_time});
+    pooled.usable_until = connected_at_ + default_idle_time;
+    idle_.push_back(std::move(pooled));
     co_return true;
 }
 
@@ -111,41 +135,40 @@
     const auto self = shared_from_this();
     const auto start = clock::now();
     exchange_result result;
-    auto connection = take_idle();
-    if (!connection && !may_connect)
+    auto idle = take_idle(attempt_id);
+    if (!idle && !may_connect)
     {
         result.reason = "no connection is open";
         co_return result;
     }
+    auto pooled = idle ? std::move(*idle) : pooled_connection();
     try
     {
-        if (!connection)
+        if (!pooled.connection)
         {
-            connection = std::make_shared<http::client_connection>(executor_, peer_, make_answer_limits());
             result.is_new_connection = true;
-            ++opened_;
-            co_await connection->connect(std::min(timeout, connect_timeout));
+            co_await connect(pooled, std::min(timeout, connect_timeout));
             connected_at_ = clock::now();
         }
         if (handle && handle->is_cancelled())
         {
-            connection->close();
+            pooled.connection->close();
             result.outcome = exchange_outcome::cancelled;
             co_return result;
         }
         if (handle)
         {
-            handle->connection_ = connection;
+            handle->connection_ = pooled.connection;
         }
         const auto remaining = std::max(timeout - (clock::now() - start), core::duration{1});
-        result.answer = co_await connection->exchange(message, remaining);
+        result.answer = co_await pooled.connection->exchange(message, remaining);
         result.elapsed = clock::now() - start;
     }
     catch (const core::error& failure)
     {
         result.elapsed = clock::now() - start;
         result.reason = failure.what();
-        const bool was_sent = connection && connection->has_sent_bytes();
+        const bool was_sent = pooled.connection && pooled.connection->has_sent_bytes();
         const bool is_cancelled = handle && handle->is_cancelled();
         result.outcome = is_cancelled ? exchange_outcome::cancelled
                          : was_sent   ? exchange_outcome::broken
@@ -156,13 +179,17 @@
     // Backend servers echo the id of the request, so an answer with another id belongs to an earlier request.
     if (!attempt_id.empty() && !result.head.attempt_id.empty() && result.head.attempt_id != attempt_id)
     {
-        connection->close();
+        pooled.connection->close();
         result.outcome = exchange_outcome::mismatched;
         result.reason = "the answer belongs to another request";
         co_return result;
     }
     result.outcome = exchange_outcome::answered;
-    return_idle(std::move(connection), result.head);
+    if (!attempt_id.empty() && !(result.head.is_signed && http::is_success(result.answer.status)))
+    {
+        pooled.carried.push_back({std::move(attempt_id), start + timeout + attempt_end_margin});
+    }
+    return_idle(std::move(pooled), result.head);
     co_return result;
 }
 
--- a/src/edge/internal/front_outcomes.cpp
+++ b/src/edge/internal/front_outcomes.cpp
@@ -19,13 +19,6 @@
 
 } // namespace
 
-bool is_success(unsigned status)
-{
-    constexpr unsigned first_success = 200;
-    constexpr unsigned first_redirect = 300;
-    return status >= first_success && status < first_redirect;
-}
-
 bool front::state::take_retry(pending_request& pending, core::time_point now)
 {
     const bool has_time = static_cast<double>((pending.waiting.deadline - now).ms) > pending.expected_ms &&
@@ -48,11 +41,11 @@
         return handle_not_run(pending, outcome);
     }
     // A success without the signature of a backend server does not count as its answer.
-    if (is_answer && (outcome.head.is_signed || !is_success(outcome.answer.status)))
+    if (is_answer && (outcome.head.is_signed || !http::is_success(outcome.answer.status)))
     {
         server.limit.on_answer();
         record_contact(server, true, "answer");
-        if (is_success(outcome.answer.status))
+        if (http::is_success(outcome.answer.status))
         {
             estimate.record(pending.request.route, server.entry.server.id,
                             static_cast<double>(outcome.elapsed.ms));
--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -307,7 +307,7 @@
                 {"elapsed_ms", (now - pending.arrived).ms},
                 {"sends", pending.send_count}};
     };
-    if (result.outcome == wire::outcome::answered && is_success(result.status))
+    if (result.outcome == wire::outcome::answered && http::is_success(result.status))
     {
         log.write_sampled("served", line);
     }
--- a/src/edge/internal/front_state.hpp
+++ b/src/edge/internal/front_state.hpp
@@ -80,8 +80,6 @@
     std::uint64_t next_id = 0;
 };
 
-bool is_success(unsigned status);
-
 wire::forward_result make_result(wire::outcome outcome, unsigned status, std::string reason,
                                  std::string not_run_reason);
 
--- a/src/edge/tests/backend_link_tests.cpp
+++ b/src/edge/tests/backend_link_tests.cpp
@@ -45,12 +45,60 @@
     asio::ip::tcp::acceptor acceptor;
 };
 
+/// A backend server that rejects the first request and runs all later ones. Before the answer to the next
+/// request on a connection it sends a copy of its last answer there.
+struct rejecting_backend
+{
+    explicit rejecting_backend(asio::io_context& io_context)
+        : context(io_context), acceptor(io_context, {asio::ip::make_address("127.0.0.1"), 0})
+    {}
+
+    asio::awaitable<void> accept()
+    {
+        while (true)
+        {
+            auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+            asio::co_spawn(context, serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(asio::ip::tcp::socket socket)
+    {
+        std::string last_answer;
+        std::string input;
+        while (true)
+        {
+            boost::system::error_code code;
+            const auto size =
+                co_await asio::async_read_until(socket, asio::dynamic_buffer(input), "\r\n\r\n",
+                                                asio::redirect_error(asio::use_awaitable, code));
+            if (code)
+            {
+                co_return;
+            }
+            input.erase(0, size);
+            std::string answer = "HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nContent-Length: 2\r\n\r\na1";
+            if (++requests == 1)
+            {
+                answer = "HTTP/1.1 503 Unavailable\r\nX-Attempt: a1\r\nContent-Length: 0\r\n\r\n";
+            }
+            co_await asio::async_write(socket, asio::buffer(last_answer + answer), asio::use_awaitable);
+            last_answer = answer;
+        }
+    }
+
+    asio::io_context& context;
+    asio::ip::tcp::acceptor acceptor;
+    int requests = 0;
+};
+
 edge::protocol make_protocol()
 {
     edge::protocol adapter;
     adapter.read_response = [](const http::response& answer) {
         edge::response_head head;
         head.attempt_id = http::find_header(answer.headers, "X-Attempt");
+        head.is_signed = answer.status == 200;
         return head;
     };
     return adapter;
@@ -110,4 +158,34 @@
     BOOST_CHECK(results.second.outcome == edge::exchange_outcome::mismatched);
 }
 
+// Guards against a request that runs twice: a late copy of the rejection of its first send was taken for the
+// answer to its second one.
+BOOST_AUTO_TEST_CASE(rejected_attempt_is_sent_again_on_another_connection)
+{
+    asio::io_context context;
+    rejecting_backend backend(context);
+    const auto adapter = make_protocol();
+    std::vector<edge::exchange_result> results;
+    asio::co_spawn(context, backend.accept(), asio::detached);
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            const auto link = std::make_shared<edge::backend_link>(
+                context.get_executor(), http::endpoint{"127.0.0.1", backend.acceptor.local_endpoint().port()},
+                adapter);
+            for (int send = 0; send < 3; ++send)
+            {
+                results.push_back(co_await link->exchange({"POST", "/1", {}, ""}, "a1", 1000_ms, nullptr));
+            }
+            context.stop();
+        },
+        asio::detached);
+    context.run();
+    BOOST_CHECK_EQUAL(results.at(0).answer.status, 503U);
+    BOOST_CHECK_EQUAL(results.at(1).answer.status, 200U);
+    BOOST_CHECK(results.at(1).is_new_connection);
+    // The connection with the signed success carries later requests.
+    BOOST_CHECK(!results.at(2).is_new_connection);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/http/http_types.hpp
+++ b/src/http/http_types.hpp
@@ -57,6 +57,9 @@
     auto operator<=>(const response&) const = default;
 };
 
+/// Whether the status is 2xx.
+bool is_success(unsigned status);
+
 /// A response with a JSON body.
 response json_response(unsigned status, std::string body);
 
--- a/src/http/internal/http_types.cpp
+++ b/src/http/internal/http_types.cpp
@@ -39,6 +39,13 @@
     return find_position(headers, name) != headers.end();
 }
 
+bool is_success(unsigned status)
+{
+    constexpr unsigned first_success = 200;
+    constexpr unsigned first_redirect = 300;
+    return status >= first_success && status < first_redirect;
+}
+
 response json_response(unsigned status, std::string body)
 {
     return response(status, {{"Content-Type", "application/json"}}, std::move(body));
