Refuse forwarded requests that a stopping front cannot answer

Cause: a stopping router capped and refused only the requests that it took from callers. As a front it accepted forwarded requests to the last moment, and cut off those that ran when it ended. While the store is unavailable nobody takes its place.

Change: the deadlines of all requests at a stopping front end with the process. Requests that probably take longer, new or queued, are refused as not run with the reason "stopping". The entry sends such a request to another front of the service, else it answers 503 at once with the time until that front has ended.

--- a/src/edge/front.hpp
+++ b/src/edge/front.hpp
@@ -43,9 +43,14 @@
     /// Applies the directory update that led to `snapshot`.
     void apply_change(const directory::snapshot& snapshot, const directory::update& change,
                       const routes::routing_config& config);
-    /// Serves one request. The `not_run_reason` is "moved" when another router is the front now.
+    /// Serves one request. The `not_run_reason` is "moved" when another router is the front now, "stopping"
+    /// when this one ends before it could answer.
     core::asio::awaitable<wire::forward_result> serve(wire::forward_request request,
                                                       std::shared_ptr<core::cancellation> cancellation);
+    /// Caps the deadlines of all requests at `latest`, when this process ends. Those whose work would
+    /// probably last longer are refused with the `not_run_reason` "stopping", so that another front can serve
+    /// them.
+    void cap_deadlines(core::time_point latest);
     /// Adds the observations of this front since the last report.
     void fill_report(leader::router_report& report);
     /// Refuses requests that cannot be served in time and sends due grants. Call it a few times per 100 ms.
--- a/src/edge/internal/entry.cpp
+++ b/src/edge/internal/entry.cpp
@@ -123,6 +123,7 @@
     {
         return std::nullopt;
     }
+    const auto now = clock::now();
     std::optional<destination> best;
     double best_cost = 0;
     for (const auto& [front, slots] : *group)
@@ -132,8 +133,11 @@
         // Among equally loaded fronts, one in this router's zone saves a round trip between zones.
         constexpr double other_zone_cost = 0.1;
         const auto zone = router_zones_.find(front);
-        const double cost =
-            load + (zone != router_zones_.end() && zone->second == zone_ ? 0 : other_zone_cost);
+        // A stopping front is asked only when there is no other.
+        constexpr double stopping_cost = 1e6;
+        const double cost = load +
+                            (zone != router_zones_.end() && zone->second == zone_ ? 0 : other_zone_cost) +
+                            (is_stopping(front, now) ? stopping_cost : 0);
         if (!best || cost < best_cost)
         {
             best = destination{"", front, false};
@@ -143,6 +147,14 @@
     return best;
 }
 
+bool entry::is_stopping(const std::string& front, core::time_point now) const
+{
+    // Requests with less work may still be served, so the front is asked again after a while.
+    constexpr core::duration stopping_memory{1000};
+    const auto said = stopping_fronts_.find(front);
+    return said != stopping_fronts_.end() && now - said->second < stopping_memory;
+}
+
 std::optional<entry::destination> entry::find_destination(const request_context& context) const
 {
     auto found =
@@ -346,6 +358,16 @@
             co_await await_change(moved_wait);
             continue;
         }
+        if (result.outcome == wire::outcome::refused_not_run && result.not_run_reason == "stopping")
+        {
+            const auto refused_at = clock::now();
+            stopping_fronts_[to->front] = refused_at;
+            const auto other = find_destination(context);
+            if (other && !is_stopping(other->front, refused_at))
+            {
+                continue;
+            }
+        }
         const bool is_lost = result.outcome == wire::outcome::unknown && result.not_run_reason == "link";
         if (is_lost && context.is_idempotent && !context.may_have_run)
         {
--- a/src/edge/internal/front.cpp
+++ b/src/edge/internal/front.cpp
@@ -51,6 +51,11 @@
     co_return co_await state->serve(std::move(request), std::move(cancellation));
 }
 
+void front::cap_deadlines(core::time_point latest)
+{
+    state_->cap_deadlines(latest);
+}
+
 void front::tick()
 {
     state_->tick();
@@ -268,10 +273,7 @@
         const auto& server = pool->servers.front();
         return server->is_keyed() && !server->grants->is_assigned(waiting.key);
     };
-    auto moved = pool->queue.extract(is_moved);
-    std::ranges::copy_if(pool->awaiting_grant, std::back_inserter(moved), is_moved);
-    std::erase_if(pool->awaiting_grant, is_moved);
-    for (const auto& waiting : moved)
+    for (const auto& waiting : extract_waiting(*pool, is_moved))
     {
         constexpr unsigned status_unavailable = 503;
         end_waiting(*pool, waiting,
@@ -279,6 +281,16 @@
     }
 }
 
+std::vector<dispatch::waiting_request>
+front::state::extract_waiting(request_pool& pool,
+                              const std::function<bool(const dispatch::waiting_request&)>& matches)
+{
+    auto extracted = pool.queue.extract(matches);
+    std::ranges::copy_if(pool.awaiting_grant, std::back_inserter(extracted), matches);
+    std::erase_if(pool.awaiting_grant, matches);
+    return extracted;
+}
+
 void front::state::end_waiting(request_pool& pool, const dispatch::waiting_request& waiting,
                                wire::forward_result result)
 {
--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -31,6 +31,10 @@
     const auto all = pools;
     for (const auto& [name, pool] : all)
     {
+        if (process_end)
+        {
+            refuse_unfinishable(*pool, now);
+        }
         auto expired = pool->queue.expire(now);
         std::erase_if(pool->awaiting_grant, [&](const auto& waiting) {
             const bool is_late = static_cast<double>((waiting.deadline - now).ms) < waiting.work_ms / 2;
@@ -63,6 +67,16 @@
     }
 }
 
+void front::state::refuse_unfinishable(request_pool& pool, core::time_point now)
+{
+    const auto unfinishable =
+        extract_waiting(pool, [&](const auto& waiting) { return ends_before_answer(waiting, now); });
+    for (const auto& waiting : unfinishable)
+    {
+        end_waiting(pool, waiting, make_stopping_refusal(now));
+    }
+}
+
 void front::state::run_grants(const std::shared_ptr<fronted_server>& server)
 {
     const auto now = clock::now();
@@ -228,10 +242,7 @@
         return;
     }
     auto& pool = *server.pool;
-    auto waiting = pool.queue.extract([](const auto&) { return true; });
-    waiting.insert(waiting.end(), pool.awaiting_grant.begin(), pool.awaiting_grant.end());
-    pool.awaiting_grant.clear();
-    for (const auto& item : waiting)
+    for (const auto& item : extract_waiting(pool, [](const auto&) { return true; }))
     {
         auto refusal = make_result(wire::outcome::refused_not_run, status_unavailable,
                                    "the backend server is unreachable", "unreachable");
--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -76,6 +76,10 @@
     waiting.arrived = now;
     waiting.objective_deadline = now + pending->request.objective;
     waiting.deadline = now + pending->request.deadline;
+    if (process_end)
+    {
+        waiting.deadline = std::min(waiting.deadline, *process_end);
+    }
     const auto& first = pool->servers.front();
     const double slow = first->is_keyed() ? estimate.slowness(first->entry.server.id) : 1.0;
     waiting.work_ms = estimate.mean_ms(pending->request.route) * slow;
@@ -142,18 +146,63 @@
         refusal.retry_after = {std::max<std::int64_t>(pending->request.deadline.ms / 3, 0)};
         return refusal;
     }
+    if (ends_before_answer(pending->waiting, now))
+    {
+        return make_stopping_refusal(now);
+    }
     const auto offer = pool.queue.offer(pending->waiting, count_slots(pool, now), now);
     if (offer.is_accepted)
     {
         pool.waiting.emplace(pending->id, pending);
         return std::nullopt;
     }
+    if (process_end && pending->waiting.deadline == *process_end)
+    {
+        return make_stopping_refusal(now);
+    }
     auto refusal = make_result(wire::outcome::refused_not_run, status_unavailable,
                                "forecast wait " + std::to_string(offer.forecast.ms) + " ms", "overload");
     refusal.retry_after = offer.retry_after;
     return refusal;
 }
 
+void front::state::cap_deadlines(core::time_point latest)
+{
+    process_end = latest;
+    for (const auto& [name, pool] : pools)
+    {
+        const auto cap = [latest](dispatch::waiting_request& item) {
+            item.deadline = std::min(item.deadline, latest);
+        };
+        auto queued = pool->queue.extract([](const auto&) { return true; });
+        std::ranges::for_each(queued, cap);
+        std::ranges::for_each(queued, [&](const auto& item) { pool->queue.put_back(item); });
+        std::ranges::for_each(pool->awaiting_grant, cap);
+        for (const auto& [id, pending] : pool->waiting)
+        {
+            cap(pending->waiting);
+        }
+    }
+}
+
+bool front::state::ends_before_answer(const dispatch::waiting_request& waiting, core::time_point now) const
+{
+    // Work that takes longer than this ends at the deadline, so the backend server's failure is still
+    // delivered.
+    constexpr double work_margin = 2;
+    return process_end && waiting.deadline == *process_end &&
+           static_cast<double>((*process_end - now).ms) < work_margin * waiting.work_ms;
+}
+
+wire::forward_result front::state::make_stopping_refusal(core::time_point now) const
+{
+    auto refusal = make_result(wire::outcome::refused_not_run, status_unavailable,
+                               "the front ends before it could answer", "stopping");
+    // Another router becomes the front at the latest when this one has ended.
+    refusal.retry_after = std::max(*process_end - now, core::duration{0});
+    return refusal;
+}
+
 std::shared_ptr<fronted_server>
 front::state::choose_server(const request_pool& pool, const pending_request* pending, core::time_point now)
 {
--- a/src/edge/internal/front_state.hpp
+++ b/src/edge/internal/front_state.hpp
@@ -25,6 +25,9 @@
     void apply_entry(const directory::entry& entry, const routes::routing_config& config);
     void refresh_pools(const directory::snapshot& snapshot);
     void refuse_moved(const std::shared_ptr<request_pool>& pool);
+    /// Removes and returns the requests of the pool that wait for a slot or a grant and match.
+    static std::vector<dispatch::waiting_request>
+    extract_waiting(request_pool& pool, const std::function<bool(const dispatch::waiting_request&)>& matches);
 
     // Requests.
     core::asio::awaitable<wire::forward_result> serve(wire::forward_request request,
@@ -48,6 +51,12 @@
     /// Returns whether the request may be sent again; if so, takes one retry from the budget.
     bool take_retry(pending_request& pending, core::time_point now);
     void requeue(const std::shared_ptr<pending_request>& pending, const std::shared_ptr<request_pool>& pool);
+    void cap_deadlines(core::time_point latest);
+    /// Whether the process ends before the deadline that the caller gave, and probably before the answer.
+    bool ends_before_answer(const dispatch::waiting_request& waiting, core::time_point now) const;
+    /// Refuses the waiting requests that this process could not answer before its end.
+    void refuse_unfinishable(request_pool& pool, core::time_point now);
+    wire::forward_result make_stopping_refusal(core::time_point now) const;
     void end_waiting(request_pool& pool, const dispatch::waiting_request& waiting,
                      wire::forward_result result);
     void log_result(const pending_request& pending, const wire::forward_result& result);
@@ -78,6 +87,8 @@
     std::size_t directory_size = 1;
     std::size_t running = 0;
     std::uint64_t next_id = 0;
+    /// Latest time of an answer, once this process is stopping.
+    std::optional<core::time_point> process_end;
 };
 
 wire::forward_result make_result(wire::outcome outcome, unsigned status, std::string reason,
--- a/src/edge/internal/router_node.cpp
+++ b/src/edge/internal/router_node.cpp
@@ -28,7 +28,8 @@
 constexpr core::duration accept_time{3000};
 /// Time before the end of the grace time at which remaining requests are cut off.
 constexpr core::duration grace_margin{500};
-/// Time before the end of the grace time by which requests that came after the stop have their final answer.
+/// Time before the end of the grace time by which the requests that came after the stop, from callers or
+/// other routers, have their final answer.
 constexpr core::duration answer_margin{900};
 
 } // namespace
@@ -319,7 +320,9 @@
     state_->log.write("stopping",
                       {{"in_flight", state_->entry.in_flight()}, {"running", state_->front.in_flight()}});
     state_->frontend->begin_drain();
-    state_->entry.cap_deadlines(*state_->stopping_since + state_->settings.grace - answer_margin);
+    const auto last_answer = *state_->stopping_since + state_->settings.grace - answer_margin;
+    state_->entry.cap_deadlines(last_answer);
+    state_->front.cap_deadlines(last_answer);
     state_->member.begin_stop();
     asio::co_spawn(
         state_->executor, [self = state_, done = std::move(on_done)] { return self->drain(done); },
--- a/standins/edge/tests/cluster_checks.hpp
+++ b/standins/edge/tests/cluster_checks.hpp
@@ -82,6 +82,19 @@
     });
 }
 
+/// Returns the index of the router that took the leadership last.
+inline std::size_t find_leader(const edge_cluster& cluster)
+{
+    const auto& text = cluster.log_text;
+    const auto position = text.rfind("\"event\":\"leadership taken\"");
+    BOOST_REQUIRE(position != std::string::npos);
+    const auto start = text.rfind('\n', position) + 1;
+    const auto line = nlohmann::json::parse(text.substr(start, text.find('\n', position) - start));
+    const auto found = std::ranges::find(cluster.names, line.at("node").get<std::string>());
+    BOOST_REQUIRE(found != cluster.names.end());
+    return static_cast<std::size_t>(found - cluster.names.begin());
+}
+
 inline double success_ratio(const edge_cluster& cluster)
 {
     return static_cast<double>(cluster.count(200)) / static_cast<double>(cluster.records.size());
--- a/standins/edge/tests/restored_store_tests.cpp
+++ b/standins/edge/tests/restored_store_tests.cpp
@@ -28,19 +28,6 @@
     cluster.store.set_mode(store_mode::serving);
 }
 
-/// Returns the index of the router that took the leadership last.
-std::size_t find_leader(const edge_cluster& cluster)
-{
-    const auto& text = cluster.log_text;
-    const auto position = text.rfind("\"event\":\"leadership taken\"");
-    BOOST_REQUIRE(position != std::string::npos);
-    const auto start = text.rfind('\n', position) + 1;
-    const auto line = nlohmann::json::parse(text.substr(start, text.find('\n', position) - start));
-    const auto found = std::ranges::find(cluster.names, line.at("node").get<std::string>());
-    BOOST_REQUIRE(found != cluster.names.end());
-    return static_cast<std::size_t>(found - cluster.names.begin());
-}
-
 /// Runs until all requests of one second are served, until `deadline` at the latest. Returns whether they
 /// are.
 bool await_service(edge_cluster& cluster, core::time_point deadline)
--- /dev/null
+++ b/standins/edge/tests/router_stop_tests.cpp
@@ -0,0 +1,130 @@
+#include "core/pause.hpp"
+#include "standins/edge/tests/cluster_checks.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace briarfold;
+using namespace briarfold::standins;
+namespace asio = core::asio;
+
+namespace {
+
+constexpr core::duration work_duration{700};
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_unavailable = 503;
+
+/// Sends one request that is not idempotent to a router and records its result.
+asio::awaitable<void> send_one(edge_cluster& cluster, http::endpoint frontend, std::string attempt,
+                               std::uint32_t key)
+{
+    call_record record;
+    record.attempt = attempt;
+    record.sent = core::clock::now();
+    try
+    {
+        constexpr core::duration client_timeout{4000};
+        const auto answer =
+            co_await http::fetch(frontend, edge_cluster::make_request(attempt, false, key), client_timeout);
+        record.status = answer.status;
+        record.body = answer.body;
+    }
+    catch (const core::error& failure)
+    {
+        BOOST_TEST_MESSAGE(attempt << ": " << failure.what());
+    }
+    record.elapsed = core::clock::now() - record.sent;
+    cluster.records.push_back(record);
+}
+
+/// Sends requests that are not idempotent to a router, spread over all keys.
+asio::awaitable<void> send_requests(edge_cluster& cluster, http::endpoint frontend, std::string prefix,
+                                    core::duration span, core::duration interval)
+{
+    constexpr std::uint32_t key_step = 7919;
+    const auto end = core::clock::now() + span;
+    for (std::uint32_t sent = 0; core::clock::now() < end; ++sent)
+    {
+        asio::co_spawn(
+            cluster.context,
+            send_one(cluster, frontend, prefix + std::to_string(sent), sent * key_step % keyspace::key_count),
+            asio::detached);
+        co_await core::pause_for(interval);
+    }
+}
+
+void start_requests(edge_cluster& cluster, std::size_t router, const std::string& prefix, core::duration span,
+                    core::duration interval = core::duration{50})
+{
+    asio::co_spawn(cluster.context,
+                   send_requests(cluster, cluster.settings[router].frontend, prefix, span, interval),
+                   asio::detached);
+}
+
+void stop_router(edge_cluster& cluster, std::size_t router, core::duration grace)
+{
+    auto settings = cluster.settings[router];
+    settings.grace = grace;
+    cluster.nodes[router]->reload(settings);
+    cluster.nodes[router]->stop([&cluster, router] { cluster.nodes[router]->kill(); });
+}
+
+/// Routers of a cluster by their part in a case.
+struct roles
+{
+    std::size_t leader = 0;
+    /// Stops during the case.
+    std::size_t front = 0;
+    /// Takes the requests.
+    std::size_t entry = 0;
+};
+
+roles choose_roles(const edge_cluster& cluster)
+{
+    const auto leader = find_leader(cluster);
+    return {leader, (leader + 1) % 3, (leader + 2) % 3};
+}
+
+/// Lets the fronts measure how long the work takes.
+void measure_work(edge_cluster& cluster, std::size_t entry)
+{
+    for (const auto& item : cluster.backends)
+    {
+        item->set_work_duration(work_duration);
+    }
+    start_requests(cluster, entry, "measured-", core::duration{3000}, core::duration{250});
+    cluster.run_for(5000);
+    cluster.records.clear();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(router_stops)
+
+// Guards against requests that a stopping front takes from other routers and cuts off when it ends, while a
+// backend server works on them. Without the store and the leader nobody takes its place.
+BOOST_AUTO_TEST_CASE(stopping_front_cuts_off_no_forwarded_request)
+{
+    edge_cluster cluster(3, 6);
+    BOOST_REQUIRE(cluster.await_ready());
+    const auto part = choose_roles(cluster);
+    measure_work(cluster, part.entry);
+    cluster.store.set_mode(store_mode::busy);
+    // Grants last longer from now on.
+    cluster.run_for(2000);
+    cluster.nodes[part.leader]->kill();
+    stop_router(cluster, part.front, core::duration{3500});
+    start_requests(cluster, part.entry, "cut-", core::duration{3300});
+    cluster.run_for(7000);
+    BOOST_CHECK_GT(cluster.count(status_ok), 0U);
+    for (const auto& record : cluster.records)
+    {
+        const bool is_refused = record.status == status_unavailable && cluster.runs(record.attempt) == 0;
+        BOOST_CHECK_MESSAGE(record.status == status_ok || is_refused,
+                            record.attempt << " got " << record.status << " after " << record.elapsed.ms
+                                           << " ms and ran " << cluster.runs(record.attempt) << " times");
+    }
+    check_invariants(cluster);
+    check_exclusive_ownership(cluster);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
