Let a stopping leader lead until another router has taken over

Callers saw 503 for all keys of a router that was stopped after the leader, while the store was unavailable: its backend servers stayed with it to the end.

Cause: a stopping leader offered the leadership once, to one deputy, and ended when it was idle. Without the store no deputy can take over, so the routers that stop next find no leader that gives their backend servers to other fronts.

Change: the offer is repeated with each report, to the deputies in turn, and the leader ends only when another one leads, the grace time is over, or all other routers stop as well.

--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -52,18 +52,13 @@
     state_->is_stopping = true;
     state_->self.is_stopping = true;
     request_report();
-    if (state_->leadership && state_->network)
-    {
-        const auto& deputies = state_->snapshot.deputies;
-        const auto deputy = state_->snapshot.routers.find(deputies.empty() ? "" : deputies.front());
-        if (deputy != state_->snapshot.routers.end())
-        {
-            asio::co_spawn(
-                state_->executor,
-                [self = state_, peer = deputy->second.peer] { return self->offer_leadership(peer); },
-                asio::detached);
-        }
-    }
+}
+
+bool member::is_needed_as_leader() const
+{
+    return state_->leadership && std::ranges::any_of(state_->snapshot.routers, [this](const auto& item) {
+               return item.first != state_->settings.name && !item.second.is_stopping;
+           });
 }
 
 void member::kill()
@@ -204,6 +199,10 @@
         {
             co_return;
         }
+        if (leadership && is_stopping)
+        {
+            offer_to_deputy();
+        }
         if (is_leader_lost() && !is_stopping)
         {
             co_await replace_lost_leader();
--- a/src/edge/internal/member_election.cpp
+++ b/src/edge/internal/member_election.cpp
@@ -323,6 +323,20 @@
         asio::detached);
 }
 
+void member::state::offer_to_deputy()
+{
+    const auto& deputies = snapshot.deputies;
+    const auto deputy =
+        snapshot.routers.find(deputies.empty() ? "" : deputies.at(offers++ % deputies.size()));
+    if (deputy != snapshot.routers.end())
+    {
+        asio::co_spawn(
+            executor,
+            [self = shared_from_this(), peer = deputy->second.peer] { return self->offer_leadership(peer); },
+            asio::detached);
+    }
+}
+
 asio::awaitable<void> member::state::offer_leadership(http::endpoint peer)
 {
     const auto self_reference = shared_from_this();
--- a/src/edge/internal/member_state.hpp
+++ b/src/edge/internal/member_state.hpp
@@ -29,6 +29,8 @@
     /// Asks the deputies, or some routers of other zones, whether the leader answers their reports.
     core::asio::awaitable<bool> is_leader_seen_by_others();
     std::vector<http::endpoint> choose_witnesses() const;
+    /// Asks a deputy, another one each time, to take over the leadership.
+    void offer_to_deputy();
     /// Asks another router to take over the leadership from this one.
     core::asio::awaitable<void> offer_leadership(http::endpoint peer);
     bool is_deputy() const;
@@ -92,6 +94,7 @@
     std::map<std::pair<std::string, std::string>, deputy_row> deputy_rows;
     int running_watches = 0;
     bool is_report_requested = false;
+    std::size_t offers = 0;
 };
 
 } // namespace briarfold::edge
--- a/src/edge/internal/router_node.cpp
+++ b/src/edge/internal/router_node.cpp
@@ -285,7 +285,7 @@
             entry.refuse_new();
         }
         const bool is_idle = entry.in_flight() == 0 && front.in_flight() == 0 && front.servers() == 0 &&
-                             frontend->connections() == 0;
+                             frontend->connections() == 0 && !member.is_needed_as_leader();
         if ((is_idle && elapsed > min_drain_time) || elapsed > settings.grace - grace_margin)
         {
             break;
--- a/src/edge/member.hpp
+++ b/src/edge/member.hpp
@@ -49,8 +49,12 @@
     ~member();
 
     void start();
-    /// Reports to the leader that this router stops; as the leader, offers the leadership to a deputy.
+    /// Reports to the leader that this router stops; as the leader, offers the leadership to the deputies
+    /// until one has taken it.
     void begin_stop();
+    /// Whether this router still leads while others go on serving. Without the store none of them can take
+    /// over, and only a leader gives the backend servers of routers that stop to other fronts.
+    bool is_needed_as_leader() const;
     /// Ends all activity at once.
     void kill();
     /// Requests a report at once; the answer confirms the assignments of this router.
--- a/standins/edge/tests/router_stop_tests.cpp
+++ b/standins/edge/tests/router_stop_tests.cpp
@@ -127,4 +127,40 @@
     check_exclusive_ownership(cluster);
 }
 
+// Guards against a leader that ends before the end of its grace time while no other router can take over, so
+// that the backend servers of the next router that stops get no other front.
+BOOST_AUTO_TEST_CASE(stopping_leader_assigns_fronts_until_it_ends)
+{
+    edge_cluster cluster(3, 6);
+    BOOST_REQUIRE(cluster.await_ready());
+    const auto part = choose_roles(cluster);
+    cluster.store.set_mode(store_mode::busy);
+    stop_router(cluster, part.leader, core::duration{9000});
+    cluster.run_for(3000);
+    stop_router(cluster, part.front, core::duration{3500});
+    cluster.run_for(3500);
+    start_requests(cluster, part.entry, "moved-", core::duration{1000});
+    cluster.run_for(3500);
+    BOOST_CHECK_GT(cluster.records.size(), 10U);
+    for (const auto& record : cluster.records)
+    {
+        BOOST_CHECK_MESSAGE(record.status == status_ok, record.attempt << " got " << record.status);
+    }
+    check_invariants(cluster);
+    check_exclusive_ownership(cluster);
+}
+
+// Guards against a leader that waits for its whole grace time although another router leads.
+BOOST_AUTO_TEST_CASE(stopped_leader_ends_when_another_router_leads)
+{
+    edge_cluster cluster(3, 3);
+    BOOST_REQUIRE(cluster.await_ready());
+    const auto part = choose_roles(cluster);
+    bool is_ended = false;
+    cluster.nodes[part.leader]->stop([&is_ended] { is_ended = true; });
+    cluster.run_for(4000);
+    BOOST_CHECK(is_ended);
+    BOOST_CHECK(find_leader(cluster) != part.leader);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
