Match answers without an id to no request that has one

Callers could be told that a request has not run, or get another request's answer: an answer without the id of an attempt was accepted for every request, and a request without an id accepted every answer.

Change: the id of the answer has to equal that of the request. Requests without an id get a connection of their own, since nothing tells their answers apart.

Measured: backend_links/answer_without_an_id_is_no_answer_to_a_request_with_one failed on the code before.

--- a/src/edge/backend_link.hpp
+++ b/src/edge/backend_link.hpp
@@ -19,7 +19,7 @@
     not_sent,
     /// The request was sent, but the connection broke or no complete answer arrived in time.
     broken,
-    /// The answer belongs to another attempt.
+    /// The answer belongs to another attempt, or does not say to which it belongs.
     mismatched,
     /// The exchange was cancelled and its connection closed.
     cancelled
@@ -37,6 +37,18 @@
     bool is_new_connection = false;
 };
 
+/// Connections that an exchange may use.
+enum class connection_choice
+{
+    /// An idle one, or a new one when none is idle.
+    any,
+    /// Only an idle one.
+    idle,
+    /// A new one that carries no other exchange. Needed when the answer could not be told from a late copy of
+    /// an earlier answer.
+    own
+};
+
 /// Handle that cancels a running exchange by closing its connection.
 class exchange_handle
 {
@@ -58,16 +70,15 @@
         : executor_(std::move(executor)), peer_(std::move(peer)), adapter_(adapter)
     {}
 
-    /// Sends the request on an idle connection, or on a new one when none is idle and `may_connect` is true.
-    /// Reports failures of the peer in the result and never throws for them. An answer to an attempt other
-    /// than `attempt_id` is a mismatch; an empty `attempt_id` accepts every answer. `timeout` is the time
-    /// left for the attempt. Within it, a second exchange with the same id uses no connection on which the
-    /// first one got anything but a signed success: a late copy of that answer would be taken for the second
-    /// one's.
+    /// Sends the request and reads its answer. Reports failures of the peer in the result and never throws
+    /// for them. An answer with another id than `attempt_id` is a mismatch; messages without an id expect an
+    /// answer without one. `timeout` is the time left for the attempt: a second exchange with the same id
+    /// within it uses no connection on which the first one was not answered with a signed success, since a
+    /// late copy of that answer would be taken for the second one's.
     core::asio::awaitable<exchange_result> exchange(http::request message, std::string attempt_id,
                                                     core::duration timeout,
                                                     std::shared_ptr<exchange_handle> handle,
-                                                    bool may_connect = true);
+                                                    connection_choice choice = connection_choice::any);
     /// Opens a connection for a later exchange. Returns whether it was established.
     core::asio::awaitable<bool> open();
     bool has_idle();
@@ -75,7 +86,7 @@
     void close_idle();
     const http::endpoint& peer() const { return peer_; }
     std::uint64_t opened() const { return opened_; }
-    /// Returns when the newest connection was established.
+    /// Returns when the newest connection that later exchanges may use was established.
     core::time_point connected_at() const { return connected_at_; }
 
 private:
--- a/src/edge/internal/backend_link.cpp
+++ b/src/edge/internal/backend_link.cpp
@@ -130,13 +130,13 @@
 asio::awaitable<exchange_result> backend_link::exchange(http::request message, std::string attempt_id,
                                                         core::duration timeout,
                                                         std::shared_ptr<exchange_handle> handle,
-                                                        bool may_connect)
+                                                        connection_choice choice)
 {
     const auto self = shared_from_this();
     const auto start = clock::now();
     exchange_result result;
-    auto idle = take_idle(attempt_id);
-    if (!idle && !may_connect)
+    auto idle = choice == connection_choice::own ? std::nullopt : take_idle(attempt_id);
+    if (!idle && choice == connection_choice::idle)
     {
         result.reason = "no connection is open";
         co_return result;
@@ -148,7 +148,10 @@
         {
             result.is_new_connection = true;
             co_await connect(pooled, std::min(timeout, connect_timeout));
-            connected_at_ = clock::now();
+            if (choice != connection_choice::own)
+            {
+                connected_at_ = clock::now();
+            }
         }
         if (handle && handle->is_cancelled())
         {
@@ -177,7 +180,7 @@
     }
     result.head = adapter_.read_response(result.answer);
     // Backend servers echo the id of the request, so an answer with another id belongs to an earlier request.
-    if (!attempt_id.empty() && !result.head.attempt_id.empty() && result.head.attempt_id != attempt_id)
+    if (result.head.attempt_id != attempt_id)
     {
         pooled.connection->close();
         result.outcome = exchange_outcome::mismatched;
@@ -185,6 +188,11 @@
         co_return result;
     }
     result.outcome = exchange_outcome::answered;
+    if (choice == connection_choice::own)
+    {
+        pooled.connection->close();
+        co_return result;
+    }
     if (!attempt_id.empty() && !(result.head.is_signed && http::is_success(result.answer.status)))
     {
         pooled.carried.push_back({std::move(attempt_id), start + timeout + attempt_end_margin});
--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -138,7 +138,8 @@
     const auto link = server->control_link;
     const auto timeout = is_grant ? grant_timeout : release_timeout;
     call.sent = clock::now();
-    auto result = co_await link->exchange(adapter.make_grant_request(call), "", timeout, nullptr, !is_grant);
+    const auto choice = is_grant ? connection_choice::idle : connection_choice::any;
+    auto result = co_await link->exchange(adapter.make_grant_request(call), "", timeout, nullptr, choice);
     const auto now = clock::now();
     if (is_grant)
     {
--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -308,8 +308,10 @@
         http::request message(pending->request.method, pending->request.target, pending->request.headers,
                               pending->request.body);
         message = adapter.make_backend_request(std::move(message), left, server->entry.server.id);
+        const auto choice =
+            pending->request.request_id.empty() ? connection_choice::own : connection_choice::any;
         auto outcome = co_await server->link->exchange(std::move(message), pending->request.request_id,
-                                                       left + answer_grace, pending->handle);
+                                                       left + answer_grace, pending->handle, choice);
         auto result = handle_outcome(*pending, outcome);
         finish(pending);
         if (result)
--- a/src/edge/tests/backend_link_tests.cpp
+++ b/src/edge/tests/backend_link_tests.cpp
@@ -49,8 +49,10 @@
 /// request on a connection it sends a copy of its last answer there.
 struct rejecting_backend
 {
-    explicit rejecting_backend(asio::io_context& io_context)
-        : context(io_context), acceptor(io_context, {asio::ip::make_address("127.0.0.1"), 0})
+    /// `attempt_id` is the id in its answers; empty for answers without one.
+    explicit rejecting_backend(asio::io_context& io_context, const std::string& attempt_id = "a1")
+        : context(io_context), acceptor(io_context, {asio::ip::make_address("127.0.0.1"), 0}),
+          id_header(attempt_id.empty() ? "" : "X-Attempt: " + attempt_id + "\r\n")
     {}
 
     asio::awaitable<void> accept()
@@ -77,11 +79,10 @@
                 co_return;
             }
             input.erase(0, size);
-            std::string answer = "HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nContent-Length: 2\r\n\r\na1";
-            if (++requests == 1)
-            {
-                answer = "HTTP/1.1 503 Unavailable\r\nX-Attempt: a1\r\nContent-Length: 0\r\n\r\n";
-            }
+            const bool is_first = ++requests == 1;
+            const auto answer = is_first
+                                    ? "HTTP/1.1 503 Unavailable\r\n" + id_header + "Content-Length: 0\r\n\r\n"
+                                    : "HTTP/1.1 200 OK\r\n" + id_header + "Content-Length: 2\r\n\r\na1";
             co_await asio::async_write(socket, asio::buffer(last_answer + answer), asio::use_awaitable);
             last_answer = answer;
         }
@@ -89,6 +90,7 @@
 
     asio::io_context& context;
     asio::ip::tcp::acceptor acceptor;
+    std::string id_header;
     int requests = 0;
 };
 
@@ -136,6 +138,31 @@
     return results;
 }
 
+/// Sends the same message three times to a backend server that rejects the first one.
+std::vector<edge::exchange_result> exchange_thrice(const std::string& sent_id, const std::string& echoed_id)
+{
+    asio::io_context context;
+    rejecting_backend backend(context, echoed_id);
+    const auto adapter = make_protocol();
+    std::vector<edge::exchange_result> results;
+    asio::co_spawn(context, backend.accept(), asio::detached);
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            const auto link = std::make_shared<edge::backend_link>(
+                context.get_executor(), http::endpoint{"127.0.0.1", backend.acceptor.local_endpoint().port()},
+                adapter);
+            for (int send = 0; send < 3; ++send)
+            {
+                results.push_back(co_await link->exchange({"POST", "/1", {}, ""}, sent_id, 1000_ms, nullptr));
+            }
+            context.stop();
+        },
+        asio::detached);
+    context.run();
+    return results;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(backend_links)
@@ -162,25 +189,7 @@
 // answer to its second one.
 BOOST_AUTO_TEST_CASE(rejected_attempt_is_sent_again_on_another_connection)
 {
-    asio::io_context context;
-    rejecting_backend backend(context);
-    const auto adapter = make_protocol();
-    std::vector<edge::exchange_result> results;
-    asio::co_spawn(context, backend.accept(), asio::detached);
-    asio::co_spawn(
-        context,
-        [&]() -> asio::awaitable<void> {
-            const auto link = std::make_shared<edge::backend_link>(
-                context.get_executor(), http::endpoint{"127.0.0.1", backend.acceptor.local_endpoint().port()},
-                adapter);
-            for (int send = 0; send < 3; ++send)
-            {
-                results.push_back(co_await link->exchange({"POST", "/1", {}, ""}, "a1", 1000_ms, nullptr));
-            }
-            context.stop();
-        },
-        asio::detached);
-    context.run();
+    const auto results = exchange_thrice("a1", "a1");
     BOOST_CHECK_EQUAL(results.at(0).answer.status, 503U);
     BOOST_CHECK_EQUAL(results.at(1).answer.status, 200U);
     BOOST_CHECK(results.at(1).is_new_connection);
@@ -188,4 +197,13 @@
     BOOST_CHECK(!results.at(2).is_new_connection);
 }
 
+// Guards against an answer that does not say to which request it belongs and is taken for one that says that
+// the request has not run.
+BOOST_AUTO_TEST_CASE(answer_without_an_id_is_no_answer_to_a_request_with_one)
+{
+    const auto results = exchange_thrice("a1", "");
+    BOOST_CHECK(results.at(0).outcome == edge::exchange_outcome::mismatched);
+    BOOST_CHECK(results.at(1).outcome == edge::exchange_outcome::mismatched);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
