Release keys on a connection of its own

Keys could go to another backend server while the former one still worked on them: grants and releases have no id and shared connections, so that a late copy of the answer to a grant was taken for the answer to a release.

Change: a release opens a connection that carries nothing else.

Measured: edge_clusters/a_release_shares_its_connection_with_no_other_call failed on the code before (three calls on the connection).

--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -138,7 +138,9 @@
     const auto link = server->control_link;
     const auto timeout = is_grant ? grant_timeout : release_timeout;
     call.sent = clock::now();
-    const auto choice = is_grant ? connection_choice::idle : connection_choice::any;
+    // A late copy of another answer would be taken for the one to the release, and the keys would be granted
+    // to another backend server while this one still works on them.
+    const auto choice = is_grant ? connection_choice::idle : connection_choice::own;
     auto result = co_await link->exchange(adapter.make_grant_request(call), "", timeout, nullptr, choice);
     const auto now = clock::now();
     if (is_grant)
--- a/standins/edge/keyed_backend.cpp
+++ b/standins/edge/keyed_backend.cpp
@@ -30,7 +30,9 @@
     : executor_(executor), id_(std::move(id)), service_(std::move(service)), zone_(std::move(zone)),
       slots_(slots), work_duration_(work_duration), start_time_ms_(clock::wall().ms), address_(local)
 {
-    server_.emplace(executor, local, http::handler([this](http::request message, const http::endpoint&) {
+    server_.emplace(executor, local,
+                    http::handler([this](http::request message, const http::endpoint& caller) {
+                        calls_by_port_[caller.port].push_back(message.target);
                         return handle(std::move(message));
                     }));
     address_.port = server_->port();
--- a/standins/edge/keyed_backend.hpp
+++ b/standins/edge/keyed_backend.hpp
@@ -47,6 +47,8 @@
     std::vector<held_span> spans() const;
     int max_running() const { return max_running_; }
     int misdirected_count() const { return misdirected_count_; }
+    /// Returns the paths of the calls that each connection carried, by the caller's port.
+    const std::map<unsigned short, std::vector<std::string>>& calls_by_port() const { return calls_by_port_; }
 
 private:
     core::asio::awaitable<http::response> handle(http::request message);
@@ -66,6 +68,7 @@
     std::vector<held_span> held_;
     std::vector<held_span> ended_;
     std::map<std::string, int> runs_;
+    std::map<unsigned short, std::vector<std::string>> calls_by_port_;
     int running_ = 0;
     int max_running_ = 0;
     int misdirected_count_ = 0;
--- a/standins/edge/tests/edge_cluster_tests.cpp
+++ b/standins/edge/tests/edge_cluster_tests.cpp
@@ -38,6 +38,27 @@
     check_exclusive_ownership(cluster);
 }
 
+// Guards against a late copy of another answer that is taken for the answer to a release, so that keys go to
+// another backend server while this one still works on them.
+BOOST_AUTO_TEST_CASE(a_release_shares_its_connection_with_no_other_call)
+{
+    edge_cluster cluster(3, 4);
+    BOOST_REQUIRE(cluster.await_ready());
+    cluster.store.put("servers", "b1", cluster.backends[1]->registration(true));
+    cluster.run_for(1500);
+    int releases = 0;
+    for (const auto& [port, calls] : cluster.backends[1]->calls_by_port())
+    {
+        if (std::ranges::find(calls, "/-/release") != calls.end())
+        {
+            ++releases;
+            BOOST_CHECK_EQUAL(calls.size(), 1U);
+        }
+    }
+    BOOST_CHECK_GT(releases, 0);
+    check_exclusive_ownership(cluster);
+}
+
 // Guards against keys without service after a router was lost while the store is unavailable.
 BOOST_AUTO_TEST_CASE(a_lost_router_is_replaced_while_the_store_is_unavailable)
 {
