End the control connection after a rejected grant

Keys could count as free while a backend server held them: a late copy of a rejection of a grant was taken for the answer to the next grant, which had been accepted.

Change: after a rejection, a connection whose messages have no id is not used again.

Measured: backend_links/rejected_call_without_an_id_ends_its_connection failed on the code before.

--- a/src/edge/internal/backend_link.cpp
+++ b/src/edge/internal/backend_link.cpp
@@ -188,7 +188,9 @@
         co_return result;
     }
     result.outcome = exchange_outcome::answered;
-    if (choice == connection_choice::own)
+    // Without an id, a late copy of a rejection would be taken for the answer to the next message.
+    const bool may_repeat_rejection = attempt_id.empty() && !http::is_success(result.answer.status);
+    if (choice == connection_choice::own || may_repeat_rejection)
     {
         pooled.connection->close();
         co_return result;
--- a/src/edge/tests/backend_link_tests.cpp
+++ b/src/edge/tests/backend_link_tests.cpp
@@ -206,4 +206,15 @@
     BOOST_CHECK(results.at(1).outcome == edge::exchange_outcome::mismatched);
 }
 
+// Guards against a grant that counts as superseded because of a late copy of an earlier rejection: its keys
+// would go to another backend server while this one holds them.
+BOOST_AUTO_TEST_CASE(rejected_call_without_an_id_ends_its_connection)
+{
+    const auto results = exchange_thrice("", "");
+    BOOST_CHECK_EQUAL(results.at(0).answer.status, 503U);
+    BOOST_CHECK_EQUAL(results.at(1).answer.status, 200U);
+    BOOST_CHECK(results.at(1).is_new_connection);
+    BOOST_CHECK(!results.at(2).is_new_connection);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
