Refuse registrations that are nested too deeply or have numbers out of range

Reported by other operators: one odd entry among those of the backend servers made the readers end or stop following the list. Here such an entry was taken for a backend server: numbers too large were converted to others, port 0 and ids with a line break were accepted, and values nested up to 32,700 levels were copied and printed by recursion, close to the end of the stack.

The loops of the leader go on after every exception.

--- a/src/admin/internal/api_request.cpp
+++ b/src/admin/internal/api_request.cpp
@@ -1,5 +1,7 @@
 #include "admin/internal/api_request.hpp"
 
+#include "core/json.hpp"
+
 #include <algorithm>
 #include <charconv>
 
@@ -64,12 +66,19 @@
 
 nlohmann::json api_request::json_body() const
 {
-    auto value = nlohmann::json::parse(body, nullptr, false);
-    if (!value.is_object())
+    try
+    {
+        auto value = core::parse_json(body);
+        if (value.is_object())
+        {
+            return value;
+        }
+    }
+    catch (const core::error& failure)
     {
-        throw api_error(bad_request, "the body is not a JSON object");
+        throw api_error(bad_request, failure.what());
     }
-    return value;
+    throw api_error(bad_request, "the body is not a JSON object");
 }
 
 const std::string& api_request::parameter(const std::string& name) const
--- a/src/core/tests/core_tests.cpp
+++ b/src/core/tests/core_tests.cpp
@@ -2,6 +2,7 @@
 #include "core/encoding.hpp"
 #include "core/error.hpp"
 #include "core/ids.hpp"
+#include "core/json.hpp"
 #include "core/key_hash.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -54,6 +55,24 @@
     BOOST_CHECK_THROW(decode_base64("!!!!"), error);
 }
 
+// Guards against a nested text that exhausts the stack when its value is copied, and against brackets in
+// strings that count as levels.
+BOOST_AUTO_TEST_CASE(deeply_nested_json_is_refused)
+{
+    const auto nest = [](int depth) {
+        const auto size = static_cast<std::size_t>(depth);
+        return std::string(size, '[') + std::string(size, ']');
+    };
+    BOOST_CHECK_NO_THROW(parse_json(nest(max_json_depth)));
+    BOOST_CHECK_THROW(parse_json(nest(max_json_depth + 1)), error);
+    BOOST_CHECK_THROW(parse_json(nest(32700)), error);
+    BOOST_CHECK_THROW(parse_json("{\"a\": " + nest(max_json_depth) + "}"), error);
+    BOOST_CHECK_NO_THROW(parse_json("{\"a\\\"\": \"" + std::string(1000, '[') + "\"}"));
+    BOOST_CHECK_NO_THROW(parse_json(nest(max_json_depth + 1), max_json_depth + 1));
+    BOOST_CHECK_THROW(parse_json("{\"a\": "), error);
+    BOOST_CHECK_THROW(parse_json("\"\xff\xfe\""), error);
+}
+
 // Guards against a configuration that cannot be read after its trip between routers, and against input that
 // would fill the memory.
 BOOST_AUTO_TEST_CASE(compression_round_trip)
--- a/src/edge/internal/leader_recovery.cpp
+++ b/src/edge/internal/leader_recovery.cpp
@@ -28,7 +28,7 @@
         try
         {
             const auto text = co_await callbacks_.send(router.peer, question.dump(), answer_timeout);
-            const auto reply = json::parse(text);
+            const auto reply = decode_message(text);
             // A restarted router does not know what its former process granted.
             if (reply.value("incarnation", "") == router.incarnation)
             {
--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -151,7 +151,7 @@
                 asio::detached);
             co_return;
         }
-        catch (const core::error& failure)
+        catch (const std::exception& failure)
         {
             health_.on_failure(clock::now());
             log_.write("store failed", {{"step", "start of the leader"}, {"reason", failure.what()}});
@@ -310,7 +310,7 @@
         try
         {
             const auto text = co_await callbacks_.send(peer, std::move(message), push_timeout);
-            const auto reply = json::parse(text);
+            const auto reply = decode_message(text);
             if (reply.value("term", directory::generation()) > term_)
             {
                 callbacks_.on_deposed("a router follows a later leader");
--- a/src/edge/internal/leader_store.cpp
+++ b/src/edge/internal/leader_store.cpp
@@ -176,7 +176,7 @@
             }
             propagate_changes();
         }
-        catch (const core::error& failure)
+        catch (const std::exception& failure)
         {
             note_store_failure(health_, log_, "registry", failure);
             pause = store_retry;
@@ -220,7 +220,7 @@
             }
             propagate_changes();
         }
-        catch (const core::error& failure)
+        catch (const std::exception& failure)
         {
             note_store_failure(health_, log_, "configuration", failure);
             has_failed = true;
@@ -257,7 +257,7 @@
         }
         confirmation_.on_confirmed(clock::now());
     }
-    catch (const core::error& failure)
+    catch (const std::exception& failure)
     {
         note_store_failure(health_, log_, "leadership", failure);
     }
--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -295,7 +295,7 @@
     try
     {
         const auto text = co_await link->send_message(recipient.peer, message.dump(), report_timeout);
-        const auto reply = json::parse(text);
+        const auto reply = internal::decode_message(text);
         const auto kind = reply.value("kind", "");
         const bool is_superseded =
             kind == "update" && reply.at("term").get<directory::generation>() < promised_term;
--- a/src/edge/internal/member_deputy.cpp
+++ b/src/edge/internal/member_deputy.cpp
@@ -58,7 +58,7 @@
                 }
             }
         }
-        catch (const core::error&)
+        catch (const std::exception&)
         {
             // The deputy needs to know only whether the store serves this router.
             health.on_failure(clock::now());
--- a/src/edge/internal/member_election.cpp
+++ b/src/edge/internal/member_election.cpp
@@ -1,5 +1,6 @@
 #include "core/key_hash.hpp"
 #include "edge/internal/member_state.hpp"
+#include "edge/internal/peer_message.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -110,7 +111,8 @@
             [link = network, peer, text = question.dump(), result]() -> asio::awaitable<void> {
                 try
                 {
-                    const auto answer = json::parse(co_await link->send_message(peer, text, witness_timeout));
+                    const auto answer =
+                        internal::decode_message(co_await link->send_message(peer, text, witness_timeout));
                     result->is_seen = result->is_seen || answer.value("seen", false);
                 }
                 catch (const std::exception&)
--- a/src/edge/internal/peer_message.cpp
+++ b/src/edge/internal/peer_message.cpp
@@ -1,6 +1,7 @@
 #include "edge/internal/peer_message.hpp"
 
 #include "core/encoding.hpp"
+#include "core/json.hpp"
 
 namespace briarfold::edge::internal {
 
@@ -14,6 +15,8 @@
 constexpr std::size_t min_compressed_bytes = 2048;
 /// A configuration of 1,700 routes has 300 KB; the limit protects the memory of a small instance.
 constexpr std::size_t max_text_bytes = std::size_t{16} * 1024 * 1024;
+/// Messages hold values of rows inside other values.
+constexpr int max_depth = 2 * core::max_json_depth;
 
 } // namespace
 
@@ -30,9 +33,9 @@
 {
     if (bytes.empty() || bytes.front() != compressed_mark)
     {
-        return json::parse(bytes);
+        return core::parse_json(bytes, max_depth);
     }
-    return json::parse(core::decompress(std::string_view(bytes).substr(1), max_text_bytes));
+    return core::parse_json(core::decompress(std::string_view(bytes).substr(1), max_text_bytes), max_depth);
 }
 
 json position_to_json(const store::position& value)
@@ -52,7 +55,7 @@
 
 json unpack(const std::string& text)
 {
-    return json::parse(core::decompress(core::decode_base64(text), max_text_bytes));
+    return core::parse_json(core::decompress(core::decode_base64(text), max_text_bytes));
 }
 
 } // namespace briarfold::edge::internal
--- a/src/store/internal/store_json.cpp
+++ b/src/store/internal/store_json.cpp
@@ -1,5 +1,6 @@
 #include "store/internal/store_json.hpp"
 
+#include "core/json.hpp"
 #include "store/itable_store.hpp"
 
 #include <algorithm>
@@ -30,7 +31,14 @@
 
 nlohmann::json parse_body(std::string_view body)
 {
-    return checked([&] { return nlohmann::json::parse(body); });
+    try
+    {
+        return core::parse_json(body);
+    }
+    catch (const core::error& failure)
+    {
+        throw store_error("read table answer", "", failure.what());
+    }
 }
 
 row parse_row(const nlohmann::json& value)
--- a/standins/edge/metadata_store.cpp
+++ b/standins/edge/metadata_store.cpp
@@ -79,9 +79,14 @@
 }
 
 void metadata_store::put(const std::string& table, const std::string& key, const json& value)
+{
+    put_bytes(table, key, value.dump());
+}
+
+void metadata_store::put_bytes(const std::string& table, const std::string& key, const std::string& bytes)
 {
     ++version_;
-    write({table, key}, core::encode_base64(value.dump()));
+    write({table, key}, core::encode_base64(bytes));
     notify_feeds();
 }
 
--- a/standins/edge/metadata_store.hpp
+++ b/standins/edge/metadata_store.hpp
@@ -49,6 +49,8 @@
     std::int64_t version() const { return version_; }
     /// Writes a row as the operator or a backend server does.
     void put(const std::string& table, const std::string& key, const nlohmann::json& value);
+    /// Writes a row with any bytes, as another writer may.
+    void put_bytes(const std::string& table, const std::string& key, const std::string& bytes);
     void remove(const std::string& table, const std::string& key);
     /// Returns the value of a row, or nothing when it does not exist.
     std::optional<nlohmann::json> get(const std::string& table, const std::string& key) const;
--- a/standins/edge/tests/edge_cluster_tests.cpp
+++ b/standins/edge/tests/edge_cluster_tests.cpp
@@ -2,9 +2,31 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+#include <sstream>
+
 using namespace briarfold;
 using namespace briarfold::standins;
 
+namespace {
+
+/// Returns the ids of the backend servers for which any router was the front.
+std::set<std::string> servers_with_front(const edge_cluster& cluster)
+{
+    std::set<std::string> ids;
+    std::istringstream lines(cluster.log_text);
+    for (std::string line; std::getline(lines, line);)
+    {
+        if (line.find("\"event\":\"front taken\"") != std::string::npos)
+        {
+            ids.insert(nlohmann::json::parse(line).at("backend_server").get<std::string>());
+        }
+    }
+    return ids;
+}
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(edge_clusters)
 
 // Guards against a fault on the path of a request: registration, assignment, grants, forwarding, answers.
@@ -59,6 +81,61 @@
     check_exclusive_ownership(cluster);
 }
 
+// Guards against an entry of another writer that ends the routers, stops them from reading the registry, or
+// is taken for a backend server.
+BOOST_AUTO_TEST_CASE(odd_entries_of_the_registry_name_no_backend_server)
+{
+    edge_cluster cluster(3, 3);
+    BOOST_REQUIRE(cluster.await_ready());
+    const auto put_odd = [&](const std::string& id, const char* place, const nlohmann::json& value) {
+        auto registration = cluster.backends.front()->registration();
+        registration["address"] = "127.0.0.1:1";
+        registration[nlohmann::json::json_pointer(place)] = value;
+        cluster.store.put("servers", id, registration);
+    };
+    put_odd("odd-port", "/address", "127.0.0.1:70000");
+    put_odd("odd-port-0", "/address", "127.0.0.1:0");
+    put_odd("odd-capacity", "/info/capacity", 4294967298);
+    put_odd("odd-start", "/born", 18446744073709551615U);
+    put_odd("odd-warmup", "/status/warmup-left-ms", 1e300);
+    put_odd("odd-sequence", "/status/sequence", -1);
+    const std::string levels(30000, '[');
+    const std::string ends(30000, ']');
+    auto nested = cluster.backends.front()->registration();
+    nested["address"] = "127.0.0.1:1";
+    auto text = nested.dump();
+    text.back() = ',';
+    cluster.store.put_bytes("servers", "odd-depth", text + "\"extra\": " + levels + ends + "}");
+    cluster.store.put_bytes("servers", "odd-array", levels + ends);
+    cluster.store.put_bytes("servers", "odd-bytes", "\xff\xfe");
+    cluster.store.put_bytes("servers", "odd-null", "null");
+    cluster.run_for(1000);
+    // Its registration comes after the odd ones in the feed.
+    cluster.backends.push_back(std::make_unique<keyed_backend>(cluster.context.get_executor(),
+                                                               http::endpoint("127.0.0.1", 0), "later",
+                                                               "keyed", "a", 2, core::duration{20}));
+    cluster.store.put("servers", "later", cluster.backends.back()->registration());
+    cluster.run_for(2500);
+    cluster.start_load(6, 1500);
+    cluster.run_for(2000);
+    BOOST_CHECK_GT(success_ratio(cluster), 0.99);
+    // The next leader reads all entries at once.
+    const auto leader = find_leader(cluster);
+    cluster.nodes[leader]->kill();
+    cluster.run_for(500);
+    cluster.start_router(leader);
+    cluster.run_for(3500);
+    cluster.records.clear();
+    cluster.start_load(6, 1500);
+    cluster.run_for(2000);
+    BOOST_CHECK_GT(success_ratio(cluster), 0.99);
+    const auto used = servers_with_front(cluster);
+    BOOST_CHECK(used.contains("later"));
+    BOOST_CHECK_EQUAL(used.size(), cluster.backends.size());
+    check_invariants(cluster);
+    check_exclusive_ownership(cluster);
+}
+
 // Guards against keys without service after a router was lost while the store is unavailable.
 BOOST_AUTO_TEST_CASE(a_lost_router_is_replaced_while_the_store_is_unavailable)
 {
