Test that part of an answer counts as no answer

Reported by other operators: a backend server stopped in the middle of its head and closed, and clients got a 200 with an empty or short body. It does not happen here: every beginning of an answer with a length or in chunks, of the first and the second one of a connection, after an interim answer and for HEAD, ended by a close or a reset, makes the exchange fail and closes the connection. An answer without a length is whole only when its connection is closed, not when it is reset.

--- a/src/http/tests/http_tests.cpp
+++ b/src/http/tests/http_tests.cpp
@@ -160,6 +160,117 @@
     BOOST_TEST(exchange_without_end("", "HTTP/1.1 100 Continue\r\n\r\n") < max_written);
 }
 
+namespace {
+
+enum class ending
+{
+    closed,
+    reset
+};
+
+/// Answers the requests of one connection: each but the last with `earlier`, the last with `text`, after
+/// which the connection ends.
+asio::awaitable<void> answer_and_end(asio::ip::tcp::acceptor& acceptor, std::vector<std::string> earlier,
+                                     std::string text, ending kind)
+{
+    auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+    std::string input;
+    earlier.push_back(text);
+    for (const auto& answer : earlier)
+    {
+        const auto size = co_await asio::async_read_until(socket, asio::dynamic_buffer(input), "\r\n\r\n",
+                                                          asio::use_awaitable);
+        input.erase(0, size);
+        co_await asio::async_write(socket, asio::buffer(answer), asio::use_awaitable);
+    }
+    if (kind == ending::reset)
+    {
+        socket.set_option(asio::socket_base::linger(true, 0));
+    }
+    socket.close();
+}
+
+/// Sends as many requests as `earlier` has answers and one more, and returns the last answer; nullopt if it
+/// is not whole.
+std::optional<http::response> read_answer(const std::string& method, const std::vector<std::string>& earlier,
+                                          const std::string& text, ending kind)
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    std::optional<http::response> answer;
+    asio::co_spawn(context, answer_and_end(acceptor, earlier, text, kind), asio::detached);
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            http::client_connection connection(context.get_executor(),
+                                               {"127.0.0.1", acceptor.local_endpoint().port()});
+            co_await connection.connect(1000_ms);
+            for (std::size_t i = 0; i < earlier.size(); ++i)
+            {
+                co_await connection.exchange({method, "/", {}, ""}, 1000_ms);
+            }
+            try
+            {
+                answer = co_await connection.exchange({method, "/", {}, ""}, 1000_ms);
+            }
+            catch (const core::error&)
+            {
+                BOOST_CHECK(!connection.is_open());
+            }
+        },
+        asio::detached);
+    context.run();
+    return answer;
+}
+
+/// Checks that no part of `text` from its beginning counts as an answer, up to `first_whole` bytes.
+void check_parts(const std::string& method, const std::vector<std::string>& earlier, const std::string& text,
+                 std::size_t first_whole)
+{
+    for (std::size_t size = 0; size < first_whole; ++size)
+    {
+        for (const auto kind : {ending::closed, ending::reset})
+        {
+            const auto answer = read_answer(method, earlier, text.substr(0, size), kind);
+            BOOST_CHECK_MESSAGE(!answer, method << " got " << (answer ? answer->status : 0) << " with "
+                                                << (answer ? answer->body.size() : 0) << " bytes after "
+                                                << size << " of " << text.size());
+        }
+    }
+    BOOST_CHECK(read_answer(method, earlier, text, ending::closed).has_value());
+}
+
+} // namespace
+
+// Guards against an answer that ends in the middle of its head, a chunk or its body and is handed on as a
+// whole one with an empty or short body.
+BOOST_AUTO_TEST_CASE(part_of_an_answer_is_no_answer)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt: a1\r\n";
+    const auto counted = head + "Content-Length: 5\r\n\r\nwhole";
+    const auto chunked = head + "Transfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n2\r\nle\r\n0\r\n\r\n";
+    const auto interim = "HTTP/1.1 100 Continue\r\n\r\n" + counted;
+    check_parts("GET", {}, counted, counted.size());
+    check_parts("POST", {counted}, counted, counted.size());
+    check_parts("GET", {}, chunked, chunked.size());
+    check_parts("GET", {chunked}, chunked, chunked.size());
+    check_parts("GET", {}, interim, interim.size());
+    const auto only_head = head + "Content-Length: 5\r\n\r\n";
+    check_parts("HEAD", {}, only_head, only_head.size());
+}
+
+// Guards against an answer without a length that is cut off by a reset, or in its head, and counts as whole.
+BOOST_AUTO_TEST_CASE(answer_without_a_length_ends_with_its_connection)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt: a1\r\n\r\n";
+    const auto text = head + "whole";
+    check_parts("GET", {}, text, head.size());
+    BOOST_CHECK(!read_answer("GET", {}, text, ending::reset));
+    const auto answer = read_answer("GET", {}, text, ending::closed);
+    BOOST_REQUIRE(answer);
+    BOOST_CHECK_EQUAL(answer->body, "whole");
+}
+
 // Guards against a request that was read and handled, and whose connection was closed as idle before its
 // coroutine went on. Closes at every step of an exchange.
 BOOST_AUTO_TEST_CASE(closing_idle_connections_answers_requests_already_read)
