Close a connection of briarfold-router that carried a refusal

Measured: refused_request_is_sent_again_on_another_connection failed on the code before (one connection in place of two).

--- a/src/routing/internal/connection_pool.cpp
+++ b/src/routing/internal/connection_pool.cpp
@@ -172,7 +172,8 @@
     {
         auto response = co_await record->connection->exchange(message, left);
         auto result = check_answer(*record, std::move(response));
-        if (result.outcome == kind::lost)
+        // A late copy of a refusal would be taken for the answer when the same request is sent again.
+        if (result.outcome == kind::lost || result.outcome == kind::not_run)
         {
             record->connection->close();
         }
--- a/src/routing/tests/front_tests.cpp
+++ b/src/routing/tests/front_tests.cpp
@@ -108,6 +108,20 @@
     BOOST_TEST(f.target.counters.connections_opened == 2U);
 }
 
+// Guards against a second run of a request (guarantee G5): a late copy of its refusal was taken for the
+// answer to its next send.
+BOOST_AUTO_TEST_CASE(refused_request_is_sent_again_on_another_connection)
+{
+    fixture f([](http::request message, int attempt) -> asio::awaitable<http::response> {
+        co_return attempt == 1 ? refusal_answer(message, "shed") : echo_answer(message);
+    });
+    const auto first = f.send(make_request("POST", "r1"));
+    const auto second = outcome_of(first) == "answered" ? first : f.send(make_request("POST", "r1"));
+    BOOST_TEST(outcome_of(second) == "answered");
+    BOOST_TEST(f.backend.attempts == 2);
+    BOOST_TEST(f.target.counters.connections_opened == 2U);
+}
+
 // Guards against a second run of a non-idempotent request (guarantee G5), and against a missing retry of an
 // idempotent one.
 BOOST_AUTO_TEST_CASE(only_idempotent_requests_are_sent_again)
