Keep keys free that were freed during a write when the front changes

Cause: the answer to a write of assignments restores the keys as they were when the write began. Keys that were freed meanwhile stay withdrawn while the front is the same. A change of front takes freed keys out of the directory, so that they came back with the answer and were no longer withdrawn: the new front granted them, while the next write gave them to another backend server.

Change: a change of front takes the keys also out of the write in flight, unless they are to come back to the same backend server.

Measured: leader_states/keys_freed_during_a_write_do_not_come_back_to_a_new_front failed on the code before.

--- a/src/leader/internal/front_assignment.cpp
+++ b/src/leader/internal/front_assignment.cpp
@@ -160,6 +160,13 @@
     // Freed keys may be granted elsewhere as soon as the write is committed, which this leader may not learn.
     entry.keys = keyspace::set_difference(entry.keys, state.freed);
     entry.withdrawn = keyspace::set_difference(entry.withdrawn, state.freed);
+    if (const auto staged = in_flight_entries_.find(id); staged != in_flight_entries_.end())
+    {
+        // The write began before these keys were freed. Its answer must not give them to the new front, while
+        // the next write gives them to another backend server.
+        const auto moving = keyspace::set_difference(state.freed, state.next_keys);
+        staged->second.keys = keyspace::set_difference(staged->second.keys, moving);
+    }
     servers_by_front_[entry.front].erase(id);
     servers_by_front_[front].insert(id);
     const auto former = std::exchange(entry.front, front);
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -96,6 +96,36 @@
     BOOST_CHECK(entry("s0").keys.empty());
 }
 
+// Guards against two owners: keys that were freed during a write came back with its answer when the front had
+// changed meanwhile, and the new front granted them while the next write gave them to another owner.
+BOOST_AUTO_TEST_CASE(keys_freed_during_a_write_do_not_come_back_to_a_new_front)
+{
+    start(3);
+    const auto keys = entry("s0").keys;
+    const auto front = entry("s0").front;
+    auto leaving = make_server("s0");
+    leaving.is_draining = true;
+    state->on_registered(leaving, now);
+    advance(200);
+    BOOST_REQUIRE_EQUAL(keys.size(), 1U);
+    const auto middle = keys.front().first + keyspace::size(keys) / 2;
+    const keyspace::key_range lower{keys.front().first, middle};
+    const keyspace::key_range upper{middle + 1, keys.front().last};
+    report(front, {{"s0", lower, ""}});
+    BOOST_REQUIRE(!state->take_pending_rows().empty());
+    report(front, {{"s0", upper, ""}});
+    router_report stopping;
+    stopping.router = make_router(front, front == "r2" ? "b" : "a");
+    stopping.router.is_stopping = true;
+    state->on_report(stopping, now);
+    state->tick(now);
+    BOOST_REQUIRE(entry("s0").front != front);
+    state->on_written({0, ++version});
+    BOOST_CHECK(entry("s0").keys.empty());
+    BOOST_CHECK_GT(write(), 0U);
+    BOOST_CHECK_EQUAL(state->unassigned_keys(), 0U);
+}
+
 // Guards against freed keys reported by a router that is not the front any more.
 BOOST_AUTO_TEST_CASE(only_the_front_frees_keys)
 {
