Let keys that came back be freed again after a change of front

Keys could stay without service: after a change of front they went on counting as freed, also when they had come back to their backend server, so that a later report that they were free was ignored.

Change: a change of front takes the freed keys out of the directory and forgets that they were freed.

--- a/src/leader/internal/front_assignment.cpp
+++ b/src/leader/internal/front_assignment.cpp
@@ -167,6 +167,7 @@
         const auto moving = keyspace::set_difference(state.freed, state.next_keys);
         staged->second.keys = keyspace::set_difference(staged->second.keys, moving);
     }
+    state.freed.clear();
     servers_by_front_[entry.front].erase(id);
     servers_by_front_[front].insert(id);
     const auto former = std::exchange(entry.front, front);
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -126,6 +126,53 @@
     BOOST_CHECK_EQUAL(state->unassigned_keys(), 0U);
 }
 
+// Guards against keys without service: after a change of front they counted as freed although they had come
+// back to their backend server, so that they could not be taken from it again.
+BOOST_AUTO_TEST_CASE(keys_that_come_back_can_be_freed_again)
+{
+    start(2);
+    const auto keys = entry("s0").keys;
+    BOOST_REQUIRE_EQUAL(keys.size(), 1U);
+    const auto drain = [&](const std::string& id, bool is_draining, std::int64_t start_time_ms) {
+        auto server = make_server(id, id == "s0" ? "a" : "b");
+        server.is_draining = is_draining;
+        server.start_time_ms = start_time_ms;
+        state->on_registered(server, now);
+        advance(200);
+    };
+    const auto free_all = [&](const std::string& id) {
+        const auto withdrawn = entry(id).withdrawn;
+        for (const auto& range : withdrawn)
+        {
+            report(entry(id).front, {{id, range, ""}});
+        }
+    };
+    drain("s0", true, 1);
+    const auto front = entry("s0").front;
+    free_all("s0");
+    router_report stopping;
+    stopping.router = make_router(front, front == "r2" ? "b" : "a");
+    stopping.router.is_stopping = true;
+    state->on_report(stopping, now);
+    state->tick(now);
+    write();
+    BOOST_REQUIRE(entry("s0").keys.empty());
+    // s0 starts again and gets the keys of s1, which drains.
+    drain("s0", false, 2);
+    drain("s1", true, 1);
+    free_all("s1");
+    state->tick(now);
+    write();
+    BOOST_REQUIRE_EQUAL(keyspace::size(entry("s0").keys), keyspace::key_count);
+    drain("s1", false, 2);
+    drain("s0", true, 2);
+    free_all("s0");
+    state->tick(now);
+    write();
+    BOOST_CHECK(entry("s0").keys.empty());
+    BOOST_CHECK_EQUAL(keyspace::size(entry("s1").keys), keyspace::key_count);
+}
+
 // Guards against freed keys reported by a router that is not the front any more.
 BOOST_AUTO_TEST_CASE(only_the_front_frees_keys)
 {
