Reset the connection of an exchange that timed out

Cause: after a timeout the connection is to be reset, so that queued bytes are lost. But the stream of the library closes the socket itself at the timeout, before the code sets the option that makes a close reset, and the system goes on sending.

Change: the option is set when the connection is opened and taken back for a graceful close.

Measured: http/timed_out_exchange_resets_its_connection failed on the code before (the server read the end of the connection in place of a reset).

--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -31,7 +31,8 @@
     /// Throws core::connection_error or core::timeout_error.
     core::asio::awaitable<void> connect(core::duration timeout);
 
-    /// Sends the request and reads the whole final answer. An answer over the limits closes the connection.
+    /// Sends the request and reads the whole final answer. An answer over the limits closes the connection. A
+    /// failure resets it, so that a request that is still on its way is not delivered later.
     /// Throws core::connection_error or core::timeout_error; `has_sent_bytes` then tells whether any byte of
     /// the request may have left.
     core::asio::awaitable<response> exchange(const request& message, core::duration timeout);
--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -68,6 +68,9 @@
         const asio::ip::tcp::endpoint remote(asio::ip::make_address(s.peer.address), s.peer.port);
         co_await s.stream.async_connect(remote, asio::use_awaitable);
         s.stream.socket().set_option(asio::ip::tcp::no_delay(true));
+        // The stream closes the socket by itself at a timeout. Without a reset, the system would go on
+        // sending the request, and deliver it after a partition.
+        s.stream.socket().set_option(asio::socket_base::linger(true, 0));
         s.open = true;
         s.sent = false;
     }
@@ -153,16 +156,16 @@
 
 void client_connection::abort()
 {
+    state_->open = false;
     boost::system::error_code ignored;
-    state_->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
-    close();
+    state_->stream.socket().close(ignored);
 }
 
 void client_connection::close()
 {
-    state_->open = false;
     boost::system::error_code ignored;
-    state_->stream.socket().close(ignored);
+    state_->stream.socket().set_option(asio::socket_base::linger(false, 0), ignored);
+    abort();
 }
 
 const endpoint& client_connection::peer() const
--- a/src/http/tests/http_tests.cpp
+++ b/src/http/tests/http_tests.cpp
@@ -89,6 +89,43 @@
     });
 }
 
+// Guards against a call that timed out and is delivered when a partition heals, since its connection was
+// closed without a reset.
+BOOST_AUTO_TEST_CASE(timed_out_exchange_resets_its_connection)
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    boost::system::error_code end;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+            std::string input;
+            co_await asio::async_read(socket, asio::dynamic_buffer(input),
+                                      asio::redirect_error(asio::use_awaitable, end));
+        },
+        asio::detached);
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            http::client_connection connection(context.get_executor(),
+                                               {"127.0.0.1", acceptor.local_endpoint().port()});
+            co_await connection.connect(1000_ms);
+            try
+            {
+                co_await connection.exchange({"GET", "/", {}, ""}, 50_ms);
+                BOOST_ERROR("the exchange did not time out");
+            }
+            catch (const core::timeout_error&)
+            {
+                BOOST_CHECK(!connection.is_open());
+            }
+        },
+        asio::detached);
+    context.run();
+    BOOST_CHECK_EQUAL(end.message(), boost::system::error_code(asio::error::connection_reset).message());
+}
+
 namespace {
 
 /// Accepts one connection and writes `beginning` and then `repeated` until the caller closes. Returns the
