Name the backend server in grants and releases

Cause: a grant names no instance. The front checked that its connection was younger than the leader's confirmation, not who answers at the address, and took any listener there for the backend server.

Change: grants and releases carry the id that requests carry. The answer "misdirected" counts as not applied and as lost contact, and until the backend server itself answers, a connection to the address does not prove that it is there.

Measured: edge_clusters/keys_are_granted_only_to_their_owner failed on the code before (two backend servers held half of all keys).

--- a/src/edge/front_types.hpp
+++ b/src/edge/front_types.hpp
@@ -73,6 +73,8 @@
     bool is_grant_pending = false;
     std::optional<core::time_point> unreachable_since;
     core::time_point last_probe;
+    /// Whether another backend server answered a call at the address, so that a connection proves nothing.
+    bool is_replaced = false;
     bool is_removed = false;
 
     bool is_keyed() const { return grants.has_value(); }
--- a/src/edge/internal/front.cpp
+++ b/src/edge/internal/front.cpp
@@ -241,6 +241,7 @@
         server.control_link = std::make_shared<backend_link>(executor, entry.server.address, adapter);
         server.limit = dispatch::slot_limit(entry.server.slots);
         server.unreachable_since.reset();
+        server.is_replaced = false;
         estimate.forget(entry.server.id);
         callbacks.request_report();
     }
--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -59,7 +59,7 @@
         {
             run_grants(server);
         }
-        if (server->unreachable_since && now - server->last_probe >= probe_interval)
+        if (server->unreachable_since && !server->is_replaced && now - server->last_probe >= probe_interval)
         {
             server->last_probe = now;
             asio::co_spawn(executor, probe(server), asio::detached);
@@ -141,7 +141,8 @@
     // A late copy of another answer would be taken for the one to the release, and the keys would be granted
     // to another backend server while this one still works on them.
     const auto choice = is_grant ? connection_choice::idle : connection_choice::own;
-    auto result = co_await link->exchange(adapter.make_grant_request(call), "", timeout, nullptr, choice);
+    auto message = adapter.make_grant_request(call, server->entry.server.id);
+    auto result = co_await link->exchange(std::move(message), "", timeout, nullptr, choice);
     const auto now = clock::now();
     if (is_grant)
     {
@@ -151,7 +152,10 @@
     {
         co_return;
     }
-    const bool is_answered = result.outcome == exchange_outcome::answered;
+    // Another backend server that has the address now does not speak for this one.
+    const bool is_replaced = result.outcome == exchange_outcome::answered && result.head.is_misdirected;
+    const bool is_answered = result.outcome == exchange_outcome::answered && !is_replaced;
+    server->is_replaced = is_replaced || (server->is_replaced && !is_answered);
     const char* outcome = "lost";
     if (is_answered && result.answer.status == status_ok)
     {
@@ -172,6 +176,11 @@
         server->grants->on_superseded(call, now);
         callbacks.request_report();
     }
+    else if (is_replaced)
+    {
+        outcome = "misdirected";
+        server->grants->on_not_sent(call, now);
+    }
     else if (result.outcome != exchange_outcome::not_sent)
     {
         server->grants->on_lost(call, now);
@@ -180,7 +189,7 @@
     {
         server->grants->on_not_sent(call, now);
     }
-    record_contact(*server, is_answered, result.reason);
+    record_contact(*server, is_answered, is_replaced ? "another backend server answered" : result.reason);
     const auto line = [&]() -> nlohmann::json {
         return {{"backend_server", server->entry.server.id},
                 {"call", is_grant ? "grant" : "release"},
@@ -189,7 +198,7 @@
                 {"token", call.token},
                 {"hold_ms", call.valid_for.ms},
                 {"outcome", outcome},
-                {"status", is_answered ? result.answer.status : 0},
+                {"status", result.outcome == exchange_outcome::answered ? result.answer.status : 0},
                 {"elapsed_ms", result.elapsed.ms},
                 {"reason", result.reason}};
     };
--- a/src/edge/protocol.hpp
+++ b/src/edge/protocol.hpp
@@ -57,7 +57,10 @@
                                  const std::string& text)>
         make_refusal;
     std::function<bool(const http::request&)> is_readiness_probe;
-    std::function<http::request(const grants::grant_call&)> make_grant_request;
+    /// Returns the call that grants or releases keys. A backend server with another id answers that it is
+    /// misdirected.
+    std::function<http::request(const grants::grant_call&, const std::string& backend_server)>
+        make_grant_request;
     /// Returns the handover token in the answer to a release; empty when there is none.
     std::function<std::string(const http::response&)> read_handover;
     /// Parses a configuration. Throws core::error for a document that is not one.
--- a/standins/edge/keyed_backend.cpp
+++ b/standins/edge/keyed_backend.cpp
@@ -51,6 +51,12 @@
 
 asio::awaitable<http::response> keyed_backend::handle(http::request message)
 {
+    const bool is_control = message.target == "/-/grant" || message.target == "/-/release";
+    const auto expected = header_value(message, "Briarfold-Expected-Instance");
+    if (is_control && !expected.empty() && expected != id_)
+    {
+        co_return http::response(status_misdirected, {{"Briarfold-Not-Executed", "1"}});
+    }
     if (message.target == "/-/grant")
     {
         co_return grant(json::parse(message.body));
--- a/standins/edge/tests/edge_cluster_tests.cpp
+++ b/standins/edge/tests/edge_cluster_tests.cpp
@@ -256,6 +256,27 @@
     check_invariants(cluster);
 }
 
+// Guards against keys that are granted to whoever listens at the address of their owner: a backend server
+// that got the address of another one held keys that the other one still held.
+BOOST_AUTO_TEST_CASE(keys_are_granted_only_to_their_owner)
+{
+    edge_cluster cluster(2, 2);
+    BOOST_REQUIRE(cluster.await_ready());
+    auto registration = cluster.backends[0]->registration();
+    registration["address"] = cluster.backends[1]->registration().at("address");
+    cluster.store.put("servers", cluster.backends[0]->id(), registration);
+    cluster.run_for(3000);
+    check_exclusive_ownership(cluster);
+    check_rising_tokens(cluster);
+    // The owner is not there, so its keys go to the other one when their grants have ended.
+    cluster.run_for(6000);
+    cluster.start_load(4, 1000);
+    cluster.run_for(2000);
+    BOOST_CHECK_GT(success_ratio(cluster), 0.99);
+    check_invariants(cluster);
+    check_exclusive_ownership(cluster);
+}
+
 // Guards against requests that a stopping router accepts and can no longer answer: requests that take 1.5 s
 // arrive 0.7 s before the router ends.
 BOOST_AUTO_TEST_CASE(a_stopping_router_answers_all_accepted_requests)
