--- a/src/edge/backend_link.hpp
+++ b/src/edge/backend_link.hpp
@@ -71,10 +71,10 @@
     {}
 
     /// Sends the request and reads its answer. Reports failures of the peer in the result and never throws
-    /// for them. An answer with another id than `attempt_id` is a mismatch; messages without an id expect an
-    /// answer without one. `timeout` is the time left for the attempt: a second exchange with the same id
-    /// within it uses no connection on which the first one was not answered with a signed success, since a
-    /// late copy of that answer would be taken for the second one's.
+    /// for them. The id in the answer has to equal `attempt_id`; both are empty for messages without an id.
+    /// `timeout` is the time left for the attempt. While it lasts, the attempt is not sent again on a
+    /// connection on which it got anything but a signed success: a late copy of that answer would be taken
+    /// for the next one.
     core::asio::awaitable<exchange_result> exchange(http::request message, std::string attempt_id,
                                                     core::duration timeout,
                                                     std::shared_ptr<exchange_handle> handle,
@@ -90,7 +90,7 @@
     core::time_point connected_at() const { return connected_at_; }
 
 private:
-    /// Attempt that a connection carried and that may be sent again.
+    /// Attempt that a connection carried and that may be sent again until it ends.
     struct carried_attempt
     {
         std::string id;
--- a/src/edge/entry.hpp
+++ b/src/edge/entry.hpp
@@ -66,7 +66,7 @@
                                                 std::shared_ptr<core::cancellation> cancellation);
     core::asio::awaitable<wire::forward_result> send(request_context& context, destination to,
                                                      std::shared_ptr<core::cancellation> cancellation);
-    /// Whether the front said a moment ago that it ends before it could answer.
+    /// Whether the front refused a request within the last second because it ends before it could answer.
     bool is_stopping(const std::string& front, core::time_point now) const;
     /// Returns where to send the request, or nothing while no front can serve it.
     std::optional<destination> find_destination(const request_context& context) const;
@@ -99,7 +99,7 @@
     std::map<std::string, int> in_flight_by_group_;
     /// Longest deadline of all requests so far, by route: that of first attempts.
     std::map<std::string, core::duration> max_deadline_;
-    /// When fronts said that they end before they could answer.
+    /// Time at which a front last refused a request because it ends before it could answer.
     std::map<std::string, core::time_point> stopping_fronts_;
     std::list<core::asio::steady_timer*> waiting_;
     std::int64_t revision_ = 0;
--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -198,7 +198,7 @@
 {
     auto refusal = make_result(wire::outcome::refused_not_run, status_unavailable,
                                "the front ends before it could answer", "stopping");
-    // Another router becomes the front at the latest when this one has ended.
+    // Until this router has ended, possibly no other one can become the front.
     refusal.retry_after = std::max(*process_end - now, core::duration{0});
     return refusal;
 }
