Choose each port of a test cluster once

A case of edge_cluster failed once beside other work: "listen [127.0.0.1:23248]: Address already in use".

Cause: a cluster chose the ports of its routers at random among those that nobody listens on. A port that was chosen before and not yet listened on, such as the one for other routers, could be chosen again. Another test program can still take the same port in that time.

Change: a cluster chooses no port twice.

Measured: router_stop and three cases of edge_cluster pass; the failure is a race and was not reproduced.

--- a/standins/edge/tests/edge_cluster.hpp
+++ b/standins/edge/tests/edge_cluster.hpp
@@ -11,6 +11,7 @@
 #include <iostream>
 #include <memory>
 #include <random>
+#include <set>
 
 namespace briarfold::standins {
 
@@ -245,7 +246,8 @@
             core::asio::ip::tcp::acceptor acceptor(context, local.protocol());
             boost::system::error_code code;
             acceptor.bind(local, code);
-            if (!code)
+            // A port that was chosen before may not be listened on yet.
+            if (!code && chosen_ports_.insert(local.port()).second)
             {
                 return local.port();
             }
@@ -253,6 +255,7 @@
     }
 
     std::mt19937 random_{std::random_device{}()};
+    std::set<unsigned short> chosen_ports_;
 
     settings::edge_settings make_settings(std::size_t i)
     {
