Treat a front that restarted as a new front

Two backend servers can hold the same keys: a router that is killed and back within 1.3 s keeps its backend servers. Its new process starts from the directory of the leader and knows nothing of what the former one did.

Cause: only a change of front hid keys that were freed while a write was in flight, and raised the tokens. After a restart of the same router neither happened. The new process saw freed keys as withdrawn and, since grants of its former process counted as valid, granted them once more to fence these; meanwhile the write gave them to another backend server. Its tokens began at those of the former process again, so that a grant of that one which was applied late was not refused.

Change: a restart begins a new term of office like a change of front; both share the code.

--- a/src/leader/internal/front_assignment.cpp
+++ b/src/leader/internal/front_assignment.cpp
@@ -157,6 +157,17 @@
         // The former front may renew until it knows of the change or its confirmation expires.
         state.prior_grants_until = std::max(state.prior_grants_until, confirmed_grants_end(now));
     }
+    servers_by_front_[entry.front].erase(id);
+    servers_by_front_[front].insert(id);
+    const auto former = std::exchange(entry.front, front);
+    begin_term_of_office(id);
+    front_lost_at_[former] = entry.revision;
+}
+
+void leader_state::begin_term_of_office(const std::string& id)
+{
+    auto& entry = find_entry(id);
+    auto& state = entry_states_[id];
     // Freed keys may be granted elsewhere as soon as the write is committed, which this leader may not learn.
     entry.keys = keyspace::set_difference(entry.keys, state.freed);
     entry.withdrawn = keyspace::set_difference(entry.withdrawn, state.freed);
@@ -168,10 +179,8 @@
         staged->second.keys = keyspace::set_difference(staged->second.keys, moving);
     }
     state.freed.clear();
-    servers_by_front_[entry.front].erase(id);
-    servers_by_front_[front].insert(id);
-    const auto former = std::exchange(entry.front, front);
-    ++state.front_changes;
+    // At the maximum, a further change would reach into the tokens of the next owner.
+    state.front_changes = std::min(state.front_changes + 1, directory::max_front_changes);
     if (needs_new_generation(id))
     {
         mark_dirty(id);
@@ -179,7 +188,6 @@
     update_token_base(id);
     entry.front_token = entry.token_base;
     bump_revision(id);
-    front_lost_at_[former] = entry.revision;
     for (auto& item : state.withdrawals)
     {
         item.revision = entry.revision;
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -315,7 +315,7 @@
             {
                 auto& prior_grants_until = entry_states_[id].prior_grants_until;
                 prior_grants_until = std::max(prior_grants_until, until);
-                bump_revision(id);
+                begin_term_of_office(id);
             }
         }
     }
--- a/src/leader/tests/leader_fixture.hpp
+++ b/src/leader/tests/leader_fixture.hpp
@@ -64,6 +64,15 @@
         state->on_report(message, now);
     }
 
+    /// Registers a backend server of zone "a" as draining and lets its keys be withdrawn.
+    void drain(const std::string& id)
+    {
+        auto leaving = make_server(id);
+        leaving.is_draining = true;
+        state->on_registered(leaving, now);
+        advance(200);
+    }
+
     /// Advances the clock in steps of 100 ms; in each step the routers report and writes are committed.
     void advance(std::int64_t ms, const std::vector<std::string>& routers = {"r1", "r2", "r3"})
     {
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -126,6 +126,43 @@
     BOOST_CHECK_EQUAL(state->unassigned_keys(), 0U);
 }
 
+// Guards against two owners: a front that restarted during a write saw the keys that its former process had
+// freed as withdrawn, and granted them once more while the write gave them to another owner.
+BOOST_AUTO_TEST_CASE(a_restarted_front_does_not_see_freed_keys)
+{
+    start(3);
+    const auto keys = entry("s0").keys;
+    const auto front = entry("s0").front;
+    drain("s0");
+    BOOST_REQUIRE_EQUAL(keys.size(), 1U);
+    const auto middle = keys.front().first + keyspace::size(keys) / 2;
+    report(front, {{"s0", {keys.front().first, middle}, ""}});
+    BOOST_REQUIRE(!state->take_pending_rows().empty());
+    report(front, {{"s0", {middle + 1, keys.front().last}, ""}});
+    report(front, {}, {}, "2");
+    BOOST_REQUIRE_EQUAL(entry("s0").front, front);
+    BOOST_CHECK(entry("s0").keys.empty());
+    state->on_written({0, ++version});
+    BOOST_CHECK(entry("s0").keys.empty());
+    BOOST_CHECK_GT(write(), 0U);
+    BOOST_CHECK_EQUAL(state->unassigned_keys(), 0U);
+}
+
+// Guards against two owners: a grant of the former process that was applied late had the token of those of the
+// restarted one, so that the backend server took its keys back after their release.
+BOOST_AUTO_TEST_CASE(a_restarted_front_has_tokens_above_those_of_its_former_process)
+{
+    start(3);
+    const auto front = entry("s0").front;
+    const auto former = entry("s0");
+    report(front, {}, {}, "2");
+    BOOST_REQUIRE_EQUAL(entry("s0").front, front);
+    constexpr std::int64_t max_lost_calls = 4095;
+    BOOST_CHECK_GT(entry("s0").token_base, former.token_base + max_lost_calls);
+    BOOST_CHECK_EQUAL(entry("s0").front_token, entry("s0").token_base);
+    BOOST_CHECK_GT(entry("s0").revision, former.revision);
+}
+
 // Guards against keys without service: after a change of front they counted as freed although they had come
 // back to their backend server, so that they could not be taken from it again.
 BOOST_AUTO_TEST_CASE(keys_that_come_back_can_be_freed_again)
