Keep grants in mind when a backend server restarts under its id

Two backend servers can hold the same keys after one of them restarted under its id.

Cause: the registration of the new process reaches the front a second or so after the process does. By then the front has opened a connection to it and granted its keys. With the registration the front dropped all it knew of its grants, so that keys which were being withdrawn counted as free at once, without a release, and went to another backend server. A grant or a release in flight was dropped as well: its answer did not count, and neither did the possibility that it had been applied.

Change: a restart makes all keys due for a grant with a later token. Earlier grants count until they end or are released, a release is sent again, and a call on a former connection counts as lost.

Measured: server_grants_cases/keys_granted_to_a_restarted_backend_server_are_free_only_after_a_release and calls_in_flight_during_a_restart_free_no_keys fail before and pass now.

--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -148,10 +148,15 @@
     {
         server->is_grant_pending = false;
     }
-    if (link != server->control_link || server->is_removed)
+    if (server->is_removed)
     {
         co_return;
     }
+    if (link != server->control_link)
+    {
+        server->grants->on_lost(call, now);
+        co_return;
+    }
     // Another backend server that has the address now does not speak for this one.
     const bool is_replaced = result.outcome == exchange_outcome::answered && result.head.is_misdirected;
     const bool is_answered = result.outcome == exchange_outcome::answered && !is_replaced;
--- a/src/grants/internal/server_grants.cpp
+++ b/src/grants/internal/server_grants.cpp
@@ -94,10 +94,8 @@
     }
     if (entry.server.start_time_ms != start_time_ms_)
     {
-        // A restarted backend server holds no grants: those of its former process ended with it.
         start_time_ms_ = entry.server.start_time_ms;
-        ++token_step_;
-        ranges_.clear();
+        on_restarted(now);
     }
     std::ranges::for_each(entry.keys, [this](const auto& range) { split_at(range); });
     std::erase_if(ranges_,
@@ -123,6 +121,24 @@
     merge_adjacent();
 }
 
+void server_grants::on_restarted(core::time_point now)
+{
+    // The registration arrives late, so earlier calls may have reached the new process. Its grants are those
+    // of a later token, and a release that is in flight may be answered by either process.
+    token_step_ = std::min(token_step_ + 1, max_token_step);
+    for (auto& item : ranges_)
+    {
+        item.is_fenced = false;
+        item.renewed = {};
+        item.valid_until = now;
+        item.retry_at = now;
+        if (item.release == release_state::in_flight)
+        {
+            item.release = release_state::pending;
+        }
+    }
+}
+
 void server_grants::merge_adjacent()
 {
     std::ranges::sort(ranges_, {}, [](const range_state& item) { return item.range.first; });
--- a/src/grants/tests/server_grants_tests.cpp
+++ b/src/grants/tests/server_grants_tests.cpp
@@ -247,6 +247,47 @@
     BOOST_CHECK(freed.front().handover.empty());
 }
 
+// Guards against two owners: grants that had reached the new process of a restarted backend server before its
+// registration did were forgotten, so that withdrawn keys counted as free without a release.
+BOOST_AUTO_TEST_CASE(keys_granted_to_a_restarted_backend_server_are_free_only_after_a_release)
+{
+    auto entry = make_entry({{0, 99}});
+    server_grants grants(entry, now);
+    grant_all(grants);
+    entry.server.start_time_ms = 2;
+    entry.withdrawn = {{0, 99}};
+    grants.update(entry, now);
+    BOOST_CHECK(grants.freed(now).empty());
+    const auto release = next(grants);
+    BOOST_REQUIRE(release.kind == call_kind::release);
+    grants.on_released(release, "", now);
+    BOOST_CHECK_EQUAL(grants.freed(now).size(), 1U);
+}
+
+// Guards against two owners: a grant or a release that was in flight when the registration of a restart came
+// no longer counted, and the keys were free while the new process could still hold them or work on them.
+BOOST_AUTO_TEST_CASE(calls_in_flight_during_a_restart_free_no_keys)
+{
+    auto entry = make_entry({{0, 99}});
+    server_grants grants(entry, now);
+    const auto grant = next(grants);
+    entry.server.start_time_ms = 2;
+    entry.withdrawn = {{0, 99}};
+    grants.update(entry, now);
+    BOOST_CHECK(grants.freed(now).empty());
+    grants.on_lost(grant, now);
+    BOOST_CHECK(grants.freed(now).empty());
+    now = now + duration{150};
+    const auto release = next(grants);
+    BOOST_REQUIRE(release.kind == call_kind::release);
+    BOOST_CHECK_GT(release.token, grant.token);
+    entry.server.start_time_ms = 3;
+    grants.update(entry, now);
+    grants.on_released(release, "", now);
+    BOOST_CHECK(grants.freed(now).empty());
+    BOOST_CHECK_EQUAL(grants.freed(latest_grant_end(now, grant_duration)).size(), 1U);
+}
+
 // Guards against a restarted backend server that is served under the grants of its former process or gets a
 // grant with the same token.
 BOOST_AUTO_TEST_CASE(a_restarted_backend_server_gets_a_new_grant)
