Stop granting when a backend server knows a later front

Two backend servers can hold the same keys while a leader is cut off and a backend server restarts under its id.

Cause: a former front that follows a cut-off leader is confirmed for up to 14 s. The backend server rejects it, since it has seen the token of a later front, but the former front tries on several times a second. A backend server that restarts forgets its tokens and accepts the next try, although its keys have gone to another one meanwhile.

Change: a rejection says that a later front exists. The front grants nothing from then on until it is assigned anew, which gives it a later token, or until no earlier leader can confirm it any more.

Measured: server_grants_cases/a_superseded_front_grants_nothing_until_it_is_assigned_anew fails before (3 checks) and passes now.

--- a/src/grants/grant_timing.hpp
+++ b/src/grants/grant_timing.hpp
@@ -20,6 +20,9 @@
 constexpr core::duration grant_end_margin{150};
 /// A front renews grants only if the leader confirmed it within this time.
 constexpr core::duration max_confirmation_age{4000};
+/// Time for which a leader that misses a router goes on without the store, so that a router that is lost
+/// during an outage can be replaced. The bound of a new leader for earlier grants includes it.
+constexpr core::duration max_storeless_time{10000};
 
 /// Returns the latest end of a grant whose call arrived at `arrival` at the latest.
 constexpr core::time_point latest_grant_end(core::time_point arrival, core::duration valid_for)
--- a/src/grants/internal/server_grants.cpp
+++ b/src/grants/internal/server_grants.cpp
@@ -91,6 +91,7 @@
     {
         token_base_ = entry.token_base;
         token_step_ = 0;
+        superseded_until_ = {};
     }
     if (entry.server.start_time_ms != start_time_ms_)
     {
@@ -181,7 +182,7 @@
                               last_sequence_};
         }
     }
-    if (!may_grant)
+    if (!may_grant || now < superseded_until_)
     {
         return std::nullopt;
     }
@@ -250,6 +251,7 @@
 {
     clear_in_flight(call.range);
     token_step_ = std::min(token_step_ * 2 + 1, max_token_step);
+    superseded_until_ = now + max_storeless_time + max_confirmation_age;
     for (auto& item : ranges_)
     {
         if (keyspace::covers({call.range}, {item.range}))
@@ -382,6 +384,10 @@
     {
         if (item.release == release_state::none)
         {
+            if (now < superseded_until_)
+            {
+                continue;
+            }
             const bool is_renewed = item.is_granted && !may_fence(item, now);
             const auto due_at = is_renewed ? item.renewed + renewal_interval : now;
             due = std::min(due, std::max(due_at, item.retry_at));
--- a/src/grants/server_grants.hpp
+++ b/src/grants/server_grants.hpp
@@ -60,7 +60,9 @@
     /// while the front must not grant keys, so that only releases are returned.
     std::optional<grant_call> next_call(core::time_point now, bool may_grant, core::duration valid_for);
     void on_granted(const grant_call& call, core::time_point now);
-    /// Records that the backend server rejected the call because it has seen a higher token.
+    /// Records that the backend server rejected the call because it has seen a higher token, that of a later
+    /// front. Nothing is granted from then on until this front is assigned anew, or until nobody can confirm
+    /// this one any more that does not know of the other: a backend server that restarts forgets the token.
     void on_superseded(const grant_call& call, core::time_point now);
     void on_released(const grant_call& call, const std::string& handover, core::time_point now);
     /// Records that the call was not sent because no connection was open.
@@ -133,6 +135,7 @@
     std::int64_t token_base_ = 0;
     std::int64_t front_token_ = 0;
     std::int64_t token_step_ = 0;
+    core::time_point superseded_until_;
     std::int64_t last_sequence_ = 0;
     std::vector<range_state> ranges_;
 };
--- a/src/grants/tests/server_grants_tests.cpp
+++ b/src/grants/tests/server_grants_tests.cpp
@@ -288,6 +288,34 @@
     BOOST_CHECK_EQUAL(grants.freed(latest_grant_end(now, grant_duration)).size(), 1U);
 }
 
+// Guards against two owners: a former front that is cut off from the leader went on trying after the backend
+// server had rejected it, and got the keys when that one restarted and knew no tokens any more.
+BOOST_AUTO_TEST_CASE(a_superseded_front_grants_nothing_until_it_is_assigned_anew)
+{
+    auto entry = make_entry({{0, 99}});
+    server_grants grants(entry, now);
+    grant_all(grants);
+    now = now + renewal_interval;
+    grants.on_superseded(next(grants), now);
+    BOOST_CHECK(!grants.may_send(5, now));
+    now = now + max_storeless_time;
+    BOOST_CHECK(!grants.next_call(now, true, grant_duration));
+    BOOST_CHECK(grants.next_due(now) > now);
+    entry.token_base = 200;
+    grants.update(entry, now);
+    BOOST_CHECK_GE(next(grants).token, 200);
+}
+
+// Guards against keys that stay without service after a rejection that nobody repeats.
+BOOST_AUTO_TEST_CASE(a_superseded_front_tries_again_when_no_earlier_leader_can_confirm_it)
+{
+    server_grants grants(make_entry({{0, 99}}), now);
+    const auto rejected = next(grants);
+    grants.on_superseded(rejected, now);
+    now = now + max_storeless_time + max_confirmation_age;
+    BOOST_CHECK_GT(next(grants).token, rejected.token);
+}
+
 // Guards against a restarted backend server that is served under the grants of its former process or gets a
 // grant with the same token.
 BOOST_AUTO_TEST_CASE(a_restarted_backend_server_gets_a_new_grant)
--- a/src/leader/leadership_confirmation.hpp
+++ b/src/leader/leadership_confirmation.hpp
@@ -1,7 +1,7 @@
 /// Until when a leader may confirm the assignments of the routers. Does no I/O and reads no clock.
 #pragma once
 
-#include "core/clock.hpp"
+#include "grants/grant_timing.hpp"
 
 namespace briarfold::leader {
 
@@ -10,9 +10,7 @@
 class leadership_confirmation
 {
 public:
-    /// Time for which a leader that misses a router goes on without the store, so that a router that is lost
-    /// during an outage can be replaced. The bound of a new leader for earlier grants includes it.
-    static constexpr core::duration max_storeless_time{10000};
+    static constexpr core::duration max_storeless_time = grants::max_storeless_time;
 
     explicit leadership_confirmation(core::time_point now) : confirmed_at_(now) {}
 
