Let the next leader count the routers that the former one lost

A leader that is cut off from the store can go on granting keys for as long as the cut lasts, while another one assigns them to other backend servers.

Cause: without the store a leader goes on for more than 10 s only while every router that it has known in its term follows it. It starts its term with the routers of its directory, and routers that its predecessor had lost are not in there. So two routers of five, cut off together, were "all routers" for each other.

Change: the directory names the routers that were lost in the last minute, and the next leader counts them as missing until they report.

Measured: leader_states/routers_that_the_former_leader_lost_count_for_the_next_one fails when the names are not taken over, and passes now.

--- a/src/directory/directory_types.hpp
+++ b/src/directory/directory_types.hpp
@@ -108,6 +108,8 @@
     /// Routers that read the store besides the leader, in other zones than the leader if possible. The first
     /// one takes over from a leader that cannot read the store.
     std::vector<std::string> deputies;
+    /// Routers that were lost lately without notice: they may be cut off, and follow or elect another leader.
+    std::vector<std::string> lost_routers;
     /// Longest time, from receipt, for which keys without a holder may be held by a backend server that is
     /// not known. Zero when the directory shows all holders.
     core::duration withheld_remaining;
--- a/src/directory/internal/directory_json.cpp
+++ b/src/directory/internal/directory_json.cpp
@@ -121,6 +121,7 @@
                    {"rev", value.changed.revision},
                    {"leader", value.changed.leader},
                    {"deputies", value.changed.deputies},
+                   {"lost", value.changed.lost_routers},
                    {"withheld_ms", value.changed.withheld_remaining.ms},
                    {"entries", std::move(entries)},
                    {"removed", value.removed},
@@ -147,6 +148,8 @@
     result.changed.revision = value.at("rev").get<std::int64_t>();
     result.changed.leader = value.at("leader").get<std::string>();
     result.changed.deputies = value.at("deputies").get<std::vector<std::string>>();
+    // Routers of earlier releases do not tell.
+    result.changed.lost_routers = value.value("lost", std::vector<std::string>());
     result.changed.withheld_remaining.ms = value.at("withheld_ms").get<std::int64_t>();
     result.removed = value.at("removed").get<std::vector<std::string>>();
     for (const auto& item : value.at("entries"))
--- a/src/directory/internal/update.cpp
+++ b/src/directory/internal/update.cpp
@@ -21,6 +21,7 @@
     change.changed.routers_revision = current.routers_revision;
     change.changed.leader = current.leader;
     change.changed.deputies = current.deputies;
+    change.changed.lost_routers = current.lost_routers;
     for (const auto& [name, at] : changes.routers)
     {
         if (at <= revision)
@@ -66,6 +67,7 @@
     current.revision = std::max(current.revision, change.changed.revision);
     current.leader = change.changed.leader;
     current.deputies = change.changed.deputies;
+    current.lost_routers = change.changed.lost_routers;
     current.withheld_remaining = change.changed.withheld_remaining;
     // An older update that arrives late must not restore former states of routers.
     if (change.has_routers() && change.changed.routers_revision >= current.routers_revision)
--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -137,6 +137,10 @@
                 state_->load_router(router, clock::now());
                 followers_[name] = {};
             }
+            for (const auto& name : former.lost_routers)
+            {
+                state_->load_lost_router(name, clock::now());
+            }
             const auto config_position = co_await read_config();
             const auto registry_position = co_await read_registry();
             is_started_ = true;
--- a/src/leader/internal/front_assignment.cpp
+++ b/src/leader/internal/front_assignment.cpp
@@ -46,11 +46,29 @@
         on_decision_("router lost", name, {{"silent_ms", (now - peers_[name].last_report).ms}});
         if (!published_.routers.at(name).is_stopping)
         {
-            lost_routers_.insert(name);
+            lost_routers_[name] = now;
         }
         published_.routers.erase(name);
         bump_router_revision(name);
     }
+    publish_lost_routers(now);
+}
+
+void leader_state::publish_lost_routers(core::time_point now)
+{
+    std::vector<std::string> names;
+    for (const auto& [name, since] : lost_routers_)
+    {
+        if (now - since < settings_.lost_router_memory)
+        {
+            names.push_back(name);
+        }
+    }
+    if (published_.lost_routers != names)
+    {
+        published_.lost_routers = std::move(names);
+        ++published_.revision;
+    }
 }
 
 leader_state::front_tally leader_state::tally_fronts() const
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -170,6 +170,14 @@
     }
 }
 
+void leader_state::load_lost_router(const std::string& name, core::time_point now)
+{
+    if (name != self_ && !published_.routers.contains(name))
+    {
+        lost_routers_.try_emplace(name, now);
+    }
+}
+
 std::string leader_state::row_name(const std::string& id) const
 {
     return published_.entries.at(id).server.service + "/" +
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -35,6 +35,9 @@
     /// Time in which a backend server whose registration is gone may register again. After an outage of the
     /// store, lapsed registrations are back within about 2 s.
     core::duration reregistration_grace{2200};
+    /// Time for which a next leader also waits for a router that is lost. One that is gone for good must not
+    /// count for ever.
+    core::duration lost_router_memory{60000};
     /// Time for which a front that is cut off from the leader may still renew grants.
     core::duration max_confirmation_age = grants::max_confirmation_age;
     /// Longest duration of a grant.
@@ -57,6 +60,8 @@
     /// `tick`.
     void load_row(const assignment_row& row, core::time_point now);
     void load_router(const directory::router& known, core::time_point now);
+    /// Restores the routers that the former leader missed. Call after `load_router` for all others.
+    void load_lost_router(const std::string& name, core::time_point now);
     /// Names the routers that led before and may go on leading until they report to this one or restart. Call
     /// before `load_row`.
     void set_former_leaders(std::vector<directory::router> former);
@@ -103,7 +108,8 @@
     bool knows_its_fronts(const std::string& router, std::int64_t revision) const;
     bool is_alive(const std::string& router, core::time_point now) const;
     /// Whether every router that was known in this term reports to this leader. Lost routers leave the
-    /// directory but still count, until they report again; those that announced their stop do not.
+    /// directory but still count, until they report again; those that announced their stop do not. Routers
+    /// that the former leader lost shortly before count as well.
     bool do_all_routers_follow(core::time_point now) const;
     /// Whether, besides, each of them has reported since `since`.
     bool have_all_reported(core::time_point since, core::time_point now) const;
@@ -170,6 +176,7 @@
     core::time_point former_grants_end(core::time_point now) const;
     void withdraw(const std::string& id, const keyspace::key_set& keys, const char* reason);
     void remove_lost_routers(core::time_point now);
+    void publish_lost_routers(core::time_point now);
     void assign_fronts(core::time_point now);
     struct front_move
     {
@@ -245,7 +252,8 @@
     std::map<std::string, std::set<std::string>> in_flight_rows_;
     std::map<std::string, std::set<std::string>> dirty_rows_;
     std::vector<directory::router> former_leaders_;
-    std::set<std::string> lost_routers_;
+    /// Since when routers are missed.
+    std::map<std::string, core::time_point> lost_routers_;
     /// Until then, keys without a holder are not assigned: a backend server that is not known may hold them.
     core::time_point withheld_until_;
     core::time_point started_;
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -309,6 +309,40 @@
     BOOST_CHECK(!state->do_all_routers_follow(now));
 }
 
+// Guards against a cut-off leader that goes on without the store because it never knew the routers that its
+// predecessor had lost.
+BOOST_AUTO_TEST_CASE(routers_that_the_former_leader_lost_count_for_the_next_one)
+{
+    start(2);
+    advance(3000, {"r1", "r2"});
+    const auto known = state->current();
+    BOOST_CHECK(known.lost_routers == std::vector<std::string>{"r3"});
+    directory::snapshot follower;
+    const auto update = directory::update_from_json(directory::to_json(state->update_for({}, 0, now)));
+    BOOST_REQUIRE(directory::apply(follower, update));
+    restart(1000);
+    for (const auto& [name, router] : follower.routers)
+    {
+        state->load_router(router, now);
+    }
+    std::ranges::for_each(follower.lost_routers,
+                          [this](const auto& name) { state->load_lost_router(name, now); });
+    advance(500, {"r1", "r2"});
+    BOOST_CHECK(!state->do_all_routers_follow(now));
+    report("r3");
+    BOOST_CHECK(state->do_all_routers_follow(now));
+}
+
+// Guards against a router that is gone for good and keeps all later leaders from going on without the store.
+BOOST_AUTO_TEST_CASE(a_router_that_was_lost_long_ago_does_not_count_for_the_next_leader)
+{
+    start(2);
+    advance(3000, {"r1", "r2"});
+    advance(leader_settings().lost_router_memory.ms, {"r1", "r2"});
+    BOOST_CHECK(state->current().lost_routers.empty());
+    BOOST_CHECK(!state->do_all_routers_follow(now));
+}
+
 // Guards against a silent front that keeps its backend servers. Another front gets them without a write, with
 // a higher token and with the time for which grants of the silent front may still be valid.
 BOOST_AUTO_TEST_CASE(a_silent_front_is_replaced_without_a_write)
