Stop confirming fronts on a leader that most routers have left

Two backend servers can hold the same keys: a leader is cut off from the store together with a few routers, and a backend server restarts under its id.

Cause: without the store a leader confirms for 10 s, also fronts that open a connection only now. A connection to a process that has restarted reaches one that knows no tokens, so that nothing refuses the grants of a front whose leader was replaced.

Change: without the store, a leader with fewer than half of its routers confirms nothing later than the moment at which it became isolated. A leader that misses fewer routers goes on for 10 s as before, so that a lost front is replaced during an outage of the store.

Measured: leadership_confirmation_tests/an_isolated_leader_confirms_nothing_new_without_the_store is new with the method that it tests.

--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -195,6 +195,7 @@
         last_tick_ = now;
         state_->set_report_interval(report_interval());
         state_->tick(now);
+        confirmation_.on_isolation(state_->is_isolated(now), now);
     }
     if (!is_writing_ && is_rewrite_due())
     {
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -233,6 +233,14 @@
             }));
 }
 
+bool leader_state::is_isolated(core::time_point now) const
+{
+    const auto& routers = published_.routers;
+    const auto alive = static_cast<std::size_t>(
+        std::ranges::count_if(routers, [&](const auto& item) { return is_alive(item.first, now); }));
+    return 2 * alive < routers.size() + published_.lost_routers.size();
+}
+
 void leader_state::set_report_interval(core::duration interval)
 {
     constexpr std::int64_t reports_until_lost = 3;
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -113,6 +113,8 @@
     bool do_all_routers_follow(core::time_point now) const;
     /// Whether, besides, each of them has reported since `since`.
     bool have_all_reported(core::time_point since, core::time_point now) const;
+    /// Whether fewer than half of the routers follow this leader. Those that were lost lately count.
+    bool is_isolated(core::time_point now) const;
     /// Returns the number of keys of keyed services that no backend server of the directory holds.
     std::size_t unassigned_keys() const;
 
--- a/src/leader/leadership_confirmation.hpp
+++ b/src/leader/leadership_confirmation.hpp
@@ -3,6 +3,8 @@
 
 #include "grants/grant_timing.hpp"
 
+#include <optional>
+
 namespace briarfold::leader {
 
 /// Limits the time for which a leader that cannot reach the store goes on. Situation: a leader is cut off
@@ -17,14 +19,19 @@
     /// Records that the store showed the leadership to be undisputed.
     void on_confirmed(core::time_point now) { confirmed_at_ = now; }
     core::time_point confirmed_at() const { return confirmed_at_; }
+    /// Records whether fewer than half of the routers follow this leader.
+    void on_isolation(bool is_isolated, core::time_point now);
 
     /// Returns when the leadership was last undisputed. `all_routers_follow` is whether every router that
-    /// this leader has ever known follows it: the others may follow another leader.
+    /// this leader has ever known follows it: the others may follow another leader. An isolated leader confirms
+    /// nothing without the store, since a connection to a backend server that is opened now may reach a process
+    /// that knows no tokens of the other leader's fronts.
     core::time_point undisputed_at(core::time_point now, bool all_routers_follow,
                                    bool is_store_failing) const;
 
 private:
     core::time_point confirmed_at_;
+    std::optional<core::time_point> isolated_since_;
 };
 
 } // namespace briarfold::leader
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -333,6 +333,19 @@
     BOOST_CHECK(state->do_all_routers_follow(now));
 }
 
+// Guards against a leader that takes itself for isolated while most routers follow it, and the reverse.
+BOOST_AUTO_TEST_CASE(a_leader_is_isolated_when_fewer_than_half_of_the_routers_follow)
+{
+    start(2);
+    BOOST_CHECK(!state->is_isolated(now));
+    advance(3000, {"r1", "r2"});
+    BOOST_CHECK(!state->is_isolated(now));
+    advance(3000, {"r1"});
+    BOOST_CHECK(state->is_isolated(now));
+    report("r3");
+    BOOST_CHECK(!state->is_isolated(now));
+}
+
 // Guards against a router that is gone for good and keeps all later leaders from going on without the store.
 BOOST_AUTO_TEST_CASE(a_router_that_was_lost_long_ago_does_not_count_for_the_next_leader)
 {
--- a/src/leader/tests/leadership_confirmation_tests.cpp
+++ b/src/leader/tests/leadership_confirmation_tests.cpp
@@ -24,6 +24,23 @@
     BOOST_CHECK(confirmation.undisputed_at(start + minute, false, true) == limit);
 }
 
+// Guards against two owners: a leader that was cut off with few routers let them open connections to backend
+// servers, one of which had restarted and knew no tokens of the other leader's fronts.
+BOOST_AUTO_TEST_CASE(an_isolated_leader_confirms_nothing_new_without_the_store)
+{
+    const time_point start{1000000};
+    leadership_confirmation confirmation(start);
+    const auto cut = start + duration{2000};
+    const auto later = start + duration{3000};
+    confirmation.on_isolation(true, cut);
+    BOOST_CHECK(confirmation.undisputed_at(later, false, false) == later);
+    BOOST_CHECK(confirmation.undisputed_at(later, false, true) == cut);
+    confirmation.on_isolation(true, later);
+    BOOST_CHECK(confirmation.undisputed_at(later, false, true) == cut);
+    confirmation.on_isolation(false, later);
+    BOOST_CHECK(confirmation.undisputed_at(later, false, true) == later);
+}
+
 // Guards against an outage of the store that ends the service although no router is missing.
 BOOST_AUTO_TEST_CASE(a_leader_that_all_routers_follow_goes_on_without_the_store)
 {
