Confirm no front after a pause before the leadership is looked up

Two backend servers can hold the same keys: a leader that stood still for some seconds confirms a front, and assigns new ones, before it notices that it was replaced.

Change: a leader that did not run for more than 1 s confirms nothing later than its last tick until the store has confirmed it, or until all routers follow it, and it asks the store at once.

Measured: leadership_confirmation_tests/a_leader_that_stood_still_confirms_nothing_until_it_is_confirmed is new with the method that it tests.

--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -35,8 +35,6 @@
 /// them.
 constexpr core::duration update_lifetime{100};
 constexpr core::duration write_interval{60};
-/// The leadership is checked in the store when no write has confirmed it for this time.
-constexpr core::duration leadership_check{4000};
 constexpr core::duration push_timeout{700};
 /// Pushes at the same time. After a start or a change of leader every router needs the whole directory; sent
 /// to all at once, it would delay the leader's answers to reports until they time out.
@@ -195,7 +193,7 @@
         last_tick_ = now;
         state_->set_report_interval(report_interval());
         state_->tick(now);
-        confirmation_.on_isolation(state_->is_isolated(now), now);
+        confirmation_.on_tick(state_->is_isolated(now), now);
     }
     if (!is_writing_ && is_rewrite_due())
     {
@@ -393,7 +391,7 @@
         state_->choose_deputies(clock::now());
         propagate_changes();
         offer_to_stronger_deputy();
-        if (clock::now() - confirmation_.confirmed_at() > leadership_check && !is_writing_)
+        if (confirmation_.is_check_due(clock::now()) && !is_writing_)
         {
             co_await check_leadership();
         }
--- a/src/leader/internal/leadership_confirmation.cpp
+++ b/src/leader/internal/leadership_confirmation.cpp
@@ -4,8 +4,29 @@
 
 namespace briarfold::leader {
 
-void leadership_confirmation::on_isolation(bool is_isolated, core::time_point now)
+namespace {
+
+/// The leadership is checked in the store when no write has confirmed it for this time.
+constexpr core::duration check_interval{4000};
+/// A leader that is silent for longer may be replaced.
+constexpr core::duration max_pause{1000};
+
+} // namespace
+
+void leadership_confirmation::on_confirmed(core::time_point now)
+{
+    confirmed_at_ = now;
+    last_tick_ = now;
+    stood_still_since_.reset();
+}
+
+void leadership_confirmation::on_tick(bool is_isolated, core::time_point now)
 {
+    if (now - last_tick_ > max_pause && !stood_still_since_)
+    {
+        stood_still_since_ = last_tick_;
+    }
+    last_tick_ = now;
     if (!is_isolated)
     {
         isolated_since_.reset();
@@ -16,18 +37,28 @@
     }
 }
 
+bool leadership_confirmation::is_check_due(core::time_point now) const
+{
+    return stood_still_since_ || now - confirmed_at_ > check_interval;
+}
+
 core::time_point leadership_confirmation::undisputed_at(core::time_point now, bool all_routers_follow,
                                                         bool is_store_failing) const
 {
+    const auto limit = is_store_failing && all_routers_follow
+                           ? now
+                           : std::min(now, confirmed_at_ + max_storeless_time);
     if (is_store_failing && isolated_since_)
     {
-        return std::min(std::max(*isolated_since_, confirmed_at_), confirmed_at_ + max_storeless_time);
+        return std::min(limit, std::max(*isolated_since_, confirmed_at_));
     }
-    if (now - confirmed_at_ < max_storeless_time)
+    const bool stands_still = now - last_tick_ > max_pause;
+    if (stood_still_since_ || stands_still)
     {
-        return now;
+        const auto last_run = stood_still_since_.value_or(last_tick_);
+        return all_routers_follow ? limit : std::min(limit, std::max(last_run, confirmed_at_));
     }
-    return is_store_failing && all_routers_follow ? now : confirmed_at_ + max_storeless_time;
+    return limit;
 }
 
 } // namespace briarfold::leader
--- a/src/leader/leadership_confirmation.hpp
+++ b/src/leader/leadership_confirmation.hpp
@@ -14,24 +14,32 @@
 public:
     static constexpr core::duration max_storeless_time = grants::max_storeless_time;
 
-    explicit leadership_confirmation(core::time_point now) : confirmed_at_(now) {}
+    explicit leadership_confirmation(core::time_point now) : confirmed_at_(now), last_tick_(now) {}
 
     /// Records that the store showed the leadership to be undisputed.
-    void on_confirmed(core::time_point now) { confirmed_at_ = now; }
+    void on_confirmed(core::time_point now);
     core::time_point confirmed_at() const { return confirmed_at_; }
-    /// Records whether fewer than half of the routers follow this leader.
-    void on_isolation(bool is_isolated, core::time_point now);
+    /// Records that this process runs, and whether fewer than half of the routers follow this leader. Call
+    /// several times a second.
+    void on_tick(bool is_isolated, core::time_point now);
+    /// Whether the leadership should be looked up in the store, because that was long ago or because this
+    /// process stood still.
+    bool is_check_due(core::time_point now) const;
 
     /// Returns when the leadership was last undisputed. `all_routers_follow` is whether every router that
     /// this leader has ever known follows it: the others may follow another leader. An isolated leader confirms
     /// nothing without the store, since a connection to a backend server that is opened now may reach a process
-    /// that knows no tokens of the other leader's fronts.
+    /// that knows no tokens of the other leader's fronts. Neither does a leader that stood still, until the
+    /// store or all routers show that nobody has replaced it.
     core::time_point undisputed_at(core::time_point now, bool all_routers_follow,
                                    bool is_store_failing) const;
 
 private:
     core::time_point confirmed_at_;
+    core::time_point last_tick_;
     std::optional<core::time_point> isolated_since_;
+    /// When this process last ran before it stood still.
+    std::optional<core::time_point> stood_still_since_;
 };
 
 } // namespace briarfold::leader
--- a/src/leader/tests/leadership_confirmation_tests.cpp
+++ b/src/leader/tests/leadership_confirmation_tests.cpp
@@ -11,16 +11,28 @@
 
 constexpr duration minute{60000};
 
+/// Ticks without a pause from one moment to the other.
+void run(leadership_confirmation& confirmation, time_point from, time_point until, bool is_isolated)
+{
+    constexpr duration interval{50};
+    for (auto now = from; now <= until; now = now + interval)
+    {
+        confirmation.on_tick(is_isolated, now);
+    }
+}
+
 } // namespace
 
 // Guards against a cut-off leader that confirms itself for ever.
 BOOST_AUTO_TEST_CASE(a_leader_without_the_store_and_without_a_router_stops_confirming)
 {
     const time_point start{1000000};
-    const leadership_confirmation confirmation(start);
+    leadership_confirmation confirmation(start);
     const auto limit = start + leadership_confirmation::max_storeless_time;
     const auto before = limit - duration{1};
+    run(confirmation, start, before, false);
     BOOST_CHECK(confirmation.undisputed_at(before, false, true) == before);
+    run(confirmation, before, start + minute, false);
     BOOST_CHECK(confirmation.undisputed_at(start + minute, false, true) == limit);
 }
 
@@ -32,15 +44,33 @@
     leadership_confirmation confirmation(start);
     const auto cut = start + duration{2000};
     const auto later = start + duration{3000};
-    confirmation.on_isolation(true, cut);
+    run(confirmation, start, cut, false);
+    run(confirmation, cut, later, true);
     BOOST_CHECK(confirmation.undisputed_at(later, false, false) == later);
     BOOST_CHECK(confirmation.undisputed_at(later, false, true) == cut);
-    confirmation.on_isolation(true, later);
-    BOOST_CHECK(confirmation.undisputed_at(later, false, true) == cut);
-    confirmation.on_isolation(false, later);
+    confirmation.on_tick(false, later);
     BOOST_CHECK(confirmation.undisputed_at(later, false, true) == later);
 }
 
+// Guards against two owners: a leader that had stood still and was replaced meanwhile confirmed its fronts
+// before it had asked the store.
+BOOST_AUTO_TEST_CASE(a_leader_that_stood_still_confirms_nothing_until_it_is_confirmed)
+{
+    const time_point start{1000000};
+    leadership_confirmation confirmation(start);
+    const auto frozen = start + duration{2000};
+    const auto thawed = start + duration{8000};
+    run(confirmation, start, frozen, false);
+    BOOST_CHECK(!confirmation.is_check_due(frozen));
+    BOOST_CHECK(confirmation.undisputed_at(thawed, false, false) == frozen);
+    confirmation.on_tick(false, thawed);
+    BOOST_CHECK(confirmation.undisputed_at(thawed, false, false) == frozen);
+    BOOST_CHECK(confirmation.is_check_due(thawed));
+    BOOST_CHECK(confirmation.undisputed_at(thawed, true, true) == thawed);
+    confirmation.on_confirmed(thawed);
+    BOOST_CHECK(confirmation.undisputed_at(thawed, false, false) == thawed);
+}
+
 // Guards against an outage of the store that ends the service although no router is missing.
 BOOST_AUTO_TEST_CASE(a_leader_that_all_routers_follow_goes_on_without_the_store)
 {
@@ -48,5 +78,6 @@
     leadership_confirmation confirmation(start);
     confirmation.on_confirmed(start + duration{1000});
     const auto now = start + minute;
+    run(confirmation, start, now, false);
     BOOST_CHECK(confirmation.undisputed_at(now, true, true) == now);
 }
