Count a confirmation by the store from the sending of the call

Two backend servers can hold the same keys: a leader stands still while the store's answer to its renewal is on its way, and another router takes the leadership meanwhile.

Cause: the answer counted at the time of its receipt. A leader that was frozen for seconds found it in its socket and went on confirming fronts for 10 s from then on.

Change: an answer confirms the leadership as of the moment at which its call was sent, and does not end the doubt of a leader that stood still after that. The start of a leader counts from the sending of its first read as well.

Measured: leadership_confirmation_tests/an_answer_that_was_on_its_way_during_a_pause_confirms_nothing_later is new; without the comparison with the time of the resumption it fails.

--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -102,6 +102,7 @@
     {
         try
         {
+            const auto sent = clock::now();
             const auto rows = co_await tables_.cluster_state->read_prefix("", store_timeout);
             note_store_answer(health_, log_, rows.era);
             const auto row = std::ranges::find(rows.rows, leadership_key, &store::row::key);
@@ -141,6 +142,7 @@
             }
             const auto config_position = co_await read_config();
             const auto registry_position = co_await read_registry();
+            confirmation_.on_confirmed(sent);
             is_started_ = true;
             publish();
             asio::co_spawn(
--- a/src/edge/internal/leader_store.cpp
+++ b/src/edge/internal/leader_store.cpp
@@ -237,6 +237,7 @@
     try
     {
         const auto expected_version = leadership_version_;
+        const auto sent = clock::now();
         const auto stored = co_await tables_.cluster_state->read_prefix(leadership_key, store_timeout);
         note_store_answer(health_, log_, stored.era);
         if (is_writing_ || leadership_version_ != expected_version)
@@ -255,7 +256,7 @@
             callbacks_.on_deposed("the leadership row changed");
             co_return;
         }
-        confirmation_.on_confirmed(clock::now());
+        confirmation_.on_confirmed(sent);
     }
     catch (const std::exception& failure)
     {
@@ -279,6 +280,7 @@
         }
         store::commit_result result;
         bool is_answered = false;
+        const auto sent = clock::now();
         try
         {
             result = co_await tables_.cluster_state->commit("", writes, store_timeout);
@@ -294,7 +296,6 @@
         {
             co_return;
         }
-        const auto now = clock::now();
         if (is_answered)
         {
             note_store_answer(health_, log_, result.era);
@@ -323,7 +324,7 @@
         {
             leadership_version_ = result.revision;
             written_ = record.written;
-            confirmation_.on_confirmed(now);
+            confirmation_.on_confirmed(sent);
             for (const auto& row : rows)
             {
                 assignment_versions_[row.name] = result.revision;
@@ -446,6 +447,7 @@
         }
         try
         {
+            const auto sent = clock::now();
             const auto stored = co_await tables_.cluster_state->read_prefix("", store_timeout);
             note_store_answer(health_, log_, stored.era);
             if (!is_running())
@@ -485,7 +487,7 @@
             if (is_complete)
             {
                 rewritten_era_ = stored.era;
-                confirmation_.on_confirmed(clock::now());
+                confirmation_.on_confirmed(sent);
                 log_.write("assignments written again",
                            {{"rows", assignment_versions_.size()}, {"era", stored.era}, {"term", term_}});
                 continue;
--- a/src/leader/internal/leadership_confirmation.cpp
+++ b/src/leader/internal/leadership_confirmation.cpp
@@ -13,18 +13,21 @@
 
 } // namespace
 
-void leadership_confirmation::on_confirmed(core::time_point now)
+void leadership_confirmation::on_confirmed(core::time_point sent)
 {
-    confirmed_at_ = now;
-    last_tick_ = now;
-    stood_still_since_.reset();
+    confirmed_at_ = std::max(confirmed_at_, sent);
+    if (sent >= resumed_at_)
+    {
+        stood_still_since_.reset();
+    }
 }
 
 void leadership_confirmation::on_tick(bool is_isolated, core::time_point now)
 {
-    if (now - last_tick_ > max_pause && !stood_still_since_)
+    if (now - last_tick_ > max_pause)
     {
-        stood_still_since_ = last_tick_;
+        stood_still_since_ = stood_still_since_.value_or(last_tick_);
+        resumed_at_ = now;
     }
     last_tick_ = now;
     if (!is_isolated)
@@ -45,9 +48,8 @@
 core::time_point leadership_confirmation::undisputed_at(core::time_point now, bool all_routers_follow,
                                                         bool is_store_failing) const
 {
-    const auto limit = is_store_failing && all_routers_follow
-                           ? now
-                           : std::min(now, confirmed_at_ + max_storeless_time);
+    const auto limit =
+        is_store_failing && all_routers_follow ? now : std::min(now, confirmed_at_ + max_storeless_time);
     if (is_store_failing && isolated_since_)
     {
         return std::min(limit, std::max(*isolated_since_, confirmed_at_));
--- a/src/leader/leadership_confirmation.hpp
+++ b/src/leader/leadership_confirmation.hpp
@@ -16,8 +16,9 @@
 
     explicit leadership_confirmation(core::time_point now) : confirmed_at_(now), last_tick_(now) {}
 
-    /// Records that the store showed the leadership to be undisputed.
-    void on_confirmed(core::time_point now);
+    /// Records that the store showed the leadership to be undisputed, in an answer to a call that was sent at
+    /// `sent`. The answer may have been on its way while this process stood still.
+    void on_confirmed(core::time_point sent);
     core::time_point confirmed_at() const { return confirmed_at_; }
     /// Records that this process runs, and whether fewer than half of the routers follow this leader. Call
     /// several times a second.
@@ -27,10 +28,10 @@
     bool is_check_due(core::time_point now) const;
 
     /// Returns when the leadership was last undisputed. `all_routers_follow` is whether every router that
-    /// this leader has ever known follows it: the others may follow another leader. An isolated leader confirms
-    /// nothing without the store, since a connection to a backend server that is opened now may reach a process
-    /// that knows no tokens of the other leader's fronts. Neither does a leader that stood still, until the
-    /// store or all routers show that nobody has replaced it.
+    /// this leader has ever known follows it: the others may follow another leader. An isolated leader
+    /// confirms nothing without the store, since a connection to a backend server that is opened now may
+    /// reach a process that knows no tokens of the other leader's fronts. Neither does a leader that stood
+    /// still, until the store or all routers show that nobody has replaced it.
     core::time_point undisputed_at(core::time_point now, bool all_routers_follow,
                                    bool is_store_failing) const;
 
@@ -40,6 +41,8 @@
     std::optional<core::time_point> isolated_since_;
     /// When this process last ran before it stood still.
     std::optional<core::time_point> stood_still_since_;
+    /// When it ran again.
+    core::time_point resumed_at_;
 };
 
 } // namespace briarfold::leader
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -148,8 +148,8 @@
     BOOST_CHECK_EQUAL(state->unassigned_keys(), 0U);
 }
 
-// Guards against two owners: a grant of the former process that was applied late had the token of those of the
-// restarted one, so that the backend server took its keys back after their release.
+// Guards against two owners: a grant of the former process that was applied late had the token of those of
+// the restarted one, so that the backend server took its keys back after their release.
 BOOST_AUTO_TEST_CASE(a_restarted_front_has_tokens_above_those_of_its_former_process)
 {
     start(3);
--- a/src/leader/tests/leadership_confirmation_tests.cpp
+++ b/src/leader/tests/leadership_confirmation_tests.cpp
@@ -71,6 +71,24 @@
     BOOST_CHECK(confirmation.undisputed_at(thawed, false, false) == thawed);
 }
 
+// Guards against two owners: the store's answer to a renewal that was on its way while the leader stood still
+// confirmed it at the time of its receipt, although it had been replaced meanwhile.
+BOOST_AUTO_TEST_CASE(an_answer_that_was_on_its_way_during_a_pause_confirms_nothing_later)
+{
+    const time_point start{1000000};
+    leadership_confirmation confirmation(start);
+    const auto sent = start + duration{2000};
+    const auto thawed = start + duration{8000};
+    run(confirmation, start, sent, false);
+    confirmation.on_confirmed(sent);
+    BOOST_CHECK(confirmation.confirmed_at() == sent);
+    BOOST_CHECK(confirmation.undisputed_at(thawed, false, false) == sent);
+    confirmation.on_tick(false, thawed);
+    confirmation.on_confirmed(sent);
+    BOOST_CHECK(confirmation.undisputed_at(thawed, false, false) == sent);
+    BOOST_CHECK(confirmation.is_check_due(thawed));
+}
+
 // Guards against an outage of the store that ends the service although no router is missing.
 BOOST_AUTO_TEST_CASE(a_leader_that_all_routers_follow_goes_on_without_the_store)
 {
