Restart backend servers and routers at once in the ownership simulation

The simulation restarted routers only after a second or more, when the leader had missed them, and backend servers never. Now half of the killed routers are back within a second, and backend servers restart under their id, lose their keys and tokens, and are registered with a delay.

--- a/src/leader/tests/ownership_model.cpp
+++ b/src/leader/tests/ownership_model.cpp
@@ -18,7 +18,6 @@
 constexpr duration publish_interval{40};
 constexpr duration write_interval{60};
 constexpr duration registry_interval{300};
-constexpr duration leadership_check{4000};
 constexpr duration store_timeout{1000};
 constexpr duration store_retry{150};
 constexpr duration push_timeout{700};
@@ -200,7 +199,7 @@
     const auto note = [&](const std::string& text) { trace(text + " for " + std::to_string(span.ms)); };
     const auto leader =
         std::ranges::find_if(routers_, [](const auto& item) { return item.office != nullptr; });
-    switch (draw(0, 8))
+    switch (draw(0, 9))
     {
     case 0:
         cut(router, store_node(), span);
@@ -249,7 +248,9 @@
         {
             routers_[router].is_up = false;
             note("fault: r" + std::to_string(router) + " killed");
-            schedule(std::max(span, duration{1000}), -1, true, [this, router] { restart(router); });
+            // A router that is back at once is not missed by the leader.
+            const duration down = draw_chance(50) ? duration{draw(50, 1000)} : std::max(span, duration{1000});
+            schedule(down, -1, true, [this, router] { restart(router); });
         }
         return;
     case 5: {
@@ -270,6 +271,10 @@
         }
         note("fault: links of r" + std::to_string(router) + " lossy");
         return;
+    case 8:
+        restart_backend(backend);
+        note("fault: s" + std::to_string(backend) + " restarted");
+        return;
     default: {
         const int other = static_cast<int>(draw(0, routers - 1));
         cut(router, other, span);
@@ -306,6 +311,27 @@
         });
 }
 
+void ownership_model::restart_backend(int index)
+{
+    auto& backend = backends_[index];
+    const int life = ++backend.life;
+    backend.keys.assign(keyspace::key_count, {});
+    const duration down{draw(10, 700)};
+    for (int i = 0; i < backend_node(0); ++i)
+    {
+        cut(i, backend_node(index), down);
+        if (const auto server = routers_[i].fronts.find(backend.id); server != routers_[i].fronts.end())
+        {
+            server->second->idle_connections = 0;
+        }
+    }
+    const duration registry_lag{draw(100, 1500)};
+    schedule(down + registry_lag, -1, true, [this, index, life] {
+        store_.registry[backends_[index].id].start_time_ms = life;
+        trace(backends_[index].id + " registered its restart");
+    });
+}
+
 void ownership_model::tick(int index)
 {
     auto& router = routers_[index];
@@ -661,6 +687,10 @@
             {
                 office->state->load_router(item, now_);
             }
+            for (const auto& name : former.lost_routers)
+            {
+                office->state->load_lost_router(name, now_);
+            }
             office->state->set_keyed_services({service});
             for (const auto& [id, server] : (*stored)->registry)
             {
@@ -700,15 +730,14 @@
 void ownership_model::check_leadership(int index)
 {
     const auto office = routers_[index].office;
-    if (!office || now_ - office->confirmation.confirmed_at() <= leadership_check || office->is_writing ||
-        office->is_checking)
+    if (!office || !office->confirmation.is_check_due(now_) || office->is_writing || office->is_checking)
     {
         return;
     }
     office->is_checking = true;
     call<std::int64_t>(
         index, store_node(), store_timeout, [this] { return std::optional(store_.leader_version); },
-        [this, index, office](std::optional<std::int64_t> version) {
+        [this, index, office, sent = now_](std::optional<std::int64_t> version) {
             office->is_checking = false;
             auto& router = routers_[index];
             if (router.office != office)
@@ -726,7 +755,7 @@
                 step_down(index, "the leadership row changed");
                 return;
             }
-            office->confirmation.on_confirmed(now_);
+            office->confirmation.on_confirmed(sent);
         });
 }
 
@@ -742,6 +771,7 @@
     {
         office->last_tick = now_;
         office->state->tick(now_);
+        office->confirmation.on_tick(office->state->is_isolated(now_), now_);
     }
     if (!office->is_writing && now_ - office->last_write >= write_interval)
     {
@@ -798,7 +828,7 @@
             }
             return std::optional(answer);
         },
-        [this, index, office, rows, may_be_committed](std::optional<commit_answer> answer) {
+        [this, index, office, rows, may_be_committed, sent = now_](std::optional<commit_answer> answer) {
             auto& router = routers_[index];
             if (router.office != office)
             {
@@ -822,7 +852,7 @@
                 return;
             }
             office->version = answer->version;
-            office->confirmation.on_confirmed(now_);
+            office->confirmation.on_confirmed(sent);
             office->is_writing = false;
             for (const auto& row : rows)
             {
@@ -898,6 +928,12 @@
         }
         else if (server->entry.revision != entry.revision || server->entry.token_base != entry.token_base)
         {
+            if (server->entry.server.start_time_ms != entry.server.start_time_ms)
+            {
+                ++server->link;
+                server->idle_connections = 0;
+                router.is_report_requested = true;
+            }
             server->entry = entry;
             server->grants.update(entry, now_);
         }
@@ -917,9 +953,9 @@
         const int to = backend_node(std::stoi(server->entry.server.id.substr(1)));
         call<bool>(
             index, to, connect_timeout, [] { return std::optional(true); },
-            [this, index, server](std::optional<bool> answer) {
+            [this, index, server, used_link = server->link](std::optional<bool> answer) {
                 server->is_grant_pending = false;
-                if (server->is_removed)
+                if (server->is_removed || used_link != server->link)
                 {
                     return;
                 }
@@ -971,23 +1007,29 @@
     }
     server->idle_connections = std::max(server->idle_connections - 1, 0);
     const auto is_done = std::make_shared<bool>(false);
-    const auto finish = [this, index, server, item, is_done](std::optional<unsigned> status) {
+    const auto finish = [this, index, server, item, used_link = server->link,
+                         is_done](std::optional<unsigned> status) {
         if (!std::exchange(*is_done, true))
         {
-            end_grant_call(index, server, item, status);
+            end_grant_call(index, server, item, used_link, status);
         }
     };
     schedule(is_grant ? grant_timeout : release_timeout, index, true, [finish] { finish(std::nullopt); });
-    send(index, backend_node(backend), [this, index, backend, item, is_grant, is_done, finish] {
+    const int life = backends_[backend].life;
+    send(index, backend_node(backend), [this, index, backend, life, item, is_grant, is_done, finish] {
         // A call does not arrive after its connection was reset.
-        if (*is_done)
+        if (*is_done || life != backends_[backend].life)
         {
             return;
         }
         const bool is_late = backends_[backend].late_until > now_ && draw_chance(40);
         const bool has_work = !is_grant && draw_chance(50);
         const duration delay{(is_late ? draw(200, 6000) : 0) + (has_work ? draw(20, 2000) : 0)};
-        schedule(delay, -1, true, [this, index, backend, item, arrival = now_, finish] {
+        schedule(delay, -1, true, [this, index, backend, life, item, arrival = now_, finish] {
+            if (life != backends_[backend].life)
+            {
+                return;
+            }
             const bool is_accepted = apply_grant(backend, item, arrival);
             send(backend_node(backend), index,
                  [finish, is_accepted] { finish(is_accepted ? status_ok : status_superseded); });
@@ -996,15 +1038,21 @@
 }
 
 void ownership_model::end_grant_call(int index, const std::shared_ptr<fronted_model>& server,
-                                     const grants::grant_call& item, std::optional<unsigned> status)
+                                     const grants::grant_call& item, int used_link,
+                                     std::optional<unsigned> status)
 {
     const bool is_grant = item.kind == grants::call_kind::grant;
     server->is_grant_pending = server->is_grant_pending && !is_grant;
-    server->idle_connections += status ? 1 : 0;
     if (server->is_removed)
     {
         return;
     }
+    if (used_link != server->link)
+    {
+        server->grants.on_lost(item, now_);
+        return;
+    }
+    server->idle_connections += status ? 1 : 0;
     auto& router = routers_[index];
     if (!status)
     {
--- a/src/leader/tests/ownership_model.hpp
+++ b/src/leader/tests/ownership_model.hpp
@@ -62,6 +62,8 @@
     grants::server_grants grants;
     bool is_grant_pending = false;
     bool is_removed = false;
+    /// Rises when the backend server is known to have restarted: answers on earlier connections do not count.
+    int link = 0;
     int idle_connections = 0;
     time_point connected_at;
     int failures = 0;
@@ -126,6 +128,8 @@
 struct backend_model
 {
     std::string id;
+    /// Number of its process. Calls that were sent to an earlier one are not applied.
+    int life = 1;
     /// Slowness of its clock.
     double drift = 0;
     time_point late_until;
@@ -190,6 +194,7 @@
     void inject_fault();
     void cut(int a, int b, duration span);
     void restart(int router);
+    void restart_backend(int backend);
     void tick(int router);
 
     void report(int router);
@@ -214,7 +219,7 @@
     void run_grants(int router, const std::shared_ptr<fronted_model>& server);
     void send_grant_call(int router, const std::shared_ptr<fronted_model>& server, grants::grant_call item);
     void end_grant_call(int router, const std::shared_ptr<fronted_model>& server,
-                        const grants::grant_call& item, std::optional<unsigned> status);
+                        const grants::grant_call& item, int used_link, std::optional<unsigned> status);
     void record_contact(int router, fronted_model& server, bool is_reached);
     void probe(int router, const std::shared_ptr<fronted_model>& server);
     bool apply_grant(int backend, const grants::grant_call& item, time_point arrival);
