Refuse requests that a stopping router cannot answer before its end

Reported by other operators: in a planned stop of one router, in calm, requests that came late in the grace time were passed on and cut off at its end. Here they are not cut without an answer, but passed on all the same: with a grace time of 3.5 s, a request that came 2 s after the stop got 504 after 0.6 s of its 2 s, while a backend server ran it.

Cause: a stopping router caps the deadlines of later requests at its end, but the front took that for the deadline of the caller and started work that takes longer. Only a front that stops itself compared the two. Besides, a request that came before the stop and waited for the owner of its key kept its own deadline.

Change: the entry says that a deadline is its own end. The front refuses the request as not run when the work probably takes longer than that, also while it is queued, and the caller may come back at once, to another router. The entry applies the cap when it passes a request on.

--- a/src/dispatch/slot_queue.hpp
+++ b/src/dispatch/slot_queue.hpp
@@ -20,6 +20,8 @@
     core::time_point objective_deadline;
     /// An answer after this time is useless to the caller.
     core::time_point deadline;
+    /// Whether the deadline is the end of a router's process, so that work beyond it would be cut off.
+    bool ends_with_process = false;
     /// Expected work on an average backend server, in milliseconds.
     double work_ms = 0;
     /// Key of a service with key ownership, else 0.
--- a/src/edge/entry.hpp
+++ b/src/edge/entry.hpp
@@ -48,7 +48,8 @@
                                                  std::shared_ptr<core::cancellation> cancellation);
     /// Refuses all later requests at once, since their answers would come after the end of this process.
     void refuse_new() { is_refusing_ = true; }
-    /// Caps the deadlines of all later requests at `latest`, when this process ends.
+    /// Has all requests answered by `latest`, before this process ends. Those that have been passed on keep
+    /// their deadlines.
     void cap_deadlines(core::time_point latest) { process_end_ = latest; }
     std::size_t in_flight() const { return in_flight_; }
 
@@ -78,6 +79,8 @@
     http::response finish(const request_context& context, wire::forward_result result);
     http::response refuse(const request_context& context, unsigned status, core::duration retry_after,
                           const std::string& reason);
+    /// Returns when the request must have its answer: at its deadline, or when this process ends.
+    core::time_point answer_limit(const request_context& context) const;
     wire::forward_request make_forward(const request_context& context) const;
 
     core::asio::any_io_executor executor_;
--- a/src/edge/internal/entry.cpp
+++ b/src/edge/internal/entry.cpp
@@ -27,6 +27,8 @@
 constexpr core::duration max_ownerless_retry_after{1200};
 constexpr std::size_t max_waiting = 64;
 constexpr int max_hops = 6;
+/// Another router can serve the request at once.
+constexpr core::duration other_router_retry_after{50};
 
 bool is_connection_header(std::string_view name)
 {
@@ -195,7 +197,6 @@
     context.head = adapter_.read_request(message);
     if (is_refusing_)
     {
-        constexpr core::duration other_router_retry_after{50};
         return refuse(context, status_unavailable, other_router_retry_after, "this router is about to end");
     }
     if (!routes_.is_known())
@@ -224,10 +225,6 @@
     max_deadline = std::max(max_deadline, deadline);
     const auto timeout = route->timeout.ms > 0 ? route->timeout : deadline;
     context.deadline = context.arrived + std::min(deadline, timeout);
-    if (process_end_)
-    {
-        context.deadline = std::min(context.deadline, *process_end_);
-    }
     const auto objective = route->objective.ms > 0 ? route->objective : timeout;
     context.objective_deadline = context.arrived + objective - (max_deadline - deadline);
     drop_connection_headers(message.headers);
@@ -235,9 +232,15 @@
     return std::nullopt;
 }
 
+core::time_point entry::answer_limit(const request_context& context) const
+{
+    return process_end_ ? std::min(context.deadline, *process_end_) : context.deadline;
+}
+
 wire::forward_request entry::make_forward(const request_context& context) const
 {
     const auto now = clock::now();
+    const auto last_answer = answer_limit(context);
     wire::forward_request request;
     request.service = context.service;
     request.key = context.is_keyed ? std::to_string(*context.head.key) : "";
@@ -246,7 +249,8 @@
     request.headers = context.message.headers;
     request.body = context.message.body;
     request.request_id = context.head.attempt_id;
-    request.deadline = context.deadline - now;
+    request.is_entry_stopping = process_end_ == last_answer;
+    request.deadline = last_answer - now;
     request.is_idempotent = context.is_idempotent;
     request.route = context.route_name;
     request.priority = context.priority;
@@ -322,7 +326,8 @@
         {
             co_return refuse(context, status_unavailable, {}, "the caller left");
         }
-        if (now >= context.deadline)
+        const auto last_answer = answer_limit(context);
+        if (now >= last_answer)
         {
             break;
         }
@@ -330,7 +335,7 @@
         if (!to)
         {
             const auto waited = now - context.arrived;
-            const auto limit = std::min(max_owner_wait, context.deadline - context.arrived) - waited;
+            const auto limit = std::min(max_owner_wait, last_answer - context.arrived) - waited;
             if (limit.ms <= 0 || waiting_.size() >= max_waiting)
             {
                 const auto third_of_remaining = core::duration{(context.deadline - now).ms / 3};
@@ -368,6 +373,10 @@
                 continue;
             }
         }
+        if (result.outcome == wire::outcome::refused_not_run && result.not_run_reason == "entry stopping")
+        {
+            result.retry_after = other_router_retry_after;
+        }
         const bool is_lost = result.outcome == wire::outcome::unknown && result.not_run_reason == "link";
         if (is_lost && context.is_idempotent && !context.may_have_run)
         {
--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -31,10 +31,7 @@
     const auto all = pools;
     for (const auto& [name, pool] : all)
     {
-        if (process_end)
-        {
-            refuse_unfinishable(*pool, now);
-        }
+        refuse_unfinishable(*pool, now);
         auto expired = pool->queue.expire(now);
         std::erase_if(pool->awaiting_grant, [&](const auto& waiting) {
             const bool is_late = static_cast<double>((waiting.deadline - now).ms) < waiting.work_ms / 2;
--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -76,9 +76,10 @@
     waiting.arrived = now;
     waiting.objective_deadline = now + pending->request.objective;
     waiting.deadline = now + pending->request.deadline;
+    waiting.ends_with_process = pending->request.is_entry_stopping;
     if (process_end)
     {
-        waiting.deadline = std::min(waiting.deadline, *process_end);
+        cap_deadline(waiting, *process_end);
     }
     const auto& first = pool->servers.front();
     const double slow = first->is_keyed() ? estimate.slowness(first->entry.server.id) : 1.0;
@@ -156,7 +157,7 @@
         pool.waiting.emplace(pending->id, pending);
         return std::nullopt;
     }
-    if (process_end && pending->waiting.deadline == *process_end)
+    if (pending->waiting.ends_with_process)
     {
         return make_stopping_refusal(now);
     }
@@ -171,9 +172,7 @@
     process_end = latest;
     for (const auto& [name, pool] : pools)
     {
-        const auto cap = [latest](dispatch::waiting_request& item) {
-            item.deadline = std::min(item.deadline, latest);
-        };
+        const auto cap = [latest](dispatch::waiting_request& item) { cap_deadline(item, latest); };
         auto queued = pool->queue.extract([](const auto&) { return true; });
         std::ranges::for_each(queued, cap);
         std::ranges::for_each(queued, [&](const auto& item) { pool->queue.put_back(item); });
@@ -185,17 +184,31 @@
     }
 }
 
+void front::state::cap_deadline(dispatch::waiting_request& waiting, core::time_point latest)
+{
+    if (waiting.deadline >= latest)
+    {
+        waiting.deadline = latest;
+        waiting.ends_with_process = true;
+    }
+}
+
 bool front::state::ends_before_answer(const dispatch::waiting_request& waiting, core::time_point now) const
 {
     // Work that takes longer than this ends at the deadline, so the backend server's failure is still
     // delivered.
     constexpr double work_margin = 2;
-    return process_end && waiting.deadline == *process_end &&
-           static_cast<double>((*process_end - now).ms) < work_margin * waiting.work_ms;
+    return waiting.ends_with_process &&
+           static_cast<double>((waiting.deadline - now).ms) < work_margin * waiting.work_ms;
 }
 
 wire::forward_result front::state::make_stopping_refusal(core::time_point now) const
 {
+    if (!process_end)
+    {
+        return make_result(wire::outcome::refused_not_run, status_unavailable,
+                           "the entry ends before it could answer", "entry stopping");
+    }
     auto refusal = make_result(wire::outcome::refused_not_run, status_unavailable,
                                "the front ends before it could answer", "stopping");
     // Until this router has ended, possibly no other one can become the front.
--- a/src/edge/internal/front_state.hpp
+++ b/src/edge/internal/front_state.hpp
@@ -52,9 +52,12 @@
     bool take_retry(pending_request& pending, core::time_point now);
     void requeue(const std::shared_ptr<pending_request>& pending, const std::shared_ptr<request_pool>& pool);
     void cap_deadlines(core::time_point latest);
-    /// Whether the process ends before the deadline that the caller gave, and probably before the answer.
+    static void cap_deadline(dispatch::waiting_request& waiting, core::time_point latest);
+    /// Whether this router or the entry ends before the deadline that the caller gave, and probably before
+    /// the answer.
     bool ends_before_answer(const dispatch::waiting_request& waiting, core::time_point now) const;
-    /// Refuses the waiting requests that this process could not answer before its end.
+    /// Refuses the waiting requests that could not be answered before the end of this router or of their
+    /// entry.
     void refuse_unfinishable(request_pool& pool, core::time_point now);
     wire::forward_result make_stopping_refusal(core::time_point now) const;
     void end_waiting(request_pool& pool, const dispatch::waiting_request& waiting,
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -191,8 +191,8 @@
     std::optional<front_move> find_balance_move(const std::map<std::string, double>& loads) const;
     bool can_be_front(const directory::router& router, core::time_point now) const;
     void set_front(const std::string& id, const std::string& front, const char* reason, core::time_point now);
-    /// Gives the front tokens above those of all earlier ones, its own former process included, and hides keys
-    /// from it that an earlier one has freed.
+    /// Gives the front tokens above those of all earlier ones, its own former process included, and hides
+    /// keys from it that an earlier one has freed.
     void begin_term_of_office(const std::string& id);
     /// Returns the load of each possible front: slots of its backend servers divided by its share of a
     /// processor.
--- a/src/wire/frame_types.hpp
+++ b/src/wire/frame_types.hpp
@@ -36,6 +36,8 @@
     std::string request_id;
     /// Time left until the deadline when the frame was written.
     core::duration deadline;
+    /// Whether the deadline is the end of the entry's process, and the caller would wait for longer.
+    bool is_entry_stopping = false;
     bool is_idempotent = false;
     std::string traceparent;
     /// Name of the route that the request matched.
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -84,6 +84,8 @@
         return array_.ptr[position_++];
     }
 
+    bool has_next() const { return position_ < array_.size; }
+
     template <class T>
     void read(T& target)
     {
@@ -113,6 +115,11 @@
     fields.read(request.priority);
     fields.read(request.objective.ms);
     fields.read(request.max_attempts);
+    // Routers of earlier releases do not send it.
+    if (fields.has_next())
+    {
+        fields.read(request.is_entry_stopping);
+    }
 }
 
 void read_result(field_cursor& fields, forward_result& result)
@@ -185,7 +192,7 @@
 
 void append_forward(std::string& out, std::uint64_t id, const forward_request& request)
 {
-    constexpr std::uint32_t fields = 16;
+    constexpr std::uint32_t fields = 17;
     append_frame(out, frame_type::forward, id, fields, [&](packer& pack) {
         pack.pack(request.customer);
         pack.pack(request.service);
@@ -203,6 +210,7 @@
         pack.pack(request.priority);
         pack.pack(request.objective.ms);
         pack.pack(request.max_attempts);
+        pack.pack(request.is_entry_stopping);
     });
 }
 
--- a/standins/edge/tests/router_stop_tests.cpp
+++ b/standins/edge/tests/router_stop_tests.cpp
@@ -96,6 +96,18 @@
     cluster.records.clear();
 }
 
+/// Checks that each request has the answer of a backend server or did not run.
+void check_answered_or_refused(const edge_cluster& cluster)
+{
+    for (const auto& record : cluster.records)
+    {
+        const bool is_refused = record.status == status_unavailable && cluster.runs(record.attempt) == 0;
+        BOOST_CHECK_MESSAGE(record.status == status_ok || is_refused,
+                            record.attempt << " got " << record.status << " after " << record.elapsed.ms
+                                           << " ms and ran " << cluster.runs(record.attempt) << " times");
+    }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(router_stops)
@@ -116,13 +128,25 @@
     start_requests(cluster, part.entry, "cut-", core::duration{3300});
     cluster.run_for(7000);
     BOOST_CHECK_GT(cluster.count(status_ok), 0U);
-    for (const auto& record : cluster.records)
-    {
-        const bool is_refused = record.status == status_unavailable && cluster.runs(record.attempt) == 0;
-        BOOST_CHECK_MESSAGE(record.status == status_ok || is_refused,
-                            record.attempt << " got " << record.status << " after " << record.elapsed.ms
-                                           << " ms and ran " << cluster.runs(record.attempt) << " times");
-    }
+    check_answered_or_refused(cluster);
+    check_invariants(cluster);
+    check_exclusive_ownership(cluster);
+}
+
+// Guards against requests that come late in the grace time of the router that takes them, in calm, and are
+// passed on although this router ends before their work does.
+BOOST_AUTO_TEST_CASE(stopping_entry_passes_on_only_what_it_can_answer)
+{
+    edge_cluster cluster(3, 6);
+    BOOST_REQUIRE(cluster.await_ready());
+    const auto part = choose_roles(cluster);
+    measure_work(cluster, part.entry);
+    stop_router(cluster, part.entry, core::duration{3500});
+    start_requests(cluster, part.entry, "late-", core::duration{2500});
+    cluster.run_for(6000);
+    BOOST_CHECK_GT(cluster.count(status_ok), 5U);
+    BOOST_CHECK_GT(cluster.count(status_unavailable), 5U);
+    check_answered_or_refused(cluster);
     check_invariants(cluster);
     check_exclusive_ownership(cluster);
 }
