Serve freed keys again that go back to their backend server

Keys had no service until their front changed: they were withdrawn from a backend server that could not be reached, freed, and given back to it because no other one was left.

Cause: the write changes nothing for such keys, so its answer was skipped and the keys stayed withdrawn and freed. Being freed already, they could not be freed again either.

Change: a write remembers which freed keys go back, and its answer ends their withdrawal with a new generation of tokens.

--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -443,7 +443,8 @@
             continue;
         }
         const auto& next = entry_states_.at(id);
-        in_flight_entries_[id] = {next.next_keys, next.next_handovers};
+        in_flight_entries_[id] = {next.next_keys, next.next_handovers,
+                                  keyspace::set_intersection(next.next_keys, next.freed)};
         if (!next.next_keys.empty())
         {
             list->second.push_back(row_item(item, next.next_keys));
@@ -489,13 +490,14 @@
         }
         auto& entry = position->second;
         auto& state = entry_states_[id];
-        if (entry.keys == next.keys && !needs_new_generation(id))
+        if (entry.keys == next.keys && next.returned.empty() && !needs_new_generation(id))
         {
             continue;
         }
         entry.keys = next.keys;
-        entry.withdrawn = keyspace::set_intersection(entry.withdrawn, entry.keys);
-        state.freed = keyspace::set_intersection(state.freed, entry.keys);
+        const auto kept = keyspace::set_difference(entry.keys, next.returned);
+        entry.withdrawn = keyspace::set_intersection(entry.withdrawn, kept);
+        state.freed = keyspace::set_intersection(state.freed, kept);
         std::erase_if(state.withdrawals, [&](const withdrawal& item) {
             return keyspace::set_intersection({item.range}, entry.withdrawn).empty();
         });
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -153,6 +153,8 @@
     {
         keyspace::key_set keys;
         std::vector<directory::handover> handovers;
+        /// Keys that were freed and go back to the same backend server.
+        keyspace::key_set returned;
     };
 
     directory::entry& find_entry(const std::string& id) { return published_.entries.at(id); }
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -210,6 +210,44 @@
     BOOST_CHECK_EQUAL(keyspace::size(entry("s1").keys), keyspace::key_count);
 }
 
+// Guards against keys without service: keys that were freed and had no other place to go came back to their
+// backend server in the same write, and stayed withdrawn and freed for ever.
+BOOST_AUTO_TEST_CASE(freed_keys_that_go_back_to_their_backend_server_are_served_again)
+{
+    start(2);
+    const auto keys = entry("s0").keys;
+    const auto front = entry("s0").front;
+    BOOST_REQUIRE_EQUAL(keys.size(), 1U);
+    report(front, {}, {"s0"});
+    for (int i = 0; i < 11; ++i)
+    {
+        now = now + duration{100};
+        for (const std::string name : {"r1", "r2", "r3"})
+        {
+            report(name, {}, name == front ? std::vector<std::string>{"s0"} : std::vector<std::string>{});
+        }
+        state->tick(now);
+    }
+    BOOST_REQUIRE(entry("s0").withdrawn == keys);
+    // s0 is reached again before its keys are free, and the only other backend server leaves.
+    auto leaving = make_server("s1", "b");
+    leaving.is_draining = true;
+    state->on_registered(leaving, now);
+    const auto token = entry("s0").token_base;
+    report(front, {{"s0", keys.front(), ""}});
+    write();
+    BOOST_CHECK(entry("s0").keys == keys);
+    BOOST_CHECK(entry("s0").withdrawn.empty());
+    BOOST_CHECK_GT(entry("s0").token_base, token);
+    leaving.is_draining = false;
+    leaving.start_time_ms = 2;
+    state->on_registered(leaving, now);
+    drain("s0");
+    report(front, {{"s0", keys.front(), ""}});
+    write();
+    BOOST_CHECK(entry("s0").keys.empty());
+}
+
 // Guards against freed keys reported by a router that is not the front any more.
 BOOST_AUTO_TEST_CASE(only_the_front_frees_keys)
 {
