Wait for the lost secret before making another one

Two groups of routers take the leadership from each other, and both assign the same keys: the store came back from a copy that is older than the first write of the routers, and a router started while it was away.

Cause: that router found no secret and made one of its own. Nobody who has the first secret can talk to it, so it became a leader that knows no assignments.

Change: only at the first start a missing secret is made at once. Later, a router waits 5 s for those that have the secret to write it again, and makes one only if nobody does.

--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -18,6 +18,10 @@
 constexpr core::duration store_failure_limit{300};
 /// Factor of the election delay: deputies come first, and each step of the others is longer than one try.
 constexpr std::int64_t store_delay_factor = 3;
+/// Time in which routers that were up while the store lost their secret write it again. A router that makes
+/// another one before could not talk to them and would assign the same keys.
+constexpr core::duration secret_wait{5000};
+constexpr core::duration secret_poll_interval{300};
 /// After this time without the store, possibly no router can take over, so grants last longer.
 constexpr core::duration outage_threshold{800};
 
@@ -129,6 +133,7 @@
 
 asio::awaitable<std::string> member::state::load_or_create_secret()
 {
+    std::optional<core::time_point> missed_since;
     while (!is_ended)
     {
         try
@@ -148,6 +153,17 @@
             {
                 co_return secret->value.at("secret").get<std::string>();
             }
+            const auto now = clock::now();
+            if (!missed_since)
+            {
+                missed_since = now;
+                log.write("secret missing", {{"first_start", settings.is_first_start}, {"era", rows.era}});
+            }
+            if (!settings.is_first_start && now - *missed_since < secret_wait)
+            {
+                co_await core::pause_for(secret_poll_interval);
+                continue;
+            }
             const auto value = core::make_id("secret") + core::make_id("");
             std::vector<store::row_write> writes;
             writes.emplace_back(internal::secret_key, 0, json{{"secret", value}});
--- a/src/settings/edge_settings.hpp
+++ b/src/settings/edge_settings.hpp
@@ -32,6 +32,8 @@
     double retry_budget_slack = 0;
     /// Time from the stop signal to the forced end.
     core::duration grace{6000};
+    /// Whether the whole system starts for the first time, so that the store holds nothing of it yet.
+    bool is_first_start = true;
     /// Longest duration of a grant that backend servers accept.
     core::duration max_grant_duration{10000};
 
--- a/src/settings/tests/edge_settings_tests.cpp
+++ b/src/settings/tests/edge_settings_tests.cpp
@@ -38,6 +38,13 @@
     BOOST_CHECK_EQUAL(settings.cpu, 0.2);
 }
 
+// Guards against a router that takes every start for the first one of the system, and makes a second secret.
+BOOST_AUTO_TEST_CASE(a_later_start_is_told_from_the_first_one)
+{
+    BOOST_CHECK(parse_edge_settings(text, "test").is_first_start);
+    BOOST_CHECK(!parse_edge_settings("first_start = false\n" + text, "test").is_first_start);
+}
+
 // Guards against a start with bad settings that reports only the first error.
 BOOST_AUTO_TEST_CASE(every_error_is_listed)
 {
--- a/standins/edge/tests/restored_store_tests.cpp
+++ b/standins/edge/tests/restored_store_tests.cpp
@@ -411,4 +411,34 @@
     BOOST_CHECK(*stored == *secret);
 }
 
+// Guards against two groups of routers with secrets of their own, each with a leader, that assign the same keys:
+// the copy was older than the first write, and a router started while the store was away.
+BOOST_AUTO_TEST_CASE(a_router_that_starts_during_a_restore_makes_no_second_secret)
+{
+    edge_cluster cluster(3, 4);
+    cluster.store.save_copy();
+    BOOST_REQUIRE(cluster.await_ready());
+    const auto secret = cluster.store.get("briarfold", "secret");
+    BOOST_REQUIRE(secret.has_value());
+    const auto restarted = (find_leader(cluster) + 1) % cluster.nodes.size();
+    cluster.store.set_mode(store_mode::busy);
+    cluster.run_for(300);
+    cluster.nodes[restarted]->kill();
+    cluster.run_for(300);
+    cluster.settings[restarted].is_first_start = false;
+    cluster.start_router(restarted);
+    cluster.run_for(700);
+    cluster.store.restore();
+    cluster.store.set_mode(store_mode::serving);
+    const auto restored = core::clock::now();
+    cluster.run_for(500);
+    register_all(cluster);
+    BOOST_CHECK(await_service(cluster, restored + core::duration{12000}));
+    BOOST_CHECK(cluster.store.get("briarfold", "secret") == secret);
+    cluster.store.put("servers", "b1", cluster.backends[1]->registration(true));
+    cluster.start_load(6, 4000);
+    cluster.run_for(4500);
+    check_ownership(cluster);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
