Drain a backend server that says in its answers that it leaves

Cause: the header was not read. A registration shows that a backend server leaves a second or two later, or never, and moving the keys takes another second.

Change: the front reads the header in all answers, those to grants included, gives the backend server no new requests if it has no keys, and tells the leader, which drains that process of it as if the registry had said so. A registration that was written before does not undo that, and no longer counts as a change.

Measured: edge_clusters/a_backend_server_that_says_that_it_leaves_gets_no_more_requests fails when the header is ignored and passes now, as does leader_states/a_backend_server_that_says_that_it_leaves_is_drained.

--- a/src/edge/front_types.hpp
+++ b/src/edge/front_types.hpp
@@ -75,6 +75,8 @@
     core::time_point last_probe;
     /// Whether another backend server answered a call at the address, so that a connection proves nothing.
     bool is_replaced = false;
+    /// Whether it said in an answer that it leaves, which the registry may show seconds later.
+    bool is_leaving = false;
     bool is_removed = false;
 
     bool is_keyed() const { return grants.has_value(); }
--- a/src/edge/internal/front.cpp
+++ b/src/edge/internal/front.cpp
@@ -90,6 +90,10 @@
         {
             report.unreachable.push_back(id);
         }
+        if (server->is_leaving && !server->entry.server.is_draining)
+        {
+            report.leaving.push_back({id, server->entry.server.start_time_ms});
+        }
         const double slow = state_->estimate.slowness(id);
         if (server->is_keyed())
         {
@@ -242,6 +246,7 @@
         server.limit = dispatch::slot_limit(entry.server.slots);
         server.unreachable_since.reset();
         server.is_replaced = false;
+        server.is_leaving = false;
         estimate.forget(entry.server.id);
         callbacks.request_report();
     }
--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -158,6 +158,10 @@
     const bool is_replaced = result.outcome == exchange_outcome::answered && result.head.is_misdirected;
     const bool is_answered = result.outcome == exchange_outcome::answered && !is_replaced;
     server->is_replaced = is_replaced || (server->is_replaced && !is_answered);
+    if (is_answered)
+    {
+        record_leaving(*server, result.head);
+    }
     const char* outcome = "lost";
     if (is_answered && result.answer.status == status_ok)
     {
@@ -265,6 +269,15 @@
     }
 }
 
+void front::state::record_leaving(fronted_server& server, const response_head& head)
+{
+    if (head.is_leaving && !std::exchange(server.is_leaving, true))
+    {
+        log.write("backend server leaves", {{"backend_server", server.entry.server.id}});
+        callbacks.request_report();
+    }
+}
+
 void front::state::record_contact(fronted_server& server, bool is_reached, const std::string& reason)
 {
     constexpr int failures_until_unreachable = 2;
--- a/src/edge/internal/front_outcomes.cpp
+++ b/src/edge/internal/front_outcomes.cpp
@@ -36,6 +36,10 @@
 {
     auto& server = *pending.server;
     const bool is_answer = outcome.outcome == exchange_outcome::answered;
+    if (is_answer && !outcome.head.is_misdirected)
+    {
+        record_leaving(server, outcome.head);
+    }
     if (is_answer && outcome.head.is_not_run)
     {
         return handle_not_run(pending, outcome);
--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -224,7 +224,8 @@
     for (const auto& server : pool.servers)
     {
         const int slots = server->limit.slots(now);
-        const bool is_usable = server->entry.is_listed && !server->entry.server.is_draining;
+        const bool is_usable =
+            server->entry.is_listed && !server->entry.server.is_draining && !server->is_leaving;
         if (static_cast<int>(server->running.size()) >= slots || (!server->is_keyed() && !is_usable))
         {
             continue;
--- a/src/edge/internal/front_state.hpp
+++ b/src/edge/internal/front_state.hpp
@@ -66,6 +66,8 @@
     double slack_share() const;
     /// Refuses the requests that wait for the keys of an unreachable backend server.
     void refuse_waiting(fronted_server& server);
+    /// Handles an answer in which the backend server says that it leaves.
+    void record_leaving(fronted_server& server, const response_head& head);
     void record_contact(fronted_server& server, bool is_reached, const std::string& reason);
 
     // Grants.
--- a/src/edge/protocol.hpp
+++ b/src/edge/protocol.hpp
@@ -41,6 +41,8 @@
     std::optional<core::duration> keep_alive;
     /// The backend server closes the connection after this answer.
     bool closes_connection = false;
+    /// The backend server is about to end.
+    bool is_leaving = false;
 
     bool operator==(const response_head&) const = default;
 };
--- a/src/leader/internal/leader_json.cpp
+++ b/src/leader/internal/leader_json.cpp
@@ -11,6 +11,11 @@
     {
         freed.push_back({item.backend_server, item.range.first, item.range.last, item.handover});
     }
+    json leaving = json::array();
+    for (const auto& item : value.leaving)
+    {
+        leaving.push_back({item.backend_server, item.start_time_ms});
+    }
     json work = json::object();
     for (const auto& [service, keys] : value.work)
     {
@@ -25,6 +30,7 @@
     return {{"router", directory::to_json(value.router)},
             {"freed", std::move(freed)},
             {"unreachable", value.unreachable},
+            {"leaving", std::move(leaving)},
             {"work", std::move(work)},
             {"slowness", value.slowness}};
 }
@@ -40,6 +46,11 @@
                                 item.at(3).get<std::string>()});
     }
     result.unreachable = value.at("unreachable").get<std::vector<std::string>>();
+    // Routers of earlier releases do not send it.
+    for (const auto& item : value.value("leaving", json::array()))
+    {
+        result.leaving.push_back({item.at(0).get<std::string>(), item.at(1).get<std::int64_t>()});
+    }
     for (const auto& [service, list] : value.at("work").items())
     {
         auto& keys = result.work[service];
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <iterator>
 #include <ranges>
+#include <utility>
 
 namespace briarfold::leader {
 
@@ -274,23 +275,24 @@
     }
     auto& entry = position->second;
     auto& state = entry_states_[server.id];
-    if (entry.server == server && entry.is_listed && !state.unregistered_at)
+    const bool is_same_process = entry.server.start_time_ms == server.start_time_ms;
+    // A process that drains does not become ready again; a restored registration may say so, and one that was
+    // written before the backend server said that it leaves.
+    auto next = server;
+    next.is_draining = server.is_draining || (is_same_process && entry.server.is_draining);
+    if (entry.server == next && entry.is_listed && !state.unregistered_at)
     {
         return;
     }
-    if (entry.server.start_time_ms != server.start_time_ms || entry.server.is_draining != server.is_draining)
+    if (!is_same_process || entry.server.is_draining != next.is_draining)
     {
         on_decision_("backend server changed", server.id,
                      {{"born_ms", server.start_time_ms},
                       {"former_born_ms", entry.server.start_time_ms},
-                      {"draining", server.is_draining}});
+                      {"draining", next.is_draining}});
         state.unreachable_since.reset();
     }
-    const bool is_same_process = entry.server.start_time_ms == server.start_time_ms;
-    const bool was_draining = is_same_process && entry.server.is_draining;
-    entry.server = server;
-    // A process that drains does not become ready again; a restored registration may say so.
-    entry.server.is_draining = server.is_draining || was_draining;
+    entry.server = next;
     entry.is_listed = true;
     state.unregistered_at.reset();
     bump_revision(server.id);
@@ -339,6 +341,7 @@
     lost_routers_.erase(name);
     note_former_leader(report, now);
     update_entries(report, now);
+    drain_leaving(report);
     for (const auto& [service, keys] : report.work)
     {
         auto& loads = loads_of(service);
@@ -388,6 +391,24 @@
     }
 }
 
+void leader_state::drain_leaving(const router_report& report)
+{
+    for (const auto& item : report.leaving)
+    {
+        const auto position = published_.entries.find(item.backend_server);
+        if (position == published_.entries.end())
+        {
+            continue;
+        }
+        auto& server = position->second.server;
+        if (server.start_time_ms == item.start_time_ms && !std::exchange(server.is_draining, true))
+        {
+            on_decision_("backend server leaves", item.backend_server, {{"front", report.router.name}});
+            bump_revision(item.backend_server);
+        }
+    }
+}
+
 keyspace::key_loads& leader_state::loads_of(const std::string& service)
 {
     auto& loads = loads_[service];
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -165,6 +165,8 @@
         changes_.routers[name] = published_.revision;
     }
     void update_entries(const router_report& report, core::time_point now);
+    /// Drains the backend servers that said that they leave.
+    void drain_leaving(const router_report& report);
     /// Returns when the grants of fronts have ended that were last confirmed at `now`.
     core::time_point confirmed_grants_end(core::time_point now) const;
     /// Shortens the bounds of earlier grants once no former leader confirms anyone any more.
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -534,6 +534,27 @@
     BOOST_CHECK(state->knows_its_fronts(former, state->current().revision));
 }
 
+// Guards against requests to a backend server that said in its answers that it leaves, while the registry
+// does not show it yet. The word of an earlier process does not count.
+BOOST_AUTO_TEST_CASE(a_backend_server_that_says_that_it_leaves_is_drained)
+{
+    start(3);
+    router_report message;
+    message.router = make_router(entry("s0").front, entry("s0").front == "r2" ? "b" : "a");
+    message.leaving = {{"s0", 0}};
+    state->on_report(report_from_json(to_json(message)), now);
+    BOOST_CHECK(!entry("s0").server.is_draining);
+    message.leaving = {{"s0", 1}, {"unknown", 1}};
+    state->on_report(report_from_json(to_json(message)), now);
+    state->tick(now);
+    BOOST_CHECK(entry("s0").server.is_draining);
+    BOOST_CHECK(entry("s0").withdrawn == entry("s0").keys);
+    const auto revision = state->current().revision;
+    state->on_registered(make_server("s0"), now);
+    BOOST_CHECK(entry("s0").server.is_draining);
+    BOOST_CHECK_EQUAL(state->current().revision, revision);
+}
+
 // Guards against a stopping router that remains a front until it ends.
 BOOST_AUTO_TEST_CASE(a_stopping_router_loses_its_fronts_at_once)
 {
--- a/standins/edge/keyed_backend.cpp
+++ b/standins/edge/keyed_backend.cpp
@@ -31,9 +31,15 @@
       slots_(slots), work_duration_(work_duration), start_time_ms_(clock::wall().ms), address_(local)
 {
     server_.emplace(executor, local,
-                    http::handler([this](http::request message, const http::endpoint& caller) {
+                    http::handler([this](http::request message,
+                                         const http::endpoint& caller) -> asio::awaitable<http::response> {
                         calls_by_port_[caller.port].push_back(message.target);
-                        return handle(std::move(message));
+                        auto answer = co_await handle(std::move(message));
+                        if (is_leaving_)
+                        {
+                            answer.headers.emplace_back("Server-Leaving", "1");
+                        }
+                        co_return answer;
                     }));
     address_.port = server_->port();
 }
--- a/standins/edge/keyed_backend.hpp
+++ b/standins/edge/keyed_backend.hpp
@@ -39,6 +39,8 @@
     /// Loses the answer to every `interval`-th request; 0 loses none.
     void lose_answers(int interval) { answer_loss_interval_ = interval; }
 
+    /// Says in all answers from now on that it leaves; the registry does not show it.
+    void announce_leaving() { is_leaving_ = true; }
     void set_work_duration(core::duration work_duration) { work_duration_ = work_duration; }
 
     /// Returns the number of runs by attempt id.
@@ -75,6 +77,7 @@
     int answer_loss_interval_ = 0;
     int answers_ = 0;
     int registrations_ = 0;
+    bool is_leaving_ = false;
     std::optional<http::server> server_;
 };
 
--- a/standins/edge/tests/edge_cluster_tests.cpp
+++ b/standins/edge/tests/edge_cluster_tests.cpp
@@ -333,4 +333,22 @@
     }
 }
 
+// Guards against requests that reach a backend server long after it said in its answers that it leaves, since
+// its registration does not show it.
+BOOST_AUTO_TEST_CASE(a_backend_server_that_says_that_it_leaves_gets_no_more_requests)
+{
+    edge_cluster cluster(3, 4);
+    BOOST_REQUIRE(cluster.await_ready());
+    cluster.start_load(6, 5000);
+    cluster.run_for(500);
+    cluster.backends[1]->announce_leaving();
+    cluster.run_for(2000);
+    const auto runs = cluster.backends[1]->runs().size();
+    cluster.run_for(3000);
+    BOOST_CHECK_EQUAL(cluster.backends[1]->runs().size(), runs);
+    BOOST_CHECK_EQUAL(cluster.count(200), cluster.records.size());
+    check_invariants(cluster);
+    check_exclusive_ownership(cluster);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
