--- a/standins/edge/tests/restored_store_tests.cpp
+++ b/standins/edge/tests/restored_store_tests.cpp
@@ -411,8 +411,8 @@
     BOOST_CHECK(*stored == *secret);
 }
 
-// Guards against two groups of routers with secrets of their own, each with a leader, that assign the same keys:
-// the copy was older than the first write, and a router started while the store was away.
+// Guards against two groups of routers with secrets of their own, each with a leader, that assign the same
+// keys: the copy was older than the first write, and a router started while the store was away.
 BOOST_AUTO_TEST_CASE(a_router_that_starts_during_a_restore_makes_no_second_secret)
 {
     edge_cluster cluster(3, 4);
