Ignore the rejection of a grant from before the front was assigned anew

Keys could stay without service for 14 s, introduced with the pause after a rejection: the answer to a call of an earlier assignment came after the front had been assigned again, and stopped the grants of the new one.

Measured: server_grants_cases/a_rejection_of_an_earlier_assignment_does_not_stop_grants fails before and passes now.

--- a/src/grants/internal/server_grants.cpp
+++ b/src/grants/internal/server_grants.cpp
@@ -250,8 +250,12 @@
 void server_grants::on_superseded(const grant_call& call, core::time_point now)
 {
     clear_in_flight(call.range);
-    token_step_ = std::min(token_step_ * 2 + 1, max_token_step);
-    superseded_until_ = now + max_storeless_time + max_confirmation_age;
+    if (call.token >= token_base_)
+    {
+        // The call was not sent before this front was assigned anew.
+        token_step_ = std::min(token_step_ * 2 + 1, max_token_step);
+        superseded_until_ = now + max_storeless_time + max_confirmation_age;
+    }
     for (auto& item : ranges_)
     {
         if (keyspace::covers({call.range}, {item.range}))
--- a/src/grants/tests/server_grants_tests.cpp
+++ b/src/grants/tests/server_grants_tests.cpp
@@ -306,6 +306,20 @@
     BOOST_CHECK_GE(next(grants).token, 200);
 }
 
+// Guards against keys without service: the rejection of a call from before this front was assigned anew.
+BOOST_AUTO_TEST_CASE(a_rejection_of_an_earlier_assignment_does_not_stop_grants)
+{
+    auto entry = make_entry({{0, 99}});
+    server_grants grants(entry, now);
+    const auto earlier = next(grants);
+    entry.token_base = 200;
+    entry.front_token = 200;
+    grants.update(entry, now);
+    grants.on_superseded(earlier, now);
+    now = now + duration{150};
+    BOOST_CHECK_GE(next(grants).token, 200);
+}
+
 // Guards against keys that stay without service after a rejection that nobody repeats.
 BOOST_AUTO_TEST_CASE(a_superseded_front_tries_again_when_no_earlier_leader_can_confirm_it)
 {
