Lead after a stop signal when the leadership was taken just before

Cause: the leader stops and offers the leadership to a router that gets its own stop signal while its write of the leadership row is on its way. The row then names that router, but it did not lead, and logged that another one was faster. The others found it in the row and took it for the leader until it ended.

Change: the router leads, and offers the leadership to others as a leader does that stops. An offer that comes after the stop signal is ignored.

--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -485,7 +485,7 @@
         const json reply = {{"kind", "directory"}, {"directory", directory::to_json(all)}};
         co_return internal::encode_message(reply.dump());
     }
-    if (kind == "take over" && !leadership &&
+    if (kind == "take over" && !leadership && !is_stopping &&
         message.at("term").get<directory::generation>() == snapshot.term)
     {
         asio::co_spawn(
--- a/src/edge/internal/member_election.cpp
+++ b/src/edge/internal/member_election.cpp
@@ -237,7 +237,8 @@
     writes.emplace_back(internal::leadership_key, version, internal::to_json(next));
     const auto result = co_await tables.cluster_state->commit("", std::move(writes), store_timeout);
     internal::note_store_answer(health, log, result.era);
-    if (result.is_committed && !is_stopping)
+    // A router that stops meanwhile leads until another one has taken over, since the row names it.
+    if (result.is_committed && !is_ended)
     {
         start.version = result.revision;
         log.write("leadership taken", {{"term", next.written},
--- a/standins/edge/tests/router_stop_tests.cpp
+++ b/standins/edge/tests/router_stop_tests.cpp
@@ -174,6 +174,32 @@
     check_exclusive_ownership(cluster);
 }
 
+// Guards against seconds without a leader: a router that is stopped while its write of the leadership row is on
+// its way left the row in its name and did not lead, and the others took it for the leader until it ended.
+BOOST_AUTO_TEST_CASE(router_that_stops_while_it_takes_the_leadership_hands_it_over)
+{
+    edge_cluster cluster(3, 3);
+    BOOST_REQUIRE(cluster.await_ready());
+    const auto former = find_leader(cluster);
+    cluster.nodes[former]->kill();
+    const auto stored_leader = [&] {
+        const auto row = cluster.store.get("briarfold", "leader");
+        const auto name = row ? row->at("router").at(0).get<std::string>() : std::string();
+        return static_cast<std::size_t>(std::ranges::find(cluster.names, name) - cluster.names.begin());
+    };
+    const auto limit = core::clock::now() + core::duration{10000};
+    while (stored_leader() == former && core::clock::now() < limit)
+    {
+        cluster.context.restart();
+        cluster.context.run_one_for(std::chrono::milliseconds(10));
+    }
+    const auto next = stored_leader();
+    BOOST_REQUIRE(next != former);
+    stop_router(cluster, next, core::duration{6000});
+    cluster.run_for(3000);
+    BOOST_CHECK_EQUAL(find_leader(cluster), 3 - former - next);
+}
+
 // Guards against a leader that waits for its whole grace time although another router leads.
 BOOST_AUTO_TEST_CASE(stopped_leader_ends_when_another_router_leads)
 {
