Keep the start setting in a table of its own, after the bounds

Whatever fills in the template up to the bounds works as before: the scripts of review/ start their routers so, and could not run since the setting came before.

--- a/src/settings/internal/edge_settings.cpp
+++ b/src/settings/internal/edge_settings.cpp
@@ -61,8 +61,14 @@
     constexpr double least_cpu = 0.001;
     constexpr double most_cpu = 1024;
     result.cpu = reader.number("cpu", least_cpu, most_cpu, 1);
-    result.is_first_start = reader.boolean("first_start", true);
     reader.allow("bounds");
+    reader.allow("start");
+    if (object.contains("start") && object.at("start").is_object())
+    {
+        document::field_reader start(object.at("start"));
+        result.is_first_start = start.boolean("is_first", true);
+        start.finish(name + ", table start");
+    }
     if (object.contains("bounds") && object.at("bounds").is_object())
     {
         read_bounds(reader, object.at("bounds"), names, result);
@@ -86,7 +92,7 @@
             {"metrics", http::to_string(value.metrics)},
             {"store", http::to_string(value.store)},
             {"cpu", value.cpu},
-            {"first_start", value.is_first_start},
+            {"start", {{"is_first", value.is_first_start}}},
             {"bounds",
              {{"repeat_ratio", value.retry_budget_ratio},
               {"repeat_window_s", static_cast<double>(value.retry_budget_window.ms) / ms_per_s},
--- a/src/settings/tests/edge_settings_tests.cpp
+++ b/src/settings/tests/edge_settings_tests.cpp
@@ -42,7 +42,9 @@
 BOOST_AUTO_TEST_CASE(a_later_start_is_told_from_the_first_one)
 {
     BOOST_CHECK(parse_edge_settings(text, "test").is_first_start);
-    BOOST_CHECK(!parse_edge_settings("first_start = false\n" + text, "test").is_first_start);
+    BOOST_CHECK(!parse_edge_settings(text + "\n[start]\nis_first = false\n", "test").is_first_start);
+    BOOST_CHECK_THROW(parse_edge_settings(text + "\n[start]\nis_first = 1\n", "test"),
+                      document::invalid_document);
 }
 
 // Guards against a start with bad settings that reports only the first error.
