--- a/standins/edge/tests/router_stop_tests.cpp
+++ b/standins/edge/tests/router_stop_tests.cpp
@@ -174,8 +174,8 @@
     check_exclusive_ownership(cluster);
 }
 
-// Guards against seconds without a leader: a router that is stopped while its write of the leadership row is on
-// its way left the row in its name and did not lead, and the others took it for the leader until it ended.
+// Guards against seconds without a leader: a router that is stopped while its write of the leadership row is
+// on its way left the row in its name and did not lead, and the others took it for the leader until it ended.
 BOOST_AUTO_TEST_CASE(router_that_stops_while_it_takes_the_leadership_hands_it_over)
 {
     edge_cluster cluster(3, 3);
