Log the first accepted grant of each token, with address and ages

Accepted grants were sampled (1 of 64), so that the logs did not tell whether a grant for a former backend server was accepted after the next one had started at its address, nor whether the next one was granted keys with the former token. No logic changes.

--- a/src/edge/front_types.hpp
+++ b/src/edge/front_types.hpp
@@ -71,6 +71,8 @@
     dispatch::slot_limit limit;
     std::set<std::shared_ptr<pending_request>> running;
     bool is_grant_pending = false;
+    /// Fencing token of the last accepted grant.
+    std::int64_t accepted_token = 0;
     std::optional<core::time_point> unreachable_since;
     core::time_point last_probe;
     /// Whether another backend server answered a call at the address, so that a connection proves nothing.
--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -198,6 +198,7 @@
     record_contact(*server, is_answered, is_replaced ? "another backend server answered" : result.reason);
     const auto line = [&]() -> nlohmann::json {
         return {{"backend_server", server->entry.server.id},
+                {"address", http::to_string(link->peer())},
                 {"call", is_grant ? "grant" : "release"},
                 {"first", call.range.first},
                 {"last", call.range.last},
@@ -206,9 +207,14 @@
                 {"outcome", outcome},
                 {"status", result.outcome == exchange_outcome::answered ? result.answer.status : 0},
                 {"elapsed_ms", result.elapsed.ms},
+                {"connection_age_ms", (now - link->connected_at()).ms},
+                {"confirmation_age_ms", (now - callbacks.last_confirmation()).ms},
                 {"reason", result.reason}};
     };
-    if (is_grant && is_answered && result.answer.status == status_ok)
+    const bool is_accepted_grant = is_grant && is_answered && result.answer.status == status_ok;
+    const bool is_renewal =
+        is_accepted_grant && std::exchange(server->accepted_token, call.token) == call.token;
+    if (is_renewal)
     {
         log.write_sampled("grant", line);
     }
