Test the grants of the next backend server at an address

Plays the lives and times of the users' record: a backend server ends unseen, the next one starts at its address with another id and is registered 0.1 s later; the former entry lapses after 4.5 s.

Callers saw refusals and failures while two backend servers held the same keys.

--- a/standins/edge/keyed_backend.cpp
+++ b/standins/edge/keyed_backend.cpp
@@ -44,6 +44,18 @@
     address_.port = server_->port();
 }
 
+void keyed_backend::crash()
+{
+    server_.reset();
+    const auto now = clock::now();
+    for (auto& item : held_)
+    {
+        item.until = std::min(item.until, now);
+        ended_.push_back(item);
+    }
+    held_.clear();
+}
+
 json keyed_backend::registration(bool is_draining)
 {
     return {{"address", http::to_string(address_)},
--- a/standins/edge/keyed_backend.hpp
+++ b/standins/edge/keyed_backend.hpp
@@ -32,10 +32,11 @@
                   std::string service, std::string zone, int slots, core::duration work_duration);
 
     const std::string& id() const { return id_; }
+    const http::endpoint& address() const { return address_; }
     /// Returns its next entry in the registry.
     nlohmann::json registration(bool is_draining = false);
-    /// Ends as if it crashed: closes its connections and accepts no new ones.
-    void crash() { server_.reset(); }
+    /// Ends as if it crashed: closes its connections, accepts no new ones and holds no keys any more.
+    void crash();
     /// Loses the answer to every `interval`-th request; 0 loses none.
     void lose_answers(int interval) { answer_loss_interval_ = interval; }
 
--- a/standins/edge/tests/edge_cluster.hpp
+++ b/standins/edge/tests/edge_cluster.hpp
@@ -33,9 +33,7 @@
     {
         for (std::size_t i = 0; i < backends; ++i)
         {
-            this->backends.push_back(std::make_unique<keyed_backend>(
-                context.get_executor(), http::endpoint("127.0.0.1", 0), "b" + std::to_string(i), "keyed",
-                i % 2 == 0 ? "a" : "b", 2, core::duration{20}));
+            start_backend("b" + std::to_string(i), {"127.0.0.1", 0}, i % 2 == 0 ? "a" : "b");
             store.put("servers", this->backends.back()->id(), this->backends.back()->registration());
         }
         put_config(1);
@@ -75,6 +73,13 @@
                          {"max-attempts", 2}}}}}}}});
     }
 
+    /// Starts a backend server without an entry in the registry.
+    void start_backend(const std::string& id, const http::endpoint& address, const std::string& zone)
+    {
+        backends.push_back(std::make_unique<keyed_backend>(context.get_executor(), address, id, "keyed", zone,
+                                                           2, core::duration{20}));
+    }
+
     /// Starts a router, also one that was killed.
     void start_router(std::size_t i)
     {
--- a/standins/edge/tests/edge_cluster_tests.cpp
+++ b/standins/edge/tests/edge_cluster_tests.cpp
@@ -277,6 +277,30 @@
     check_exclusive_ownership(cluster);
 }
 
+// Guards against keys that are granted to the next backend server at an address with the token of the former
+// one, whose end nobody has noticed.
+BOOST_AUTO_TEST_CASE(a_successor_at_an_address_is_not_granted_the_keys_of_the_former_backend_server)
+{
+    edge_cluster cluster(2, 2);
+    BOOST_REQUIRE(cluster.await_ready());
+    const auto address = cluster.backends[0]->address();
+    cluster.backends[0]->crash();
+    cluster.run_for(30);
+    cluster.start_backend("b2", address, "a");
+    cluster.run_for(100);
+    cluster.store.put("servers", "b2", cluster.backends[2]->registration());
+    cluster.run_for(4400);
+    cluster.store.remove("servers", "b0");
+    cluster.run_for(4000);
+    check_exclusive_ownership(cluster);
+    check_rising_tokens(cluster);
+    BOOST_CHECK(!cluster.backends[2]->spans().empty());
+    cluster.start_load(4, 1000);
+    cluster.run_for(2000);
+    BOOST_CHECK_GT(success_ratio(cluster), 0.99);
+    check_invariants(cluster);
+}
+
 // Guards against requests that a stopping router accepts and can no longer answer: requests that take 1.5 s
 // arrive 0.7 s before the router ends.
 BOOST_AUTO_TEST_CASE(a_stopping_router_answers_all_accepted_requests)
