Use a later token on each connection for grants that is opened anew

A backend server that started again under its id was granted keys with the token of its former process, until the registry showed the new one, up to some seconds later.

Cause: a front took what it knew of the former process for true of whoever answers on a connection that was opened anew: its tokens, and that earlier fronts were fenced.

Change: when the connection for grants is opened in place of a closed one, all keys are granted again with a later token, and earlier fronts count as not fenced until then. The first connection of a front keeps its first token. Requests go on meanwhile: a backend server that holds nothing rejects them.

--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -120,6 +120,7 @@
     }
     if (is_open)
     {
+        server->grants->on_connected(clock::now());
         callbacks.request_report();
         co_return;
     }
--- a/src/grants/internal/server_grants.cpp
+++ b/src/grants/internal/server_grants.cpp
@@ -122,17 +122,34 @@
     merge_adjacent();
 }
 
-void server_grants::on_restarted(core::time_point now)
+void server_grants::renew_all(core::time_point now)
 {
-    // The registration arrives late, so earlier calls may have reached the new process. Its grants are those
-    // of a later token, and a release that is in flight may be answered by either process.
     token_step_ = std::min(token_step_ + 1, max_token_step);
     for (auto& item : ranges_)
     {
         item.is_fenced = false;
         item.renewed = {};
-        item.valid_until = now;
         item.retry_at = now;
+    }
+}
+
+void server_grants::on_connected(core::time_point now)
+{
+    const bool is_first = last_sequence_ == 0;
+    if (!is_first)
+    {
+        renew_all(now);
+    }
+}
+
+void server_grants::on_restarted(core::time_point now)
+{
+    // The registration arrives late, so earlier calls may have reached the new process. Its grants are those
+    // of a later token, and a release that is in flight may be answered by either process.
+    renew_all(now);
+    for (auto& item : ranges_)
+    {
+        item.valid_until = now;
         if (item.release == release_state::in_flight)
         {
             item.release = release_state::pending;
--- a/src/grants/server_grants.hpp
+++ b/src/grants/server_grants.hpp
@@ -69,6 +69,10 @@
     void on_not_sent(const grant_call& call, core::time_point now);
     /// Delays all calls after the backend server did not accept a connection.
     void pause(core::time_point now);
+    /// Records that a connection for the next grants was opened in place of a closed one. It may lead to
+    /// another process, at once or only when the former one ended unseen, so that all keys are granted again
+    /// with a later token.
+    void on_connected(core::time_point now);
     /// Records that the call got no answer and that its connection was reset at `now`, or that its answer may
     /// be that of an earlier process.
     void on_lost(const grant_call& call, core::time_point now);
@@ -119,8 +123,9 @@
     void merge_adjacent();
     void add_missing_ranges(const directory::entry& entry, core::time_point prior_end);
     void update_prior_grants(const directory::entry& entry, core::time_point now);
-    /// Has all keys granted again, since a new process of the backend server holds none. Earlier grants count
-    /// until they end or are released.
+    /// Has all keys granted again with a later token. Earlier grants count until they end or are released.
+    void renew_all(core::time_point now);
+    /// Handles a new process of the backend server, which holds no keys.
     void on_restarted(core::time_point now);
     range_state* find(const keyspace::key_range& range);
     static core::time_point free_from(const range_state& item);
--- a/src/grants/tests/server_grants_tests.cpp
+++ b/src/grants/tests/server_grants_tests.cpp
@@ -264,6 +264,44 @@
     BOOST_CHECK_EQUAL(grants.freed(now).size(), 1U);
 }
 
+// Guards against a new process that is granted keys with the token of its former one: the registry shows the
+// restart seconds after the connection for grants was opened anew.
+BOOST_AUTO_TEST_CASE(keys_are_granted_with_a_later_token_over_a_connection_opened_anew)
+{
+    server_grants grants(make_entry({{0, 99}, {200, 299}}), now);
+    grants.on_connected(now);
+    const auto call = next(grants);
+    BOOST_CHECK_EQUAL(call.token, 100);
+    grants.on_granted(call, now);
+    grant_all(grants);
+    now = now + duration{10};
+    grants.on_connected(now);
+    const auto first = next(grants);
+    const auto second = next(grants);
+    BOOST_CHECK_GT(first.token, 100);
+    BOOST_CHECK_EQUAL(second.token, first.token);
+    BOOST_CHECK(keyspace::normalized({first.range, second.range}) ==
+                (keyspace::key_set{{0, 99}, {200, 299}}));
+}
+
+// Guards against keys that are freed by a release while an earlier front may still renew: the process that
+// knew the later token may have ended.
+BOOST_AUTO_TEST_CASE(earlier_fronts_are_fenced_again_over_a_connection_opened_anew)
+{
+    auto entry = make_entry({{0, 99}});
+    entry.prior_grant_remaining = duration{14000};
+    server_grants grants(entry, now);
+    grant_all(grants);
+    grants.on_connected(now);
+    entry.withdrawn = {{0, 99}};
+    ++entry.revision;
+    grants.update(entry, now);
+    const auto fence = next(grants);
+    BOOST_REQUIRE(fence.kind == call_kind::grant);
+    grants.on_granted(fence, now);
+    BOOST_CHECK(next(grants).kind == call_kind::release);
+}
+
 // Guards against two owners: a grant or a release that was in flight when the registration of a restart came
 // no longer counted, and the keys were free while the new process could still hold them or work on them.
 BOOST_AUTO_TEST_CASE(calls_in_flight_during_a_restart_free_no_keys)
--- a/src/leader/tests/ownership_model.cpp
+++ b/src/leader/tests/ownership_model.cpp
@@ -963,6 +963,7 @@
                 {
                     ++server->idle_connections;
                     server->connected_at = now_;
+                    server->grants.on_connected(now_);
                     routers_[index].is_report_requested = true;
                     return;
                 }
--- a/standins/edge/tests/edge_cluster_tests.cpp
+++ b/standins/edge/tests/edge_cluster_tests.cpp
@@ -301,6 +301,28 @@
     check_invariants(cluster);
 }
 
+// Guards against a backend server that starts again under its id and is granted keys with the tokens of its
+// former process before the registry shows the new one.
+BOOST_AUTO_TEST_CASE(a_restarted_backend_server_gets_higher_tokens_before_it_is_registered)
+{
+    edge_cluster cluster(2, 2);
+    BOOST_REQUIRE(cluster.await_ready());
+    const auto address = cluster.backends[0]->address();
+    cluster.backends[0]->crash();
+    cluster.run_for(30);
+    cluster.start_backend("b0", address, "a");
+    cluster.run_for(3000);
+    BOOST_CHECK(!cluster.backends[2]->spans().empty());
+    cluster.store.put("servers", "b0", cluster.backends[2]->registration());
+    cluster.run_for(3000);
+    check_exclusive_ownership(cluster);
+    check_rising_tokens(cluster);
+    cluster.start_load(4, 1000);
+    cluster.run_for(2000);
+    BOOST_CHECK_GT(success_ratio(cluster), 0.99);
+    check_invariants(cluster);
+}
+
 // Guards against requests that a stopping router accepts and can no longer answer: requests that take 1.5 s
 // arrive 0.7 s before the router ends.
 BOOST_AUTO_TEST_CASE(a_stopping_router_answers_all_accepted_requests)
