Free the keys of a backend server that has ended as its address shows

Callers of the keys of a backend server that ended unseen got refusals until its grants had ended, 4 to 10 s, although another backend server answered at its address long before; its front went on releasing its keys there, over a new connection each time.

Cause: the answer "misdirected" counted as lost contact only. The platform gives an address to another backend server after the former one has ended, so that this answer proves the end, if the former one accepted grants of this front at this address. A registration with a wrong address proves nothing.

Change: the front then counts its keys as free and reports the end; the leader withdraws them at once and publishes them as moving, so that requests wait for the next owner. Releases to the address stop.

Measured: keys_of_an_ended_backend_server_are_served_again_within_two_seconds failed before (half of the requests refused 2 s after the end).

--- a/src/edge/front_types.hpp
+++ b/src/edge/front_types.hpp
@@ -77,6 +77,10 @@
     core::time_point last_probe;
     /// Whether another backend server answered a call at the address, so that a connection proves nothing.
     bool is_replaced = false;
+    /// Whether it accepted a grant of this front at its present address.
+    bool has_accepted_grant = false;
+    /// Whether its process has ended, as another backend server answers at the address.
+    bool has_ended = false;
     /// Whether it said in an answer that it leaves, which the registry may show seconds later.
     bool is_leaving = false;
     bool is_removed = false;
--- a/src/edge/internal/front.cpp
+++ b/src/edge/internal/front.cpp
@@ -90,6 +90,10 @@
         {
             report.unreachable.push_back(id);
         }
+        if (server->has_ended)
+        {
+            report.ended.push_back({id, server->entry.server.start_time_ms});
+        }
         if (server->is_leaving && !server->entry.server.is_draining)
         {
             report.leaving.push_back({id, server->entry.server.start_time_ms});
@@ -246,13 +250,20 @@
         server.limit = dispatch::slot_limit(entry.server.slots);
         server.unreachable_since.reset();
         server.is_replaced = false;
+        server.has_accepted_grant = false;
+        server.has_ended = false;
         server.is_leaving = false;
         estimate.forget(entry.server.id);
         callbacks.request_report();
     }
     if (server.grants)
     {
-        server.grants->update(entry, clock::now());
+        const auto now = clock::now();
+        server.grants->update(entry, now);
+        if (server.has_ended && !server.grants->freed(now).empty())
+        {
+            callbacks.request_report();
+        }
         run_grants(servers.at(entry.server.id));
     }
 }
--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -170,6 +170,8 @@
         if (is_grant)
         {
             server->grants->on_granted(call, now);
+            server->has_accepted_grant = true;
+            server->has_ended = false;
         }
         else
         {
@@ -187,6 +189,7 @@
     {
         outcome = "misdirected";
         server->grants->on_not_sent(call, now);
+        record_replaced(*server);
     }
     else if (result.outcome != exchange_outcome::not_sent)
     {
@@ -260,6 +263,20 @@
     }
 }
 
+wire::forward_result front::state::make_unreachable_refusal(const fronted_server& server,
+                                                            core::duration retry_after)
+{
+    if (server.has_ended)
+    {
+        // Its keys have another owner in a moment, for which the entry waits.
+        return make_result(wire::outcome::refused_not_run, status_unavailable, "keys moved", "moved");
+    }
+    auto refusal = make_result(wire::outcome::refused_not_run, status_unavailable,
+                               "the backend server is unreachable", "unreachable");
+    refusal.retry_after = retry_after;
+    return refusal;
+}
+
 void front::state::refuse_waiting(fronted_server& server)
 {
     if (!server.is_keyed())
@@ -269,10 +286,7 @@
     auto& pool = *server.pool;
     for (const auto& item : extract_waiting(pool, [](const auto&) { return true; }))
     {
-        auto refusal = make_result(wire::outcome::refused_not_run, status_unavailable,
-                                   "the backend server is unreachable", "unreachable");
-        refusal.retry_after = unreachable_retry_after;
-        end_waiting(pool, item, std::move(refusal));
+        end_waiting(pool, item, make_unreachable_refusal(server, unreachable_retry_after));
     }
 }
 
@@ -285,6 +299,22 @@
     }
 }
 
+void front::state::record_replaced(fronted_server& server)
+{
+    // The registration may name a wrong address, where this backend server never was.
+    if (!server.has_accepted_grant || std::exchange(server.has_ended, true))
+    {
+        return;
+    }
+    const auto now = clock::now();
+    log.write("backend server ended", {{"backend_server", server.entry.server.id},
+                                       {"address", http::to_string(server.control_link->peer())}});
+    server.grants->on_ended(now);
+    server.unreachable_since = server.unreachable_since.value_or(now);
+    refuse_waiting(server);
+    callbacks.request_report();
+}
+
 void front::state::record_contact(fronted_server& server, bool is_reached, const std::string& reason)
 {
     constexpr int failures_until_unreachable = 2;
--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -142,10 +142,8 @@
     const auto& first = pool.servers.front();
     if (first->is_keyed() && first->unreachable_since)
     {
-        auto refusal = make_result(wire::outcome::refused_not_run, status_unavailable,
-                                   "the backend server is unreachable", "unreachable");
-        refusal.retry_after = {std::max<std::int64_t>(pending->request.deadline.ms / 3, 0)};
-        return refusal;
+        return make_unreachable_refusal(*first,
+                                        {std::max<std::int64_t>(pending->request.deadline.ms / 3, 0)});
     }
     if (ends_before_answer(pending->waiting, now))
     {
--- a/src/edge/internal/front_state.hpp
+++ b/src/edge/internal/front_state.hpp
@@ -64,10 +64,15 @@
                      wire::forward_result result);
     void log_result(const pending_request& pending, const wire::forward_result& result);
     double slack_share() const;
+    static wire::forward_result make_unreachable_refusal(const fronted_server& server,
+                                                         core::duration retry_after);
     /// Refuses the requests that wait for the keys of an unreachable backend server.
     void refuse_waiting(fronted_server& server);
     /// Handles an answer in which the backend server says that it leaves.
     void record_leaving(fronted_server& server, const response_head& head);
+    /// Handles an answer of another backend server to a call for this one. The platform gives an address to
+    /// another backend server only after the former one has ended.
+    void record_replaced(fronted_server& server);
     void record_contact(fronted_server& server, bool is_reached, const std::string& reason);
 
     // Grants.
--- a/src/grants/internal/server_grants.cpp
+++ b/src/grants/internal/server_grants.cpp
@@ -346,6 +346,21 @@
     std::ranges::for_each(ranges_, [now](range_state& item) { item.retry_at = now + retry_delay; });
 }
 
+void server_grants::on_ended(core::time_point now)
+{
+    for (auto& item : ranges_)
+    {
+        item.is_granted = false;
+        item.is_fenced = false;
+        item.valid_until = now;
+        item.latest_end = std::min(item.latest_end, now);
+        // Earlier fronts made their grants to this process or to one that ended before it.
+        item.prior_end = std::min(item.prior_end, now);
+        item.unanswered_latest_end = {};
+        item.handover.clear();
+    }
+}
+
 void server_grants::on_lost(const grant_call& call, core::time_point now)
 {
     // The lost call may be applied after the next one, so the next one needs a higher token.
--- a/src/grants/server_grants.hpp
+++ b/src/grants/server_grants.hpp
@@ -73,6 +73,8 @@
     /// another process, at once or only when the former one ended unseen, so that all keys are granted again
     /// with a later token.
     void on_connected(core::time_point now);
+    /// Records that the process ended to which all grants of this front were made, so that it holds no keys.
+    void on_ended(core::time_point now);
     /// Records that the call got no answer and that its connection was reset at `now`, or that its answer may
     /// be that of an earlier process.
     void on_lost(const grant_call& call, core::time_point now);
--- a/src/grants/tests/server_grants_tests.cpp
+++ b/src/grants/tests/server_grants_tests.cpp
@@ -30,6 +30,12 @@
         BOOST_REQUIRE(call.has_value());
         return *call;
     }
+    /// Waits until a renewal is due and makes it.
+    grant_call next_renewal(server_grants& grants)
+    {
+        now = now + renewal_interval;
+        return next(grants);
+    }
     /// Makes all due grant calls and answers them as accepted.
     void grant_all(server_grants& grants)
     {
@@ -302,6 +308,41 @@
     BOOST_CHECK(next(grants).kind == call_kind::release);
 }
 
+// Guards against keys of a process that has ended which stay without service until its grants would have
+// ended.
+BOOST_AUTO_TEST_CASE(keys_of_an_ended_process_are_free_once_they_are_withdrawn)
+{
+    auto entry = make_entry({{0, 99}});
+    entry.prior_grant_remaining = duration{14000};
+    server_grants grants(entry, now);
+    grant_all(grants);
+    grants.on_lost(next_renewal(grants), now);
+    grants.on_ended(now);
+    BOOST_CHECK(!grants.may_send(5, now));
+    BOOST_CHECK(grants.freed(now).empty());
+    entry.withdrawn = {{0, 99}};
+    ++entry.revision;
+    grants.update(entry, now);
+    BOOST_CHECK(!grants.next_call(now + duration{1000}, true, grant_duration));
+    BOOST_CHECK_EQUAL(grants.freed(now).size(), 1U);
+}
+
+// Guards against keys that are freed although the next process accepted them again before they were
+// withdrawn.
+BOOST_AUTO_TEST_CASE(keys_granted_after_the_end_of_a_process_are_free_only_after_a_release)
+{
+    auto entry = make_entry({{0, 99}});
+    server_grants grants(entry, now);
+    grant_all(grants);
+    grants.on_ended(now);
+    grant_all(grants);
+    entry.withdrawn = {{0, 99}};
+    ++entry.revision;
+    grants.update(entry, now);
+    BOOST_CHECK(grants.freed(now).empty());
+    BOOST_CHECK(next(grants).kind == call_kind::release);
+}
+
 // Guards against two owners: a grant or a release that was in flight when the registration of a restart came
 // no longer counted, and the keys were free while the new process could still hold them or work on them.
 BOOST_AUTO_TEST_CASE(calls_in_flight_during_a_restart_free_no_keys)
--- a/src/leader/internal/key_assignment.cpp
+++ b/src/leader/internal/key_assignment.cpp
@@ -36,6 +36,13 @@
            !state.unreachable_since && !entry.front.empty() && is_alive(entry.front, now);
 }
 
+bool leader_state::can_any_accept_keys(const std::string& service, core::time_point now) const
+{
+    return std::ranges::any_of(published_.entries, [&](const auto& item) {
+        return item.second.server.service == service && can_accept_keys(item.first, now);
+    });
+}
+
 std::vector<keyspace::holder> leader_state::holders(const std::string& service, core::time_point now) const
 {
     std::vector<keyspace::holder> list;
@@ -171,10 +178,7 @@
         {
             continue;
         }
-        const bool has_others = std::ranges::any_of(published_.entries, [&](const auto& other) {
-            return other.second.server.service == entry.server.service && can_accept_keys(other.first, now);
-        });
-        if (has_left || has_others)
+        if (has_left || can_any_accept_keys(entry.server.service, now))
         {
             withdraw(id, entry.keys,
                      has_left                   ? "gone"
--- a/src/leader/internal/leader_json.cpp
+++ b/src/leader/internal/leader_json.cpp
@@ -4,6 +4,30 @@
 
 using nlohmann::json;
 
+namespace {
+
+json to_json(const std::vector<server_process>& values)
+{
+    json list = json::array();
+    for (const auto& item : values)
+    {
+        list.push_back({item.backend_server, item.start_time_ms});
+    }
+    return list;
+}
+
+std::vector<server_process> processes_from_json(const json& values)
+{
+    std::vector<server_process> list;
+    for (const auto& item : values)
+    {
+        list.push_back({item.at(0).get<std::string>(), item.at(1).get<std::int64_t>()});
+    }
+    return list;
+}
+
+} // namespace
+
 json to_json(const router_report& value)
 {
     json freed = json::array();
@@ -11,11 +35,6 @@
     {
         freed.push_back({item.backend_server, item.range.first, item.range.last, item.handover});
     }
-    json leaving = json::array();
-    for (const auto& item : value.leaving)
-    {
-        leaving.push_back({item.backend_server, item.start_time_ms});
-    }
     json work = json::object();
     for (const auto& [service, keys] : value.work)
     {
@@ -30,7 +49,8 @@
     return {{"router", directory::to_json(value.router)},
             {"freed", std::move(freed)},
             {"unreachable", value.unreachable},
-            {"leaving", std::move(leaving)},
+            {"ended", to_json(value.ended)},
+            {"leaving", to_json(value.leaving)},
             {"work", std::move(work)},
             {"slowness", value.slowness}};
 }
@@ -46,11 +66,9 @@
                                 item.at(3).get<std::string>()});
     }
     result.unreachable = value.at("unreachable").get<std::vector<std::string>>();
-    // Routers of earlier releases do not send it.
-    for (const auto& item : value.value("leaving", json::array()))
-    {
-        result.leaving.push_back({item.at(0).get<std::string>(), item.at(1).get<std::int64_t>()});
-    }
+    // Routers of earlier releases do not send these.
+    result.ended = processes_from_json(value.value("ended", json::array()));
+    result.leaving = processes_from_json(value.value("leaving", json::array()));
     for (const auto& [service, list] : value.at("work").items())
     {
         auto& keys = result.work[service];
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -369,13 +369,10 @@
     {
         auto& entry = find_entry(id);
         auto& state = entry_states_[id];
-        const bool is_unreachable = unreachable.contains(id);
-        if (entry.is_unreachable != is_unreachable)
-        {
-            entry.is_unreachable = is_unreachable;
-            bump_revision(id);
-        }
-        if (!is_unreachable)
+        const bool has_ended =
+            std::ranges::find(report.ended, server_process{id, entry.server.start_time_ms}) !=
+            report.ended.end();
+        if (!unreachable.contains(id))
         {
             state.unreachable_since.reset();
         }
@@ -384,6 +381,18 @@
             state.unreachable_since = now;
             on_decision_("backend server unreachable", id, {{"front", report.router.name}});
         }
+        if (has_ended)
+        {
+            state.unreachable_since = now - settings_.unreachable_timeout;
+        }
+        // Keys that another backend server gets in a moment need not be refused.
+        const bool is_unreachable =
+            unreachable.contains(id) && !(has_ended && can_any_accept_keys(entry.server.service, now));
+        if (entry.is_unreachable != is_unreachable)
+        {
+            entry.is_unreachable = is_unreachable;
+            bump_revision(id);
+        }
         if (const auto slow = report.slowness.find(id); slow != report.slowness.end())
         {
             state.slowness = slow->second;
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -222,6 +222,7 @@
                              const std::string& from, core::time_point now);
     void assign_keys(const std::string& id, const keyspace::key_range& range, const std::string& handover);
     bool can_accept_keys(const std::string& id, core::time_point now) const;
+    bool can_any_accept_keys(const std::string& service, core::time_point now) const;
     bool is_keyed(const directory::entry& item) const
     {
         return keyed_services_.contains(item.server.service);
--- a/src/leader/leader_types.hpp
+++ b/src/leader/leader_types.hpp
@@ -21,13 +21,12 @@
     bool operator==(const freed_report&) const = default;
 };
 
-/// Process of a backend server that said in an answer that it leaves.
-struct leaving_server
+struct server_process
 {
     std::string backend_server;
     std::int64_t start_time_ms = 0;
 
-    bool operator==(const leaving_server&) const = default;
+    auto operator<=>(const server_process&) const = default;
 };
 
 /// Load offered for one key since the last report, in milliseconds of work on an average backend server.
@@ -50,7 +49,10 @@
     std::vector<freed_report> freed;
     /// Backend servers that do not answer the front's calls.
     std::vector<std::string> unreachable;
-    std::vector<leaving_server> leaving;
+    /// Processes that have ended and hold no keys.
+    std::vector<server_process> ended;
+    /// Processes that said in an answer that they leave.
+    std::vector<server_process> leaving;
     /// Load of keys by service.
     std::map<std::string, std::vector<key_work>> work;
     /// Processing time of a backend server relative to the average, by id.
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -426,6 +426,28 @@
     BOOST_CHECK_GT(state->prior_grant_remaining(ids.front(), now).ms, grants::outage_grant_duration.ms);
 }
 
+// Guards against keys without service for a second: a backend server whose process has ended was treated as
+// one that may be reached again.
+BOOST_AUTO_TEST_CASE(keys_of_an_ended_process_are_withdrawn_at_once)
+{
+    start(3);
+    const auto keys = entry("s0").keys;
+    BOOST_REQUIRE(!keys.empty());
+    router_report message;
+    message.router = make_router(entry("s0").front, entry("s0").front == "r2" ? "b" : "a");
+    message.unreachable = {"s0"};
+    message.ended = {{"s0", entry("s0").server.start_time_ms - 1}};
+    state->on_report(message, now);
+    state->tick(now);
+    BOOST_CHECK(entry("s0").withdrawn.empty());
+    message.ended = {{"s0", entry("s0").server.start_time_ms}};
+    state->on_report(report_from_json(to_json(message)), now);
+    state->tick(now);
+    BOOST_CHECK(entry("s0").withdrawn == keys);
+    // Requests for the keys wait for their next owner.
+    BOOST_CHECK(!entry("s0").is_unreachable);
+}
+
 // Guards against a key that moves with a lower token: many changes of front without a change of keys used up
 // the part of the token that counts them, so that it reached into the tokens of the next owner.
 BOOST_AUTO_TEST_CASE(tokens_rise_after_hundreds_of_front_changes)
--- a/standins/edge/tests/edge_cluster_tests.cpp
+++ b/standins/edge/tests/edge_cluster_tests.cpp
@@ -301,6 +301,25 @@
     check_invariants(cluster);
 }
 
+// Guards against keys that stay with a backend server until its grants end although another one that answers
+// at its address shows that it has ended.
+BOOST_AUTO_TEST_CASE(keys_of_an_ended_backend_server_are_served_again_within_two_seconds)
+{
+    edge_cluster cluster(2, 2);
+    BOOST_REQUIRE(cluster.await_ready());
+    const auto address = cluster.backends[0]->address();
+    cluster.backends[0]->crash();
+    cluster.run_for(30);
+    cluster.start_backend("b2", address, "a");
+    cluster.run_for(1970);
+    cluster.start_load(4, 1000);
+    cluster.run_for(2000);
+    BOOST_CHECK_GT(success_ratio(cluster), 0.99);
+    check_invariants(cluster);
+    check_exclusive_ownership(cluster);
+    check_rising_tokens(cluster);
+}
+
 // Guards against a backend server that starts again under its id and is granted keys with the tokens of its
 // former process before the registry shows the new one.
 BOOST_AUTO_TEST_CASE(a_restarted_backend_server_gets_higher_tokens_before_it_is_registered)
