Give a front later tokens before it has none left

Grants of one front and generation have 4,095 steps of tokens, which connections that are opened anew and lost calls use up. Beyond them tokens stayed equal, so that a later process could be granted keys with the token of its former one. Found by reading.

A front reports backend servers for which half of its tokens are used; the leader then writes their row anew, which gives them a later generation. Tests: a_front_says_in_time_that_it_is_short_of_tokens, a_front_that_is_short_of_tokens_gets_later_ones; the call did not exist before.

--- a/src/edge/internal/front.cpp
+++ b/src/edge/internal/front.cpp
@@ -102,6 +102,10 @@
         if (server->is_keyed())
         {
             report.slowness[id] = slow;
+            if (server->grants->is_short_of_tokens())
+            {
+                report.short_of_tokens.push_back(id);
+            }
             for (const auto& item : server->grants->freed(now))
             {
                 report.freed.push_back({id, item.range, item.handover});
--- a/src/grants/internal/server_grants.cpp
+++ b/src/grants/internal/server_grants.cpp
@@ -413,6 +413,11 @@
     return result;
 }
 
+bool server_grants::is_short_of_tokens() const
+{
+    return token_step_ > max_token_step / 2;
+}
+
 core::time_point server_grants::next_due(core::time_point now) const
 {
     auto due = now + renewal_interval;
--- a/src/grants/server_grants.hpp
+++ b/src/grants/server_grants.hpp
@@ -84,6 +84,9 @@
     /// Returns whether the key is or will be granted to the backend server and is not being withdrawn.
     bool is_assigned(std::uint32_t key) const;
     std::vector<freed_keys> freed(core::time_point now) const;
+    /// Returns whether few tokens are left below those of the next front, so that the leader should assign
+    /// new ones.
+    bool is_short_of_tokens() const;
     /// Returns when the next call is due, at most one renewal interval after `now`.
     core::time_point next_due(core::time_point now) const;
 
--- a/src/grants/tests/server_grants_tests.cpp
+++ b/src/grants/tests/server_grants_tests.cpp
@@ -290,6 +290,28 @@
                 (keyspace::key_set{{0, 99}, {200, 299}}));
 }
 
+// Guards against grants with equal tokens: thousands of connections use up the tokens of a front.
+BOOST_AUTO_TEST_CASE(a_front_says_in_time_that_it_is_short_of_tokens)
+{
+    auto entry = make_entry({{0, 99}});
+    server_grants grants(entry, now);
+    auto last = next(grants);
+    grants.on_granted(last, now);
+    while (!grants.is_short_of_tokens())
+    {
+        grants.on_connected(now);
+        const auto call = next(grants);
+        BOOST_REQUIRE_GT(call.token, last.token);
+        grants.on_granted(call, now);
+        last = call;
+    }
+    grants.on_connected(now);
+    BOOST_CHECK_GT(next(grants).token, last.token);
+    entry.token_base = last.token + 4096;
+    grants.update(entry, now);
+    BOOST_CHECK(!grants.is_short_of_tokens());
+}
+
 // Guards against keys that are freed by a release while an earlier front may still renew: the process that
 // knew the later token may have ended.
 BOOST_AUTO_TEST_CASE(earlier_fronts_are_fenced_again_over_a_connection_opened_anew)
--- a/src/leader/internal/leader_json.cpp
+++ b/src/leader/internal/leader_json.cpp
@@ -49,6 +49,7 @@
     return {{"router", directory::to_json(value.router)},
             {"freed", std::move(freed)},
             {"unreachable", value.unreachable},
+            {"short_of_tokens", value.short_of_tokens},
             {"ended", to_json(value.ended)},
             {"leaving", to_json(value.leaving)},
             {"work", std::move(work)},
@@ -67,6 +68,7 @@
     }
     result.unreachable = value.at("unreachable").get<std::vector<std::string>>();
     // Routers of earlier releases do not send these.
+    result.short_of_tokens = value.value("short_of_tokens", std::vector<std::string>());
     result.ended = processes_from_json(value.value("ended", json::array()));
     result.leaving = processes_from_json(value.value("leaving", json::array()));
     for (const auto& [service, list] : value.at("work").items())
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -187,7 +187,8 @@
 
 bool leader_state::needs_new_generation(const std::string& id) const
 {
-    return entry_states_.at(id).front_changes >= front_changes_until_write;
+    const auto& state = entry_states_.at(id);
+    return state.is_short_of_tokens || state.front_changes >= front_changes_until_write;
 }
 
 void leader_state::bump_revision(const std::string& id)
@@ -357,6 +358,7 @@
     }
     if (report.term == published_.term)
     {
+        renew_tokens(report);
         std::ranges::for_each(report.freed,
                               [&](const auto& item) { on_keys_freed(item, name, report.revision, now); });
     }
@@ -400,6 +402,22 @@
     }
 }
 
+void leader_state::renew_tokens(const router_report& report)
+{
+    for (const auto& id : report.short_of_tokens)
+    {
+        const auto position = published_.entries.find(id);
+        // An earlier report may not know of the present tokens.
+        const bool is_current = position != published_.entries.end() &&
+                                position->second.front == report.router.name &&
+                                position->second.revision <= report.revision;
+        if (is_current && !std::exchange(entry_states_[id].is_short_of_tokens, true))
+        {
+            mark_dirty(id);
+        }
+    }
+}
+
 void leader_state::drain_leaving(const router_report& report)
 {
     for (const auto& item : report.leaving)
@@ -534,6 +552,7 @@
         entry.handovers = next.handovers;
         state.written = written;
         state.front_changes = 0;
+        state.is_short_of_tokens = false;
         update_token_base(id);
         bump_revision(id);
     }
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -142,6 +142,7 @@
         directory::generation written;
         /// Number of fronts assigned since then.
         std::int64_t front_changes = 0;
+        bool is_short_of_tokens = false;
     };
 
     struct peer
@@ -174,7 +175,9 @@
     void bump_revision(const std::string& id);
     /// Recomputes the token base of the entry, so that its front's tokens exceed those of all earlier fronts.
     void update_token_base(const std::string& id);
-    /// Whether its tokens have little room left for further changes of front.
+    /// Has new tokens written for the backend servers whose fronts have few left.
+    void renew_tokens(const router_report& report);
+    /// Whether its tokens have little room left for further changes of front or calls.
     bool needs_new_generation(const std::string& id) const;
     /// Adds a backend server that an earlier leader knew, with the keys that it may still hold.
     void load_entry(directory::entry entry, core::time_point now);
--- a/src/leader/leader_types.hpp
+++ b/src/leader/leader_types.hpp
@@ -49,6 +49,8 @@
     std::vector<freed_report> freed;
     /// Backend servers that do not answer the front's calls.
     std::vector<std::string> unreachable;
+    /// Backend servers whose front has few tokens left for its grants.
+    std::vector<std::string> short_of_tokens;
     /// Processes that have ended and hold no keys.
     std::vector<server_process> ended;
     /// Processes that said in an answer that they leave.
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -426,6 +426,25 @@
     BOOST_CHECK_GT(state->prior_grant_remaining(ids.front(), now).ms, grants::outage_grant_duration.ms);
 }
 
+// Guards against grants with equal tokens: a front that has opened thousands of connections has no later
+// ones.
+BOOST_AUTO_TEST_CASE(a_front_that_is_short_of_tokens_gets_later_ones)
+{
+    start(2);
+    const auto token = entry("s0").token_base;
+    router_report message;
+    message.router = make_router(entry("s0").front, entry("s0").front == "r2" ? "b" : "a");
+    message.term = state->current().term;
+    message.revision = state->current().revision;
+    message.short_of_tokens = {"s0"};
+    state->on_report(message, now);
+    BOOST_CHECK_GT(write(), 0U);
+    BOOST_CHECK_GT(entry("s0").token_base, token);
+    // The same report again, from before the later tokens.
+    state->on_report(message, now);
+    BOOST_CHECK_EQUAL(write(), 0U);
+}
+
 // Guards against keys without service for a second: a backend server whose process has ended was treated as
 // one that may be reached again.
 BOOST_AUTO_TEST_CASE(keys_of_an_ended_process_are_withdrawn_at_once)
