Renew all keys in turn while connections for grants close

Change: a new connection raises the token of the next renewals and makes none due. A key that the backend server says it does not hold is granted at once, so that a restart is noticed by its requests. The range that was granted longest ago goes first. A release whose fence may be lost is repeated after the fence.

--- a/src/edge/internal/front_outcomes.cpp
+++ b/src/edge/internal/front_outcomes.cpp
@@ -97,6 +97,7 @@
     {
         // Either another backend server has the address, or this one lost its grants; both last some time.
         server.limit.on_failure(now);
+        server.grants->on_key_missing(pending.waiting.key, now);
     }
     const bool is_key_missing = outcome.head.is_misdirected && server.is_keyed();
     if (!is_key_missing && take_retry(pending, now))
--- a/src/grants/internal/server_grants.cpp
+++ b/src/grants/internal/server_grants.cpp
@@ -1,6 +1,7 @@
 #include "grants/server_grants.hpp"
 
 #include <algorithm>
+#include <ranges>
 
 namespace briarfold::grants {
 
@@ -122,23 +123,33 @@
     merge_adjacent();
 }
 
-void server_grants::renew_all(core::time_point now)
+void server_grants::on_connected(core::time_point now)
 {
+    const bool is_first = last_sequence_ == 0;
+    if (is_first)
+    {
+        return;
+    }
     token_step_ = std::min(token_step_ + 1, max_token_step);
     for (auto& item : ranges_)
     {
         item.is_fenced = false;
-        item.renewed = {};
-        item.retry_at = now;
+        if (item.release == release_state::in_flight && item.prior_end > now)
+        {
+            // Without the fence its answer does not show that the keys are free.
+            item.release = release_state::pending;
+        }
     }
 }
 
-void server_grants::on_connected(core::time_point now)
+void server_grants::on_key_missing(std::uint32_t key, core::time_point now)
 {
-    const bool is_first = last_sequence_ == 0;
-    if (!is_first)
+    for (auto& item : ranges_)
     {
-        renew_all(now);
+        if (item.range.contains(key) && item.renewed + retry_delay <= now)
+        {
+            item.renewed = {};
+        }
     }
 }
 
@@ -146,10 +157,13 @@
 {
     // The registration arrives late, so earlier calls may have reached the new process. Its grants are those
     // of a later token, and a release that is in flight may be answered by either process.
-    renew_all(now);
+    token_step_ = std::min(token_step_ + 1, max_token_step);
     for (auto& item : ranges_)
     {
+        item.is_fenced = false;
+        item.renewed = {};
         item.valid_until = now;
+        item.retry_at = now;
         if (item.release == release_state::in_flight)
         {
             item.release = release_state::pending;
@@ -203,19 +217,21 @@
     {
         return std::nullopt;
     }
-    for (auto& item : ranges_)
-    {
+    const auto is_due = [now](const range_state& item) {
         const bool is_renewal_due = item.release == release_state::none &&
                                     (!item.is_granted || item.renewed + renewal_interval <= now);
-        const bool is_due = is_renewal_due || may_fence(item, now);
-        if (is_due && !item.is_in_flight && item.retry_at <= now)
-        {
-            item.is_in_flight = true;
-            return grant_call{call_kind::grant, item.range, token_base_ + token_step_, valid_for,
-                              item.handover,    now,        ++last_sequence_};
-        }
+        return (is_renewal_due || may_fence(item, now)) && !item.is_in_flight && item.retry_at <= now;
+    };
+    auto due = ranges_ | std::views::filter(is_due);
+    // In turn, since a backend server may close its connection after each answer.
+    const auto next = std::ranges::min_element(due, {}, &range_state::renewed);
+    if (next == due.end())
+    {
+        return std::nullopt;
     }
-    return std::nullopt;
+    next->is_in_flight = true;
+    return grant_call{call_kind::grant, next->range, token_base_ + token_step_, valid_for,
+                      next->handover,   now,         ++last_sequence_};
 }
 
 server_grants::range_state* server_grants::find(const keyspace::key_range& range)
--- a/src/grants/server_grants.hpp
+++ b/src/grants/server_grants.hpp
@@ -70,9 +70,10 @@
     /// Delays all calls after the backend server did not accept a connection.
     void pause(core::time_point now);
     /// Records that a connection for the next grants was opened in place of a closed one. It may lead to
-    /// another process, at once or only when the former one ended unseen, so that all keys are granted again
-    /// with a later token.
+    /// another process, which knows no tokens and needs a later one.
     void on_connected(core::time_point now);
+    /// Records that the backend server does not hold the key, so that it may be another process.
+    void on_key_missing(std::uint32_t key, core::time_point now);
     /// Records that the process ended to which all grants of this front were made, so that it holds no keys.
     void on_ended(core::time_point now);
     /// Records that the call got no answer and that its connection was reset at `now`, or that its answer may
@@ -128,9 +129,8 @@
     void merge_adjacent();
     void add_missing_ranges(const directory::entry& entry, core::time_point prior_end);
     void update_prior_grants(const directory::entry& entry, core::time_point now);
-    /// Has all keys granted again with a later token. Earlier grants count until they end or are released.
-    void renew_all(core::time_point now);
-    /// Handles a new process of the backend server, which holds no keys.
+    /// Has all keys granted again, since a new process of the backend server holds none. Earlier grants count
+    /// until they end or are released.
     void on_restarted(core::time_point now);
     range_state* find(const keyspace::key_range& range);
     static core::time_point free_from(const range_state& item);
