Grant nothing with the last token of a front

A front whose steps were used up went on with the last one, so that another process could be granted keys with the token of its former one: 12 rejections use them up as well. It now waits for the later tokens that it has asked for.

a_front_without_tokens_grants_nothing_until_it_gets_later_ones failed before.

--- a/src/grants/internal/server_grants.cpp
+++ b/src/grants/internal/server_grants.cpp
@@ -213,7 +213,7 @@
                               last_sequence_};
         }
     }
-    if (!may_grant || now < superseded_until_)
+    if (!may_grant || now < superseded_until_ || token_step_ == max_token_step)
     {
         return std::nullopt;
     }
@@ -441,7 +441,7 @@
     {
         if (item.release == release_state::none)
         {
-            if (now < superseded_until_)
+            if (now < superseded_until_ || token_step_ == max_token_step)
             {
                 continue;
             }
--- a/src/grants/tests/server_grants_tests.cpp
+++ b/src/grants/tests/server_grants_tests.cpp
@@ -310,6 +310,30 @@
     BOOST_CHECK(!grants.is_short_of_tokens());
 }
 
+// Guards against a process that is granted keys with the token of its former one after rejections and new
+// connections have used up all tokens of its front.
+BOOST_AUTO_TEST_CASE(a_front_without_tokens_grants_nothing_until_it_gets_later_ones)
+{
+    auto entry = make_entry({{0, 99}});
+    server_grants grants(entry, now);
+    std::int64_t last = 0;
+    constexpr int rejections_until_spent = 12;
+    for (int i = 0; i < rejections_until_spent; ++i)
+    {
+        const auto call = next(grants);
+        BOOST_CHECK_GT(call.token, last);
+        last = call.token;
+        grants.on_superseded(call, now);
+        now = now + duration{15000};
+    }
+    BOOST_CHECK(!grants.next_call(now, true, grant_duration));
+    BOOST_CHECK_GT(grants.next_due(now).ms, now.ms);
+    BOOST_CHECK(grants.is_short_of_tokens());
+    entry.token_base = last + 4096;
+    grants.update(entry, now);
+    BOOST_CHECK_GT(next(grants).token, last);
+}
+
 // Guards against keys that are never renewed: a backend server that closes its connection after each answer
 // had the first range granted again and again.
 BOOST_AUTO_TEST_CASE(all_ranges_are_renewed_when_each_answer_closes_the_connection)
