Confirm a restarted front only with its new term of office

A router that restarted could grant keys with the tokens of its former process, and fence keys back that it had freed: it had applied an update with the former term of office, and the answer to its first report, which begins the new one, confirmed it at once.

The revision from which it knows of the new term is now required, as after a loss of a front role. a_restarted_front_is_confirmed_only_with_its_new_term_of_office failed before.

--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -336,6 +336,8 @@
                 prior_grants_until = std::max(prior_grants_until, until);
                 begin_term_of_office(id);
             }
+            // Its directory may show the former term of office until the next update.
+            front_lost_at_[name] = published_.revision;
         }
     }
     peers_[name].last_report = now;
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -445,6 +445,20 @@
     BOOST_CHECK_EQUAL(write(), 0U);
 }
 
+// Guards against grants with the tokens of a former process: a router that restarted was confirmed although its
+// directory showed the former term of office.
+BOOST_AUTO_TEST_CASE(a_restarted_front_is_confirmed_only_with_its_new_term_of_office)
+{
+    start(3);
+    const auto front = entry("s0").front;
+    const auto token = entry("s0").token_base;
+    const auto revision = state->current().revision;
+    report(front, {}, {}, "2");
+    BOOST_REQUIRE_GT(entry("s0").token_base, token);
+    BOOST_CHECK(!state->knows_its_fronts(front, revision));
+    BOOST_CHECK(state->knows_its_fronts(front, state->current().revision));
+}
+
 // Guards against keys without service for a second: a backend server whose process has ended was treated as
 // one that may be reached again.
 BOOST_AUTO_TEST_CASE(keys_of_an_ended_process_are_withdrawn_at_once)
