--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -183,6 +183,11 @@
     return confirmation_.undisputed_at(now, state_->do_all_routers_follow(now), health_.is_failing());
 }
 
+bool leader_service::knows_own_fronts(const directory::snapshot& known) const
+{
+    return state_->knows_its_fronts(self_.name, known.term == term_ ? known.revision : 0);
+}
+
 void leader_service::propagate_changes()
 {
     if (!is_started_ || !is_running())
--- a/src/edge/internal/leader_service.hpp
+++ b/src/edge/internal/leader_service.hpp
@@ -73,6 +73,8 @@
     const directory::generation& term() const { return term_; }
     /// Returns when the leadership was last known to be undisputed.
     core::time_point confirmed_at() const;
+    /// Returns whether this router knows of every front role that was taken from it.
+    bool knows_own_fronts(const directory::snapshot& known) const;
     bool is_started() const { return state_.has_value() && is_started_; }
 
 private:
--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -84,7 +84,13 @@
 {
     // Until a leader has read the rows, its fronts act on the directory of the former one.
     const bool is_leading = state_->leadership && state_->leadership->is_started();
-    return is_leading ? state_->leadership->confirmed_at() : state_->confirmed_at;
+    if (!is_leading)
+    {
+        return state_->confirmed_at;
+    }
+    // Changes may reach other routers before the leader applies them itself.
+    return state_->leadership->knows_own_fronts(state_->snapshot) ? state_->leadership->confirmed_at()
+                                                                  : core::time_point();
 }
 
 bool member::is_store_failing() const
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -104,7 +104,8 @@
     /// Returns the time for which a grant of an earlier front may still be valid; zero when none is.
     core::duration prior_grant_remaining(const std::string& id, core::time_point now) const;
     /// Returns whether a router with this revision of the directory knows of every front role that was taken
-    /// from it. Otherwise it must not be confirmed, since it might go on granting keys.
+    /// from it and of its new terms of office. Otherwise it must not be confirmed, since it might go on
+    /// granting keys with earlier tokens.
     bool knows_its_fronts(const std::string& router, std::int64_t revision) const;
     bool is_alive(const std::string& router, core::time_point now) const;
     /// Whether every router that was known in this term reports to this leader. Lost routers leave the
@@ -248,7 +249,7 @@
     std::map<std::string, std::set<std::string>> servers_by_front_;
     std::map<std::string, peer> peers_;
     directory::change_log changes_;
-    /// Revision at which a router last lost a front role, by name.
+    /// Revision at which a router last lost a front role or began new terms of office, by name.
     std::map<std::string, std::int64_t> front_lost_at_;
     std::set<std::string> keyed_services_;
     /// Services whose keys have been assigned before.
