Bound what the answer of another backend server proves

Change: the answer counts only if no grant was accepted, lost or in flight since its call was sent. Grants of earlier fronts and at earlier addresses keep their bounds.

the_end_of_a_process_ends_no_grants_at_another_address and the_end_of_a_process_ends_no_grants_of_earlier_fronts failed before; the order of answers has no test of its own.

--- a/src/edge/front_types.hpp
+++ b/src/edge/front_types.hpp
@@ -79,6 +79,8 @@
     bool is_replaced = false;
     /// Whether it accepted a grant of this front at its present address.
     bool has_accepted_grant = false;
+    /// When the last grant that it accepted or may have accepted was answered or lost.
+    core::time_point last_grant_end;
     /// Whether its process has ended, as another backend server answers at the address.
     bool has_ended = false;
     /// Whether it said in an answer that it leaves, which the registry may show seconds later.
--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -145,6 +145,12 @@
     if (is_grant)
     {
         server->is_grant_pending = false;
+        const bool is_rejected =
+            result.outcome == exchange_outcome::answered && result.answer.status != status_ok;
+        if (!is_rejected && result.outcome != exchange_outcome::not_sent)
+        {
+            server->last_grant_end = now;
+        }
     }
     if (server->is_removed)
     {
@@ -189,7 +195,7 @@
     {
         outcome = "misdirected";
         server->grants->on_not_sent(call, now);
-        record_replaced(*server);
+        record_replaced(*server, call.sent);
     }
     else if (result.outcome != exchange_outcome::not_sent)
     {
@@ -299,10 +305,13 @@
     }
 }
 
-void front::state::record_replaced(fronted_server& server)
+void front::state::record_replaced(fronted_server& server, core::time_point sent)
 {
-    // The registration may name a wrong address, where this backend server never was.
-    if (!server.has_accepted_grant || std::exchange(server.has_ended, true))
+    // The registration may name a wrong address, where this backend server never was. A slow answer may be
+    // older than a grant that the backend server accepted after it had started again at the address.
+    const bool is_proof =
+        server.has_accepted_grant && server.last_grant_end < sent && !server.is_grant_pending;
+    if (!is_proof || std::exchange(server.has_ended, true))
     {
         return;
     }
--- a/src/edge/internal/front_state.hpp
+++ b/src/edge/internal/front_state.hpp
@@ -70,9 +70,9 @@
     void refuse_waiting(fronted_server& server);
     /// Handles an answer in which the backend server says that it leaves.
     void record_leaving(fronted_server& server, const response_head& head);
-    /// Handles an answer of another backend server to a call for this one. The platform gives an address to
-    /// another backend server only after the former one has ended.
-    void record_replaced(fronted_server& server);
+    /// Handles an answer of another backend server to a call for this one that was sent at `sent`. The
+    /// platform gives an address to another backend server only after the former one has ended.
+    void record_replaced(fronted_server& server, core::time_point sent);
     void record_contact(fronted_server& server, bool is_reached, const std::string& reason);
 
     // Grants.
--- a/src/grants/internal/server_grants.cpp
+++ b/src/grants/internal/server_grants.cpp
@@ -15,8 +15,8 @@
 } // namespace
 
 server_grants::server_grants(const directory::entry& entry, core::time_point now)
-    : start_time_ms_(entry.server.start_time_ms), token_base_(entry.token_base),
-      front_token_(entry.front_token)
+    : start_time_ms_(entry.server.start_time_ms), address_(entry.server.address),
+      token_base_(entry.token_base), front_token_(entry.front_token)
 {
     add_missing_ranges(entry, now + entry.prior_grant_remaining);
     update(entry, now);
@@ -94,6 +94,15 @@
         token_step_ = 0;
         superseded_until_ = {};
     }
+    if (entry.server.address != address_)
+    {
+        address_ = entry.server.address;
+        // The end of a process at this address does not end what was granted at another one.
+        for (auto& item : ranges_)
+        {
+            item.elsewhere_end = std::max({item.elsewhere_end, item.latest_end, item.unanswered_latest_end});
+        }
+    }
     if (entry.server.start_time_ms != start_time_ms_)
     {
         start_time_ms_ = entry.server.start_time_ms;
@@ -193,6 +202,7 @@
         last.valid_until = std::min(last.valid_until, item.valid_until);
         last.latest_end = std::max(last.latest_end, item.latest_end);
         last.prior_end = std::max(last.prior_end, item.prior_end);
+        last.elsewhere_end = std::max(last.elsewhere_end, item.elsewhere_end);
         last.unanswered_latest_end = std::max(last.unanswered_latest_end, item.unanswered_latest_end);
     }
     ranges_ = std::move(merged);
@@ -370,8 +380,6 @@
         item.is_fenced = false;
         item.valid_until = now;
         item.latest_end = std::min(item.latest_end, now);
-        // Earlier fronts made their grants to this process or to one that ended before it.
-        item.prior_end = std::min(item.prior_end, now);
         item.unanswered_latest_end = {};
         item.handover.clear();
     }
@@ -413,7 +421,7 @@
 
 core::time_point server_grants::free_from(const range_state& item)
 {
-    return std::max({item.latest_end, item.prior_end, item.unanswered_latest_end});
+    return std::max({item.latest_end, item.prior_end, item.elsewhere_end, item.unanswered_latest_end});
 }
 
 std::vector<freed_keys> server_grants::freed(core::time_point now) const
--- a/src/grants/server_grants.hpp
+++ b/src/grants/server_grants.hpp
@@ -74,7 +74,8 @@
     void on_connected(core::time_point now);
     /// Records that the backend server does not hold the key, so that it may be another process.
     void on_key_missing(std::uint32_t key, core::time_point now);
-    /// Records that the process ended to which all grants of this front were made, so that it holds no keys.
+    /// Records that the process ended to which this front made its grants at the present address. Grants of
+    /// earlier fronts and at other addresses count as before.
     void on_ended(core::time_point now);
     /// Records that the call got no answer and that its connection was reset at `now`, or that its answer may
     /// be that of an earlier process.
@@ -115,6 +116,8 @@
         core::time_point latest_end;
         /// Latest end of the grants of earlier fronts.
         core::time_point prior_end;
+        /// Latest end of the grants of this front at earlier addresses of the backend server.
+        core::time_point elsewhere_end;
         /// Latest end of the grants whose answer was lost and that no accepted higher token has made void.
         core::time_point unanswered_latest_end;
         std::string handover;
@@ -142,6 +145,7 @@
     void clear_in_flight(const keyspace::key_range& range);
 
     std::int64_t start_time_ms_ = 0;
+    http::endpoint address_;
     std::int64_t token_base_ = 0;
     std::int64_t front_token_ = 0;
     std::int64_t token_step_ = 0;
--- a/src/grants/tests/server_grants_tests.cpp
+++ b/src/grants/tests/server_grants_tests.cpp
@@ -418,7 +418,6 @@
 BOOST_AUTO_TEST_CASE(keys_of_an_ended_process_are_free_once_they_are_withdrawn)
 {
     auto entry = make_entry({{0, 99}});
-    entry.prior_grant_remaining = duration{14000};
     server_grants grants(entry, now);
     grant_all(grants);
     grants.on_lost(next_renewal(grants), now);
@@ -432,6 +431,40 @@
     BOOST_CHECK_EQUAL(grants.freed(now).size(), 1U);
 }
 
+// Guards against two owners: the end of a process at the registered address was taken for the end of one that
+// was granted keys at another address before.
+BOOST_AUTO_TEST_CASE(the_end_of_a_process_ends_no_grants_at_another_address)
+{
+    auto entry = make_entry({{0, 99}});
+    server_grants grants(entry, now);
+    grant_all(grants);
+    entry.server.address = {"10.0.0.9", 8000};
+    ++entry.revision;
+    grants.update(entry, now);
+    grants.on_ended(now);
+    entry.withdrawn = {{0, 99}};
+    ++entry.revision;
+    grants.update(entry, now);
+    BOOST_CHECK(grants.freed(now + duration{3900}).empty());
+    BOOST_CHECK_EQUAL(grants.freed(now + duration{4300}).size(), 1U);
+}
+
+// Guards against two owners: a former front that another leader still confirms may hold the keys at a later
+// process of the backend server.
+BOOST_AUTO_TEST_CASE(the_end_of_a_process_ends_no_grants_of_earlier_fronts)
+{
+    auto entry = make_entry({{0, 99}});
+    entry.prior_grant_remaining = duration{14000};
+    server_grants grants(entry, now);
+    grant_all(grants);
+    grants.on_ended(now);
+    entry.withdrawn = {{0, 99}};
+    ++entry.revision;
+    entry.prior_grant_remaining = duration{14000};
+    grants.update(entry, now);
+    BOOST_CHECK(grants.freed(now).empty());
+}
+
 // Guards against keys that are freed although the next process accepted them again before they were
 // withdrawn.
 BOOST_AUTO_TEST_CASE(keys_granted_after_the_end_of_a_process_are_free_only_after_a_release)
