Count only answers to grants as contact with an owner of keys

A backend server that accepted connections but answered no grants, or answered them with another status, kept its keys for as long as that lasted: a probe by connection, or the status, counted as contact before the leader's 0.9 s were over.

--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -56,7 +56,11 @@
         {
             run_grants(server);
         }
-        if (server->unreachable_since && !server->is_replaced && now - server->last_probe >= probe_interval)
+        // With keys, only the answer to a call shows that it is reached, and calls go on anyway.
+        const bool is_probe_due = server->unreachable_since && !server->is_replaced &&
+                                  (!server->is_keyed() || server->entry.keys.empty()) &&
+                                  now - server->last_probe >= probe_interval;
+        if (is_probe_due)
         {
             server->last_probe = now;
             asio::co_spawn(executor, probe(server), asio::detached);
@@ -163,7 +167,9 @@
     }
     // Another backend server that has the address now does not speak for this one.
     const bool is_replaced = result.outcome == exchange_outcome::answered && result.head.is_misdirected;
-    const bool is_answered = result.outcome == exchange_outcome::answered && !is_replaced;
+    const bool is_expected_status =
+        result.answer.status == status_ok || result.answer.status == status_superseded;
+    const bool is_answered = result.outcome == exchange_outcome::answered && is_expected_status;
     server->is_replaced = is_replaced || (server->is_replaced && !is_answered);
     if (is_answered)
     {
@@ -205,7 +211,11 @@
     {
         server->grants->on_not_sent(call, now);
     }
-    record_contact(*server, is_answered, is_replaced ? "another backend server answered" : result.reason);
+    const auto failure = is_replaced ? "another backend server answered"
+                         : result.outcome == exchange_outcome::answered
+                             ? "answer with status " + std::to_string(result.answer.status)
+                             : result.reason;
+    record_contact(*server, is_answered, is_answered ? "answer" : failure);
     const auto line = [&]() -> nlohmann::json {
         return {{"backend_server", server->entry.server.id},
                 {"address", http::to_string(link->peer())},
--- a/standins/edge/keyed_backend.cpp
+++ b/standins/edge/keyed_backend.cpp
@@ -75,6 +75,15 @@
     {
         co_return http::response(status_misdirected, {{"Briarfold-Not-Executed", "1"}});
     }
+    if (is_control && control_status_)
+    {
+        constexpr core::duration silence{30000};
+        if (*control_status_ == 0)
+        {
+            co_await core::pause_for(silence);
+        }
+        co_return http::response(*control_status_);
+    }
     if (message.target == "/-/grant")
     {
         co_return grant(json::parse(message.body));
--- a/standins/edge/keyed_backend.hpp
+++ b/standins/edge/keyed_backend.hpp
@@ -42,6 +42,8 @@
 
     /// Says in all answers from now on that it leaves; the registry does not show it.
     void announce_leaving() { is_leaving_ = true; }
+    /// Answers all grants and releases with this status from now on and does nothing else; none with 0.
+    void refuse_control_calls(unsigned status) { control_status_ = status; }
     void set_work_duration(core::duration work_duration) { work_duration_ = work_duration; }
 
     /// Returns the number of runs by attempt id.
@@ -79,6 +81,7 @@
     int answers_ = 0;
     int registrations_ = 0;
     bool is_leaving_ = false;
+    std::optional<unsigned> control_status_;
     std::optional<http::server> server_;
 };
 
--- a/standins/edge/tests/edge_cluster_tests.cpp
+++ b/standins/edge/tests/edge_cluster_tests.cpp
@@ -320,6 +320,25 @@
     check_rising_tokens(cluster);
 }
 
+// Guards against a backend server that keeps its keys because it accepts connections or answers something
+// else, although it does not answer its grants.
+BOOST_AUTO_TEST_CASE(a_backend_server_that_answers_no_grants_loses_its_keys)
+{
+    constexpr unsigned status_not_found = 404;
+    for (const unsigned status : {0U, status_not_found})
+    {
+        edge_cluster cluster(2, 2);
+        BOOST_REQUIRE(cluster.await_ready());
+        cluster.backends[0]->refuse_control_calls(status);
+        cluster.run_for(9000);
+        BOOST_CHECK_NE(cluster.log_text.find("\"event\":\"keys withdrawn\""), std::string::npos);
+        cluster.start_load(4, 1000);
+        cluster.run_for(2000);
+        BOOST_CHECK_GT(success_ratio(cluster), 0.99);
+        check_exclusive_ownership(cluster);
+    }
+}
+
 // Guards against a backend server that starts again under its id and is granted keys with the tokens of its
 // former process before the registry shows the new one.
 BOOST_AUTO_TEST_CASE(a_restarted_backend_server_gets_higher_tokens_before_it_is_registered)
