Ignore a late answer of a former process that says that it leaves

A backend server that had started again under its id was drained for good when an answer of its former process, with the note that it leaves, came after the registration.

An answer on a connection to the former process now says nothing of the present one. a_new_process_is_not_drained_by_an_answer_of_its_former_one.

--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -322,8 +322,14 @@
         message = adapter.make_backend_request(std::move(message), left, server->entry.server.id);
         const auto choice =
             pending->request.request_id.empty() ? connection_choice::own : connection_choice::any;
-        auto outcome = co_await server->link->exchange(std::move(message), pending->request.request_id,
-                                                       left + answer_grace, pending->handle, choice);
+        const auto link = server->link;
+        auto outcome = co_await link->exchange(std::move(message), pending->request.request_id,
+                                               left + answer_grace, pending->handle, choice);
+        if (link != server->link)
+        {
+            // The answer is that of a former process.
+            outcome.head.is_leaving = false;
+        }
         auto result = handle_outcome(*pending, outcome);
         finish(pending);
         if (result)
--- a/standins/edge/tests/edge_cluster_tests.cpp
+++ b/standins/edge/tests/edge_cluster_tests.cpp
@@ -339,6 +339,22 @@
     }
 }
 
+// Guards against a new process that is drained because its former one said in a late answer that it leaves.
+BOOST_AUTO_TEST_CASE(a_new_process_is_not_drained_by_an_answer_of_its_former_one)
+{
+    edge_cluster cluster(2, 2);
+    BOOST_REQUIRE(cluster.await_ready());
+    cluster.backends[0]->set_work_duration(core::duration{600});
+    cluster.start_load(8, 1500);
+    cluster.run_for(900);
+    cluster.backends[0]->announce_leaving();
+    cluster.start_backend("b0", {"127.0.0.1", 0}, "a");
+    cluster.store.put("servers", "b0", cluster.backends[2]->registration());
+    cluster.run_for(6000);
+    const auto spans = cluster.backends[2]->spans();
+    BOOST_CHECK(std::ranges::any_of(spans, [](const auto& item) { return item.until > core::clock::now(); }));
+}
+
 // Guards against a backend server that starts again under its id and is granted keys with the tokens of its
 // former process before the registry shows the new one.
 BOOST_AUTO_TEST_CASE(a_restarted_backend_server_gets_higher_tokens_before_it_is_registered)
