Count only reports since a pause for a leader that all routers follow

Cause: reports that had arrived during the pause were read afterwards and counted as received then. So all routers seemed to follow, which confirms a leader without the store.

Change: a leader state that was not evaluated for a second publishes a new revision, and a router counts as following only once it reports that revision of this term or a later one.

Evidence: the three new tests failed before and pass now.

--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -36,13 +36,13 @@
 leader_state::leader_state(leader_settings settings, directory::router self, directory::generation term,
                            core::time_point now, decision_hook on_decision)
     : settings_(settings), self_(self.name), on_decision_(std::move(on_decision)), started_(now),
-      last_registration_(now), last_plan_(now), last_decay_(now), last_balance_(now)
+      last_tick_(now), last_registration_(now), last_plan_(now), last_decay_(now), last_balance_(now)
 {
     published_.term = term;
     published_.revision = 1;
     published_.leader = self.name;
     published_.routers.emplace(self.name, self);
-    peers_[self.name] = {now};
+    peers_[self.name].last_report = now;
 }
 
 core::time_point leader_state::confirmed_grants_end(core::time_point now) const
@@ -166,7 +166,7 @@
     {
         published_.routers[known.name] = known;
         bump_router_revision(known.name);
-        peers_[known.name] = {now};
+        peers_[known.name].last_report = now;
         has_known_routers_ = true;
     }
 }
@@ -220,9 +220,11 @@
 bool leader_state::do_all_routers_follow(core::time_point now) const
 {
     const auto& routers = published_.routers;
-    const bool are_all_alive =
-        std::ranges::all_of(routers, [&](const auto& item) { return is_alive(item.first, now); });
-    return routers.size() > 1 && lost_routers_.empty() && are_all_alive;
+    const auto follows = [&](const std::string& name) {
+        return is_alive(name, now) && (name == self_ || peers_.at(name).revision >= resumed_revision_);
+    };
+    return routers.size() > 1 && lost_routers_.empty() &&
+           std::ranges::all_of(std::views::keys(routers), follows);
 }
 
 bool leader_state::have_all_reported(core::time_point since, core::time_point now) const
@@ -337,7 +339,12 @@
             }
         }
     }
-    peers_[name].last_report = now;
+    auto& reporter = peers_[name];
+    reporter.last_report = now;
+    if (report.term == published_.term)
+    {
+        reporter.revision = std::max(reporter.revision, report.revision);
+    }
     lost_routers_.erase(name);
     note_former_leader(report, now);
     update_entries(report, now);
@@ -561,8 +568,19 @@
     return change;
 }
 
+void leader_state::note_pause(core::time_point now)
+{
+    if (now - last_tick_ > leadership_confirmation::max_pause)
+    {
+        resumed_revision_ = ++published_.revision;
+        on_decision_("leader paused", self_, {{"silent_ms", (now - last_tick_).ms}});
+    }
+    last_tick_ = now;
+}
+
 void leader_state::tick(core::time_point now)
 {
+    note_pause(now);
     if (now - started_ >= settings_.max_storeless_time)
     {
         former_leaders_.clear();
--- a/src/leader/internal/leadership_confirmation.cpp
+++ b/src/leader/internal/leadership_confirmation.cpp
@@ -8,8 +8,6 @@
 
 /// The leadership is checked in the store when no write has confirmed it for this time.
 constexpr core::duration check_interval{4000};
-/// A leader that is silent for longer may be replaced.
-constexpr core::duration max_pause{1000};
 
 } // namespace
 
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -87,7 +87,8 @@
     /// share, in different zones where possible.
     void choose_deputies(core::time_point now);
 
-    /// Updates fronts and keys and plans moves. Call about every 100 ms.
+    /// Updates fronts and keys and plans moves. Call about every 100 ms; a longer silence than
+    /// `leadership_confirmation::max_pause` counts as a pause of this process.
     void tick(core::time_point now);
     /// Returns the rows to write now; empty while a write is in flight or nothing has changed. The write must
     /// be conditional on the leadership.
@@ -109,7 +110,8 @@
     bool is_alive(const std::string& router, core::time_point now) const;
     /// Whether every router that was known in this term reports to this leader. Lost routers leave the
     /// directory but still count, until they report again; those that announced their stop do not. Routers
-    /// that the former leader lost shortly before count as well.
+    /// that the former leader lost shortly before count as well. After a pause of this process a router
+    /// counts once it reports a directory that was published since: its other reports may be from before.
     bool do_all_routers_follow(core::time_point now) const;
     /// Whether, besides, each of them has reported since `since`.
     bool have_all_reported(core::time_point since, core::time_point now) const;
@@ -147,6 +149,8 @@
     struct peer
     {
         core::time_point last_report;
+        /// Latest revision of this term that the router reported.
+        std::int64_t revision = 0;
     };
 
     struct staged_entry
@@ -164,6 +168,8 @@
         published_.routers_revision = ++published_.revision;
         changes_.routers[name] = published_.revision;
     }
+    /// Publishes a new revision if this process stood still.
+    void note_pause(core::time_point now);
     void update_entries(const router_report& report, core::time_point now);
     /// Drains the backend servers that said that they leave.
     void drain_leaving(const router_report& report);
@@ -263,6 +269,9 @@
     /// Until then, keys without a holder are not assigned: a backend server that is not known may hold them.
     core::time_point withheld_until_;
     core::time_point started_;
+    core::time_point last_tick_;
+    /// First revision that was published after the last pause.
+    std::int64_t resumed_revision_ = 0;
     core::time_point last_registration_;
     core::time_point last_plan_;
     core::time_point last_decay_;
--- a/src/leader/leadership_confirmation.hpp
+++ b/src/leader/leadership_confirmation.hpp
@@ -13,6 +13,8 @@
 {
 public:
     static constexpr core::duration max_storeless_time = grants::max_storeless_time;
+    /// A leader that is silent for longer may be replaced.
+    static constexpr core::duration max_pause{1000};
 
     explicit leadership_confirmation(core::time_point now) : confirmed_at_(now), last_tick_(now) {}
 
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -371,6 +371,69 @@
     BOOST_CHECK(state->do_all_routers_follow(now));
 }
 
+// Guards against two owners: reports that had arrived while the leader stood still counted as received now,
+// so that it took itself for undisputed although another one had replaced it meanwhile.
+BOOST_AUTO_TEST_CASE(reports_from_before_a_pause_do_not_show_that_all_routers_follow)
+{
+    advance(1000);
+    BOOST_REQUIRE(state->do_all_routers_follow(now));
+    const auto known = state->current().revision;
+    const auto report_late = [&](const std::string& name) {
+        router_report message;
+        message.router = make_router(name, name == "r2" ? "b" : "a");
+        message.term = state->current().term;
+        message.revision = known;
+        state->on_report(message, now);
+    };
+    now = now + duration{35000};
+    report_late("r2");
+    state->tick(now);
+    report_late("r3");
+    state->tick(now);
+    BOOST_CHECK_EQUAL(state->current().routers.size(), 3U);
+    BOOST_CHECK(!state->do_all_routers_follow(now));
+    report("r2");
+    BOOST_CHECK(!state->do_all_routers_follow(now));
+    report("r3");
+    BOOST_CHECK(state->do_all_routers_follow(now));
+}
+
+// Guards against a router of another term that happens to know as many revisions.
+BOOST_AUTO_TEST_CASE(a_report_of_another_term_does_not_show_that_a_router_follows_after_a_pause)
+{
+    advance(1000);
+    now = now + duration{5000};
+    report("r2");
+    report("r3");
+    state->tick(now);
+    report("r2");
+    router_report message;
+    message.router = make_router("r3");
+    message.term = {0, state->current().term.number - 1};
+    message.revision = state->current().revision;
+    state->on_report(message, now);
+    BOOST_CHECK(!state->do_all_routers_follow(now));
+    report("r3");
+    BOOST_CHECK(state->do_all_routers_follow(now));
+}
+
+// Guards against a leader that cannot show after a short pause that all routers follow it, so that an outage
+// of the store ends the service.
+BOOST_AUTO_TEST_CASE(routers_that_follow_show_it_after_a_pause_with_one_report_each)
+{
+    advance(1000);
+    const auto known = state->current().revision;
+    now = now + duration{1200};
+    state->tick(now);
+    directory::snapshot follower;
+    BOOST_REQUIRE(directory::apply(follower, state->update_for({}, 0, now)));
+    BOOST_CHECK_GT(follower.revision, known);
+    BOOST_CHECK(!state->do_all_routers_follow(now));
+    report("r2");
+    report("r3");
+    BOOST_CHECK(state->do_all_routers_follow(now));
+}
+
 // Guards against a leader that takes itself for isolated while most routers follow it, and the reverse.
 BOOST_AUTO_TEST_CASE(a_leader_is_isolated_when_fewer_than_half_of_the_routers_follow)
 {
