Lose answers of the store in the ownership simulation and write late

Cause: the simulation had no write of the leadership or of rows whose answer is lost and that is done later.

Change: a fault during which two writes of five get no answer and are done up to 6 s later, if their condition still holds.

--- a/src/leader/tests/ownership_model.cpp
+++ b/src/leader/tests/ownership_model.cpp
@@ -211,7 +211,7 @@
     const auto note = [&](const std::string& text) { trace(text + " for " + std::to_string(span.ms)); };
     const auto leader =
         std::ranges::find_if(routers_, [](const auto& item) { return item.office != nullptr; });
-    const auto choice = draw(0, 10);
+    const auto choice = draw(0, 11);
     constexpr int first_of_backends = 5;
     constexpr int last_of_backends = 8;
     if (backend < 0 && choice >= first_of_backends && choice <= last_of_backends)
@@ -298,6 +298,10 @@
         note("fault: " + place + " ended unseen");
         return;
     case 9:
+        store_late_until_ = now_ + span;
+        note("fault: the store loses answers and writes late");
+        return;
+    case 10:
         for (int i = 0; i <= store_node(); ++i)
         {
             links_[link(router, i)].slow_until = now_ + span;
@@ -689,20 +693,22 @@
         call<commit_answer>(
             index, store_node(), store_timeout,
             [this, index, incarnation = router.self.incarnation, expected = stored->version] {
-                auto former = store_.former_leaders;
-                if (store_.leader >= 0)
-                {
-                    auto holder = routers_[store_.leader].self;
-                    holder.incarnation = store_.leader_incarnation;
-                    std::erase_if(former, [&](const auto& item) { return item.name == holder.name; });
-                    former.push_back(std::move(holder));
-                }
-                const auto answer = store_.commit(index, incarnation, expected, {});
-                if (answer.is_committed)
-                {
-                    store_.former_leaders = std::move(former);
-                }
-                return std::optional(answer);
+                return commit([this, index, incarnation, expected] {
+                    auto former = store_.former_leaders;
+                    if (store_.leader >= 0)
+                    {
+                        auto holder = routers_[store_.leader].self;
+                        holder.incarnation = store_.leader_incarnation;
+                        std::erase_if(former, [&](const auto& item) { return item.name == holder.name; });
+                        former.push_back(std::move(holder));
+                    }
+                    const auto answer = store_.commit(index, incarnation, expected, {});
+                    if (answer.is_committed)
+                    {
+                        store_.former_leaders = std::move(former);
+                    }
+                    return answer;
+                });
             },
             on_commit);
     };
@@ -744,6 +750,23 @@
     router.contact.on_leader_named(now_);
 }
 
+std::optional<commit_answer> ownership_model::commit(std::function<commit_answer()> write)
+{
+    constexpr int lost_percent = 40;
+    constexpr duration max_delay{6000};
+    if (store_late_until_ <= now_ || !draw_chance(lost_percent))
+    {
+        return write();
+    }
+    schedule(duration{draw(0, max_delay.ms)}, -1, true, [this, run = std::move(write)] {
+        if (run().is_committed)
+        {
+            trace("a write was done whose answer is lost, version " + std::to_string(store_.version));
+        }
+    });
+    return std::nullopt;
+}
+
 void ownership_model::read_store(int index)
 {
     call<stored_copy>(
@@ -940,12 +963,14 @@
         index, store_node(), store_timeout,
         [this, index, incarnation = routers_[index].self.incarnation, expected = office->version, changes,
          former = office->state->former_leaders()] {
-            const auto answer = store_.commit(index, incarnation, expected, changes);
-            if (answer.is_committed)
-            {
-                store_.former_leaders = former;
-            }
-            return std::optional(answer);
+            return commit([this, index, incarnation, expected, changes, former] {
+                const auto answer = store_.commit(index, incarnation, expected, changes);
+                if (answer.is_committed)
+                {
+                    store_.former_leaders = former;
+                }
+                return answer;
+            });
         },
         [this, index, office, rows, may_be_committed, sent = now_](std::optional<commit_answer> answer) {
             auto& router = routers_[index];
--- a/src/leader/tests/ownership_model.hpp
+++ b/src/leader/tests/ownership_model.hpp
@@ -212,6 +212,8 @@
     int store_node() const { return backend_node(static_cast<int>(listeners_.size())); }
 
     using stored_copy = std::shared_ptr<const store_model>;
+    /// Commits at once, or later with an answer that is lost.
+    std::optional<commit_answer> commit(std::function<commit_answer()> write);
     std::optional<stored_copy> copy_store() const { return std::make_shared<const store_model>(store_); }
 
     void inject_fault();
@@ -273,6 +275,7 @@
     std::map<std::pair<std::int64_t, std::int64_t>, event> events_;
     std::map<std::pair<int, int>, link_state> links_;
     store_model store_;
+    time_point store_late_until_;
     std::vector<router_model> routers_;
     std::vector<backend_model> backends_;
     /// Backend servers by address; -1 while none has it.
