--- a/src/leader/tests/ownership_model.cpp
+++ b/src/leader/tests/ownership_model.cpp
@@ -37,8 +37,21 @@
 constexpr int failures_until_unreachable = 2;
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_superseded = 409;
+constexpr unsigned status_misdirected = 421;
+constexpr std::uint16_t first_port = 8000;
+constexpr std::array zones{"a", "b", "c"};
+/// Time without failures of the store after which a registration that vanished has lapsed.
+constexpr duration min_healthy_time{2200};
 const std::string service = "keyed";
 
+directory::backend_server make_registration(const backend_model& backend)
+{
+    auto result = make_server(backend.id, zones.at(backend.address % zones.size()));
+    result.start_time_ms = backend.life;
+    result.address.port = static_cast<std::uint16_t>(first_port + backend.address);
+    return result;
+}
+
 } // namespace
 
 commit_answer store_model::commit(int router, const std::string& incarnation, std::int64_t expected,
@@ -71,19 +84,16 @@
 ownership_model::ownership_model(const model_options& options) : options_(options), random_(options.seed)
 {
     routers_.resize(static_cast<std::size_t>(draw(min_routers, max_routers)));
-    backends_.resize(static_cast<std::size_t>(draw(min_backends, max_backends)));
-    constexpr std::array zones{"a", "b", "c"};
+    listeners_.resize(static_cast<std::size_t>(draw(min_backends, max_backends)));
     for (int i = 0; i < backend_node(0); ++i)
     {
         routers_[i].self = make_router("r" + std::to_string(i), zones.at(i % zones.size()), "0");
         restart(i);
     }
-    constexpr double max_drift_percent = 2;
     for (int i = 0; i < store_node() - backend_node(0); ++i)
     {
-        backends_[i].id = "s" + std::to_string(i);
-        backends_[i].drift = static_cast<double>(draw(0, 100)) / 100 * max_drift_percent / 100;
-        store_.registry[backends_[i].id] = make_server(backends_[i].id, zones.at(i % zones.size()));
+        add_backend(i);
+        store_.registry[backends_[i].id] = make_registration(backends_[i]);
     }
     schedule(duration{8000}, -1, true, [this] { inject_fault(); });
 }
@@ -194,12 +204,21 @@
     schedule(duration{draw(300, 4000)}, -1, true, [this] { inject_fault(); });
     const int routers = backend_node(0);
     const int router = static_cast<int>(draw(0, routers - 1));
-    const int backend = static_cast<int>(draw(0, store_node() - routers - 1));
+    const int address = static_cast<int>(draw(0, store_node() - routers - 1));
+    const int backend = listeners_[address];
+    const std::string place = backend >= 0 ? backends_[backend].id : "address " + std::to_string(address);
     const duration span{draw(1, 4) == 1 ? draw(8000, 40000) : draw(500, 8000)};
     const auto note = [&](const std::string& text) { trace(text + " for " + std::to_string(span.ms)); };
     const auto leader =
         std::ranges::find_if(routers_, [](const auto& item) { return item.office != nullptr; });
-    switch (draw(0, 9))
+    const auto choice = draw(0, 11);
+    constexpr int first_of_backends = 5;
+    constexpr int last_of_backends = 8;
+    if (backend < 0 && choice >= first_of_backends && choice <= last_of_backends)
+    {
+        return;
+    }
+    switch (choice)
     {
     case 0:
         cut(router, store_node(), span);
@@ -222,11 +241,11 @@
             }
             if (i != index && is_last_to_reach)
             {
-                cut(i, backend_node(backend), span);
+                cut(i, backend_node(address), span);
             }
         }
         note("fault: leader r" + std::to_string(index) + " cut off " + std::to_string(percent) + "%" +
-             (is_last_to_reach ? ", alone reaches s" + std::to_string(backend) : ""));
+             (is_last_to_reach ? ", alone reaches " + place : ""));
         return;
     }
     case 2:
@@ -234,8 +253,8 @@
         {
             if (draw_chance(60))
             {
-                cut(i, backend_node(backend), span);
-                note("fault: s" + std::to_string(backend) + " unreachable from r" + std::to_string(i));
+                cut(i, backend_node(address), span);
+                note("fault: " + place + " unreachable from r" + std::to_string(i));
             }
         }
         return;
@@ -253,28 +272,42 @@
             schedule(down, -1, true, [this, router] { restart(router); });
         }
         return;
-    case 5: {
-        store_.registry[backends_[backend].id].is_draining = true;
-        note("fault: s" + std::to_string(backend) + " draining");
-        schedule(span, -1, true,
-                 [this, id = backends_[backend].id] { store_.registry[id].is_draining = false; });
+    case 5:
+        if (const auto known = store_.registry.find(backends_[backend].id); known != store_.registry.end())
+        {
+            known->second.is_draining = true;
+            note("fault: " + place + " draining");
+            schedule(span, -1, true, [this, id = backends_[backend].id] {
+                if (const auto drained = store_.registry.find(id); drained != store_.registry.end())
+                {
+                    drained->second.is_draining = false;
+                }
+            });
+        }
         return;
-    }
     case 6:
         backends_[backend].late_until = now_ + span;
-        note("fault: s" + std::to_string(backend) + " applies calls late");
+        note("fault: " + place + " applies calls late");
         return;
     case 7:
+        restart_backend(backend);
+        note("fault: " + place + " restarted");
+        return;
+    case 8:
+        replace_backend(backend);
+        note("fault: " + place + " ended unseen");
+        return;
+    case 9:
+        store_late_until_ = now_ + span;
+        note("fault: the store loses answers and writes late");
+        return;
+    case 10:
         for (int i = 0; i <= store_node(); ++i)
         {
             links_[link(router, i)].slow_until = now_ + span;
         }
         note("fault: links of r" + std::to_string(router) + " lossy");
         return;
-    case 8:
-        restart_backend(backend);
-        note("fault: s" + std::to_string(backend) + " restarted");
-        return;
     default: {
         const int other = static_cast<int>(draw(0, routers - 1));
         cut(router, other, span);
@@ -311,24 +344,89 @@
         });
 }
 
-void ownership_model::restart_backend(int index)
+void ownership_model::add_backend(int address)
+{
+    constexpr double max_drift_percent = 2;
+    backend_model backend;
+    backend.id = "s" + std::to_string(backends_.size());
+    backend.address = address;
+    backend.drift = static_cast<double>(draw(0, 100)) / 100 * max_drift_percent / 100;
+    listeners_[address] = static_cast<int>(backends_.size());
+    backends_.push_back(std::move(backend));
+}
+
+std::optional<process> ownership_model::listener(int address) const
+{
+    const int backend = listeners_[address];
+    return backend < 0 ? std::nullopt : std::optional(running(backend));
+}
+
+int ownership_model::address_of(const fronted_model& server)
+{
+    return server.entry.server.address.port - first_port;
+}
+
+void ownership_model::end_process(int index)
 {
     auto& backend = backends_[index];
-    const int life = ++backend.life;
+    ++backend.life;
     backend.keys.assign(keyspace::key_count, {});
-    const duration down{draw(10, 700)};
+    // A machine that crashes closes no connection.
+    const bool is_end_seen = draw_chance(50);
     for (int i = 0; i < backend_node(0); ++i)
     {
-        cut(i, backend_node(index), down);
-        if (const auto server = routers_[i].fronts.find(backend.id); server != routers_[i].fronts.end())
+        const auto server = routers_[i].fronts.find(backend.id);
+        if (is_end_seen && server != routers_[i].fronts.end())
         {
-            server->second->idle_connections = 0;
+            server->second->connection.reset();
         }
     }
+}
+
+void ownership_model::replace_backend(int index)
+{
+    end_process(index);
+    const int address = backends_[index].address;
+    listeners_[address] = -1;
+    schedule(duration{draw(3000, 4500)}, -1, true, [this, id = backends_[index].id] {
+        store_.registry.erase(id);
+        trace("registration of " + id + " lapsed");
+    });
+    const duration down{draw(100, 2500)};
     const duration registry_lag{draw(100, 1500)};
+    schedule(down, -1, true, [this, address, registry_lag] {
+        add_backend(address);
+        const int next = listeners_[address];
+        trace(backends_[next].id + " started at address " + std::to_string(address));
+        schedule(registry_lag, -1, true, [this, next, life = backends_[next].life] {
+            if (backends_[next].life == life)
+            {
+                store_.registry[backends_[next].id] = make_registration(backends_[next]);
+                trace(backends_[next].id + " registered");
+            }
+        });
+    });
+}
+
+void ownership_model::restart_backend(int index)
+{
+    end_process(index);
+    const int life = backends_[index].life;
+    const duration down{draw(10, 700)};
+    for (int i = 0; i < backend_node(0); ++i)
+    {
+        cut(i, backend_node(backends_[index].address), down);
+    }
+    const duration registry_lag{draw(100, 4500)};
     schedule(down + registry_lag, -1, true, [this, index, life] {
-        store_.registry[backends_[index].id].start_time_ms = life;
-        trace(backends_[index].id + " registered its restart");
+        if (backends_[index].life == life)
+        {
+            auto registration = make_registration(backends_[index]);
+            const auto known = store_.registry.find(registration.id);
+            registration.is_draining = known != store_.registry.end() && known->second.is_draining;
+            store_.registry[registration.id] = registration;
+            trace(backends_[index].id + " registered its restart");
+        }
     });
 }
 
@@ -340,7 +438,7 @@
     for (const auto& [id, server] : present)
     {
         run_grants(index, server);
-        if (server->unreachable_since && now_ - server->last_probe >= probe_interval)
+        if (server->unreachable_since && !server->is_replaced && now_ - server->last_probe >= probe_interval)
         {
             server->last_probe = now_;
             probe(index, server);
@@ -566,7 +664,7 @@
             return;
         }
         router.is_electing = false;
-        router.store_failing_since.reset();
+        note_store_answer(router);
         if (answer->is_committed)
         {
             become_leader(index, answer->version);
@@ -595,20 +693,22 @@
         call<commit_answer>(
             index, store_node(), store_timeout,
             [this, index, incarnation = router.self.incarnation, expected = stored->version] {
-                auto former = store_.former_leaders;
-                if (store_.leader >= 0)
-                {
-                    auto holder = routers_[store_.leader].self;
-                    holder.incarnation = store_.leader_incarnation;
-                    std::erase_if(former, [&](const auto& item) { return item.name == holder.name; });
-                    former.push_back(std::move(holder));
-                }
-                const auto answer = store_.commit(index, incarnation, expected, {});
-                if (answer.is_committed)
-                {
-                    store_.former_leaders = std::move(former);
-                }
-                return std::optional(answer);
+                return commit([this, index, incarnation, expected] {
+                    auto former = store_.former_leaders;
+                    if (store_.leader >= 0)
+                    {
+                        auto holder = routers_[store_.leader].self;
+                        holder.incarnation = store_.leader_incarnation;
+                        std::erase_if(former, [&](const auto& item) { return item.name == holder.name; });
+                        former.push_back(std::move(holder));
+                    }
+                    const auto answer = store_.commit(index, incarnation, expected, {});
+                    if (answer.is_committed)
+                    {
+                        store_.former_leaders = std::move(former);
+                    }
+                    return answer;
+                });
             },
             on_commit);
     };
@@ -650,6 +750,23 @@
     router.contact.on_leader_named(now_);
 }
 
+std::optional<commit_answer> ownership_model::commit(std::function<commit_answer()> write)
+{
+    constexpr int lost_percent = 40;
+    constexpr duration max_delay{6000};
+    if (store_late_until_ <= now_ || !draw_chance(lost_percent))
+    {
+        return write();
+    }
+    schedule(duration{draw(0, max_delay.ms)}, -1, true, [this, run = std::move(write)] {
+        if (run().is_committed)
+        {
+            trace("a write was done whose answer is lost, version " + std::to_string(store_.version));
+        }
+    });
+    return std::nullopt;
+}
+
 void ownership_model::read_store(int index)
 {
     call<stored_copy>(
@@ -672,7 +789,7 @@
                 });
                 return;
             }
-            router.store_failing_since.reset();
+            note_store_answer(router);
             if ((*stored)->leader_version != office->version)
             {
                 step_down(index, "another router took the leadership");
@@ -692,10 +809,7 @@
                 office->state->load_lost_router(name, now_);
             }
             office->state->set_keyed_services({service});
-            for (const auto& [id, server] : (*stored)->registry)
-            {
-                office->state->on_registered(server, now_);
-            }
+            apply_registry(index, (*stored)->registry);
             office->is_started = true;
         });
 }
@@ -718,15 +832,43 @@
                 router.store_failing_since = router.store_failing_since.value_or(now_);
                 return;
             }
-            router.store_failing_since.reset();
-            for (const auto& [id, server] : (*stored)->registry)
-            {
-                office->state->on_registered(server, now_);
-            }
+            note_store_answer(router);
+            apply_registry(index, (*stored)->registry);
             propagate(index);
         });
 }
 
+void ownership_model::apply_registry(int index,
+                                     const std::map<std::string, directory::backend_server>& registry)
+{
+    const auto& router = routers_[index];
+    auto& office = *router.office;
+    const auto former = std::exchange(office.registered, {});
+    for (const auto& [id, server] : registry)
+    {
+        office.state->on_registered(server, now_);
+        office.registered.insert(id);
+    }
+    const bool was_failing =
+        router.store_recovered_at && now_ - *router.store_recovered_at < min_healthy_time;
+    for (const auto& id : former)
+    {
+        if (!office.registered.contains(id))
+        {
+            office.state->on_unregistered(id, !was_failing, now_);
+        }
+    }
+}
+
+void ownership_model::note_store_answer(router_model& router) const
+{
+    if (router.store_failing_since)
+    {
+        router.store_failing_since.reset();
+        router.store_recovered_at = now_;
+    }
+}
+
 void ownership_model::check_leadership(int index)
 {
     const auto office = routers_[index].office;
@@ -749,7 +891,7 @@
                 router.store_failing_since = router.store_failing_since.value_or(now_);
                 return;
             }
-            router.store_failing_since.reset();
+            note_store_answer(router);
             if (*version != office->version)
             {
                 step_down(index, "the leadership row changed");
@@ -821,12 +963,14 @@
         index, store_node(), store_timeout,
         [this, index, incarnation = routers_[index].self.incarnation, expected = office->version, changes,
          former = office->state->former_leaders()] {
-            const auto answer = store_.commit(index, incarnation, expected, changes);
-            if (answer.is_committed)
-            {
-                store_.former_leaders = former;
-            }
-            return std::optional(answer);
+            return commit([this, index, incarnation, expected, changes, former] {
+                const auto answer = store_.commit(index, incarnation, expected, changes);
+                if (answer.is_committed)
+                {
+                    store_.former_leaders = former;
+                }
+                return answer;
+            });
         },
         [this, index, office, rows, may_be_committed, sent = now_](std::optional<commit_answer> answer) {
             auto& router = routers_[index];
@@ -845,7 +989,7 @@
                 });
                 return;
             }
-            router.store_failing_since.reset();
+            note_store_answer(router);
             if (!answer->is_committed && !(may_be_committed && answer->is_same))
             {
                 step_down(index, "a write met another leader");
@@ -931,7 +1075,10 @@
             if (server->entry.server.start_time_ms != entry.server.start_time_ms)
             {
                 ++server->link;
-                server->idle_connections = 0;
+                server->connection.reset();
+                server->unreachable_since.reset();
+                server->failures = 0;
+                server->is_replaced = false;
                 router.is_report_requested = true;
             }
             server->entry = entry;
@@ -947,13 +1094,13 @@
     const auto confirmed_at = router.office ? office_confirmed_at(router) : router.confirmed_at;
     const bool is_confirmed =
         now_ - confirmed_at < grants::max_confirmation_age && server->connected_at < confirmed_at;
-    if (server->grants.next_due(now_) <= now_ && !server->is_grant_pending && server->idle_connections == 0)
+    if (server->grants.next_due(now_) <= now_ && !server->is_grant_pending && !server->connection)
     {
         server->is_grant_pending = true;
-        const int to = backend_node(std::stoi(server->entry.server.id.substr(1)));
-        call<bool>(
-            index, to, connect_timeout, [] { return std::optional(true); },
-            [this, index, server, used_link = server->link](std::optional<bool> answer) {
+        const int address = address_of(*server);
+        call<process>(
+            index, backend_node(address), connect_timeout, [this, address] { return listener(address); },
+            [this, index, server, used_link = server->link](std::optional<process> answer) {
                 server->is_grant_pending = false;
                 if (server->is_removed || used_link != server->link)
                 {
@@ -961,9 +1108,12 @@
                 }
                 if (answer)
                 {
-                    ++server->idle_connections;
+                    server->connection = answer;
                     server->connected_at = now_;
-                    server->grants.on_connected(now_);
+                    if (!options_.is_reconnection_ignored)
+                    {
+                        server->grants.on_connected(now_);
+                    }
                     routers_[index].is_report_requested = true;
                     return;
                 }
@@ -993,53 +1143,61 @@
                                       grants::grant_call item)
 {
     const bool is_grant = item.kind == grants::call_kind::grant;
-    const int backend = std::stoi(server->entry.server.id.substr(1));
+    const int address = address_of(*server);
     item.sent = now_;
-    if (server->idle_connections == 0 && is_grant)
+    if (is_grant && !server->connection)
     {
         server->is_grant_pending = false;
         server->grants.on_not_sent(item, now_);
         record_contact(index, *server, false);
         return;
     }
-    if (server->idle_connections == 0)
-    {
-        server->connected_at = now_;
-    }
-    server->idle_connections = std::max(server->idle_connections - 1, 0);
+    const auto used = is_grant ? std::exchange(server->connection, std::nullopt) : std::nullopt;
     const auto is_done = std::make_shared<bool>(false);
     const auto finish = [this, index, server, item, used_link = server->link,
-                         is_done](std::optional<unsigned> status) {
+                         is_done](const process& recipient, std::optional<unsigned> status) {
         if (!std::exchange(*is_done, true))
         {
-            end_grant_call(index, server, item, used_link, status);
+            end_grant_call(index, server, item, recipient, used_link, status);
         }
     };
-    schedule(is_grant ? grant_timeout : release_timeout, index, true, [finish] { finish(std::nullopt); });
-    const int life = backends_[backend].life;
-    send(index, backend_node(backend), [this, index, backend, life, item, is_grant, is_done, finish] {
-        // A call does not arrive after its connection was reset.
-        if (*is_done || life != backends_[backend].life)
-        {
-            return;
-        }
-        const bool is_late = backends_[backend].late_until > now_ && draw_chance(40);
-        const bool has_work = !is_grant && draw_chance(50);
-        const duration delay{(is_late ? draw(200, 6000) : 0) + (has_work ? draw(20, 2000) : 0)};
-        schedule(delay, -1, true, [this, index, backend, life, item, arrival = now_, finish] {
-            if (life != backends_[backend].life)
-            {
-                return;
-            }
-            const bool is_accepted = apply_grant(backend, item, arrival);
-            send(backend_node(backend), index,
-                 [finish, is_accepted] { finish(is_accepted ? status_ok : status_superseded); });
-        });
-    });
+    schedule(is_grant ? grant_timeout : release_timeout, index, true, [finish] { finish({}, std::nullopt); });
+    const bool is_any_id_accepted = options_.is_any_id_accepted;
+    send(index, backend_node(address),
+         [this, index, address, used, item, is_grant, is_done, finish, is_any_id_accepted,
+          id = server->entry.server.id] {
+             const auto arrived = used ? used : listener(address);
+             // A call does not arrive after its connection was reset.
+             if (*is_done || !arrived || !is_running(*arrived))
+             {
+                 return;
+             }
+             const auto recipient = *arrived;
+             if (backends_[recipient.backend].id != id && !is_any_id_accepted)
+             {
+                 send(backend_node(address), index,
+                      [finish, recipient] { finish(recipient, status_misdirected); });
+                 return;
+             }
+             const bool is_late = backends_[recipient.backend].late_until > now_ && draw_chance(40);
+             const bool has_work = !is_grant && draw_chance(50);
+             const duration delay{(is_late ? draw(200, 6000) : 0) + (has_work ? draw(20, 2000) : 0)};
+             schedule(delay, -1, true, [this, index, recipient, item, arrival = now_, finish] {
+                 if (!is_running(recipient))
+                 {
+                     return;
+                 }
+                 const bool is_accepted = apply_grant(recipient.backend, item, arrival);
+                 send(backend_node(backends_[recipient.backend].address), index,
+                      [finish, recipient, is_accepted] {
+                          finish(recipient, is_accepted ? status_ok : status_superseded);
+                      });
+             });
+         });
 }
 
 void ownership_model::end_grant_call(int index, const std::shared_ptr<fronted_model>& server,
-                                     const grants::grant_call& item, int used_link,
+                                     const grants::grant_call& item, const process& recipient, int used_link,
                                      std::optional<unsigned> status)
 {
     const bool is_grant = item.kind == grants::call_kind::grant;
@@ -1053,7 +1211,13 @@
         server->grants.on_lost(item, now_);
         return;
     }
-    server->idle_connections += status ? 1 : 0;
+    if (is_grant && status == status_ok)
+    {
+        server->connection = recipient;
+    }
+    const bool is_replaced = status == status_misdirected;
+    const bool is_answered = status && !is_replaced;
+    server->is_replaced = is_replaced || (server->is_replaced && !is_answered);
     auto& router = routers_[index];
     if (!status)
     {
@@ -1062,6 +1226,11 @@
               item.range);
         server->grants.on_lost(item, now_);
     }
+    else if (is_replaced)
+    {
+        trace(router.self.name + " was misdirected to " + backends_[recipient.backend].id, item.range);
+        server->grants.on_not_sent(item, now_);
+    }
     else if (!is_grant)
     {
         server->grants.on_released(item, "", now_);
@@ -1076,8 +1245,8 @@
         server->grants.on_superseded(item, now_);
         router.is_report_requested = true;
     }
-    record_contact(index, *server, status.has_value());
-    if (status)
+    record_contact(index, *server, is_answered);
+    if (is_answered)
     {
         run_grants(index, server);
     }
@@ -1101,9 +1270,10 @@
 
 void ownership_model::probe(int index, const std::shared_ptr<fronted_model>& server)
 {
+    const int address = address_of(*server);
     call<bool>(
-        index, backend_node(std::stoi(server->entry.server.id.substr(1))), probe_timeout,
-        [] { return std::optional(true); },
+        index, backend_node(address), probe_timeout,
+        [this, address] { return listener(address) ? std::optional(true) : std::nullopt; },
         [this, index, server](std::optional<bool> answer) {
             if (answer && !server->is_removed)
             {
@@ -1170,16 +1340,21 @@
                  " gets it with " + std::to_string(token));
         }
     }
-    if (known.backend >= 0 && known.backend != index)
+    const auto recipient = running(index);
+    const bool is_move = known.holder.backend != index;
+    if (known.holder.backend >= 0 && known.holder != recipient)
     {
-        ++moves_;
-        if (token <= known.token)
+        moves_ += is_move ? 1 : 0;
+        const auto name = [this](const process& item) {
+            return backends_[item.backend].id + " in its life " + std::to_string(item.life);
+        };
+        if (token <= known.token && (is_move || options_.is_each_life_checked))
         {
-            fail(backends_[index].id + " gets it with token " + std::to_string(token) + " after " +
-                 backends_[known.backend].id + " with " + std::to_string(known.token));
+            fail(name(recipient) + " gets it with token " + std::to_string(token) + " after " +
+                 name(known.holder) + ", latest token " + std::to_string(known.token));
         }
     }
-    known = {index, std::max(known.token, token)};
+    known = {recipient, std::max(known.token, token)};
 }
 
 } // namespace briarfold::leader::tests
--- a/src/leader/tests/ownership_model.hpp
+++ b/src/leader/tests/ownership_model.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 
 namespace briarfold::leader::tests {
 
@@ -18,6 +19,12 @@
 {
     std::uint64_t seed = 1;
     duration length{90000};
+    /// Whether a further life of the same backend server needs a higher token, too.
+    bool is_each_life_checked = false;
+    /// Whether a backend server accepts calls that name another one.
+    bool is_any_id_accepted = false;
+    /// Whether fronts go on with their tokens on a connection that was opened anew.
+    bool is_reconnection_ignored = false;
     leader_settings leader;
 };
 
@@ -53,6 +60,15 @@
     std::map<std::string, directory::backend_server> registry;
 };
 
+/// One of the processes that a backend server runs in turn under its id.
+struct process
+{
+    int backend = -1;
+    int life = 0;
+
+    bool operator==(const process&) const = default;
+};
+
 /// Backend server of one front, with the state of its control connection.
 struct fronted_model
 {
@@ -64,9 +80,13 @@
     bool is_removed = false;
     /// Rises when the backend server is known to have restarted: answers on earlier connections do not count.
     int link = 0;
-    int idle_connections = 0;
+    /// Process to which the idle connection for grants leads, whether or not it still runs. Each release
+    /// opens a connection of its own.
+    std::optional<process> connection;
     time_point connected_at;
     int failures = 0;
+    /// Whether another backend server has its address, as far as the last answer told.
+    bool is_replaced = false;
     std::optional<time_point> unreachable_since;
     time_point last_probe;
 };
@@ -84,6 +104,7 @@
     directory::generation term;
     std::int64_t version = 0;
     std::map<std::string, std::int64_t> row_versions;
+    std::set<std::string> registered;
     std::map<int, follower> followers;
     std::int64_t published = 0;
     leadership_confirmation confirmation{time_point{}};
@@ -110,6 +131,7 @@
     leader_contact contact{time_point{}};
     duration leader_failing;
     std::optional<time_point> store_failing_since;
+    std::optional<time_point> store_recovered_at;
     std::map<std::string, std::shared_ptr<fronted_model>> fronts;
     std::shared_ptr<office_model> office;
     time_point last_report;
@@ -128,7 +150,8 @@
 struct backend_model
 {
     std::string id;
-    /// Number of its process. Calls that were sent to an earlier one are not applied.
+    int address = 0;
+    /// Number of its process. Calls on connections to an earlier one are not applied.
     int life = 1;
     /// Slowness of its clock.
     double drift = 0;
@@ -171,7 +194,7 @@
     /// What the last holder of a key was granted.
     struct owner
     {
-        int backend = -1;
+        process holder;
         std::int64_t token = 0;
     };
 
@@ -185,16 +208,25 @@
     template <class Answer>
     void call(int from, int to, duration timeout, std::function<std::optional<Answer>()> serve,
               std::function<void(std::optional<Answer>)> done);
-    int backend_node(int backend) const { return static_cast<int>(routers_.size()) + backend; }
-    int store_node() const { return backend_node(static_cast<int>(backends_.size())); }
+    int backend_node(int address) const { return static_cast<int>(routers_.size()) + address; }
+    int store_node() const { return backend_node(static_cast<int>(listeners_.size())); }
 
     using stored_copy = std::shared_ptr<const store_model>;
+    /// Commits at once, or later with an answer that is lost.
+    std::optional<commit_answer> commit(std::function<commit_answer()> write);
     std::optional<stored_copy> copy_store() const { return std::make_shared<const store_model>(store_); }
 
     void inject_fault();
     void cut(int a, int b, duration span);
     void restart(int router);
     void restart_backend(int backend);
+    /// Ends a backend server unseen and starts another one at its address.
+    void replace_backend(int backend);
+    void add_backend(int address);
+    void end_process(int backend);
+    /// Returns the process that accepts connections at the address; nothing if none does.
+    std::optional<process> listener(int address) const;
+    static int address_of(const fronted_model& server);
     void tick(int router);
 
     void report(int router);
@@ -209,6 +241,8 @@
 
     void read_store(int router);
     void read_registry(int router);
+    void apply_registry(int router, const std::map<std::string, directory::backend_server>& registry);
+    void note_store_answer(router_model& router) const;
     void check_leadership(int router);
     void propagate(int router);
     void write_rows(int router, const std::vector<assignment_row>& rows, bool may_be_committed);
@@ -219,7 +253,10 @@
     void run_grants(int router, const std::shared_ptr<fronted_model>& server);
     void send_grant_call(int router, const std::shared_ptr<fronted_model>& server, grants::grant_call item);
     void end_grant_call(int router, const std::shared_ptr<fronted_model>& server,
-                        const grants::grant_call& item, int used_link, std::optional<unsigned> status);
+                        const grants::grant_call& item, const process& recipient, int used_link,
+                        std::optional<unsigned> status);
+    process running(int backend) const { return {backend, backends_[backend].life}; }
+    bool is_running(const process& item) const { return item == running(item.backend); }
     void record_contact(int router, fronted_model& server, bool is_reached);
     void probe(int router, const std::shared_ptr<fronted_model>& server);
     bool apply_grant(int backend, const grants::grant_call& item, time_point arrival);
@@ -238,8 +275,11 @@
     std::map<std::pair<std::int64_t, std::int64_t>, event> events_;
     std::map<std::pair<int, int>, link_state> links_;
     store_model store_;
+    time_point store_late_until_;
     std::vector<router_model> routers_;
     std::vector<backend_model> backends_;
+    /// Backend servers by address; -1 while none has it.
+    std::vector<int> listeners_;
     std::vector<owner> owners_ = std::vector<owner>(keyspace::key_count);
     std::vector<trace_line> trace_;
     std::array<std::uint32_t, 3> hot_keys_{};
