--- a/scenarios/child_process.cpp
+++ b/scenarios/child_process.cpp
@@ -9,7 +9,9 @@
 
 #include <csignal>
 #include <fstream>
+#include <linux/close_range.h>
 #include <sys/prctl.h>
+#include <unistd.h>
 
 namespace briarfold::scenarios {
 
@@ -18,6 +20,8 @@
 namespace process = boost::process;
 
 constexpr core::duration signal_limit{5000};
+constexpr unsigned first_own_descriptor = 3;
+constexpr unsigned last_descriptor = ~0U;
 
 void send(int id, int signal, const std::string& name)
 {
@@ -52,10 +56,13 @@
     try
     {
         // A scenario that ends without destructors must leave no process behind.
-        const auto die_with_parent =
-            process::extend::on_exec_setup([](auto&) { prctl(PR_SET_PDEATHSIG, SIGKILL); });
+        const auto prepare = process::extend::on_exec_setup([](auto&) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            // An inherited socket would stay open after its owner closed it.
+            ::close_range(first_own_descriptor, last_descriptor, CLOSE_RANGE_CLOEXEC);
+        });
         state_->child = process::child(
-            process::exe = program.string(), process::args = arguments, die_with_parent,
+            process::exe = program.string(), process::args = arguments, prepare,
             process::std_in<process::null, (process::std_out & process::std_err)> output.string());
     }
     catch (const process::process_error& failure)
--- a/standins/edge/keyed_backend.cpp
+++ b/standins/edge/keyed_backend.cpp
@@ -146,6 +146,10 @@
         ended_.push_back(item);
     }
     held_ = std::move(kept);
+    if (on_release_)
+    {
+        on_release_();
+    }
     co_await core::pause_for(work_duration_);
     http::response answer(status_ok);
     answer.headers.emplace_back("Briarfold-Handover", "from-" + id_);
--- a/standins/edge/keyed_backend.hpp
+++ b/standins/edge/keyed_backend.hpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -42,6 +43,8 @@
 
     /// Says in all answers from now on that it leaves; the registry does not show it.
     void announce_leaving() { is_leaving_ = true; }
+    /// Calls `hook` whenever keys are released.
+    void on_release(std::function<void()> hook) { on_release_ = std::move(hook); }
     void set_work_duration(core::duration work_duration) { work_duration_ = work_duration; }
 
     /// Returns the number of runs by attempt id.
@@ -79,6 +82,7 @@
     int answers_ = 0;
     int registrations_ = 0;
     bool is_leaving_ = false;
+    std::function<void()> on_release_;
     std::optional<http::server> server_;
 };
 
--- a/standins/edge/metadata_store.cpp
+++ b/standins/edge/metadata_store.cpp
@@ -1,7 +1,7 @@
 #include "standins/edge/metadata_store.hpp"
 
-#include "core/clock.hpp"
 #include "core/encoding.hpp"
+#include "core/pause.hpp"
 #include "platform/row_table.hpp"
 
 #include <algorithm>
@@ -15,6 +15,7 @@
 namespace asio = core::asio;
 using nlohmann::json;
 
+constexpr const char* transaction_path = "/-/rows-tx";
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_gone = 410;
@@ -143,7 +144,20 @@
 
 asio::awaitable<http::response> metadata_store::handle(http::request message)
 {
+    if (on_transaction_ && message.target == transaction_path)
+    {
+        on_transaction_();
+    }
+    const auto delay_after = delay_after_;
+    if (delay_before_ > core::duration{})
+    {
+        co_await core::pause_for(delay_before_);
+    }
     auto result = co_await serve_call(std::move(message));
+    if (delay_after > core::duration{})
+    {
+        co_await core::pause_for(delay_after);
+    }
     result.headers.emplace_back("Store-Era", std::to_string(era_));
     co_return result;
 }
@@ -158,7 +172,7 @@
         co_return http::response(status_unavailable);
     }
     http::response answer(status_not_found);
-    const bool is_write = path == "/-/rows-tx";
+    const bool is_write = path == transaction_path;
     const bool is_held = is_write && mode != store_mode::silent && std::exchange(holds_next_write_, false);
     if (is_held)
     {
--- a/standins/edge/metadata_store.hpp
+++ b/standins/edge/metadata_store.hpp
@@ -3,10 +3,12 @@
 #pragma once
 
 #include "core/asio.hpp"
+#include "core/clock.hpp"
 #include "http/server.hpp"
 
 #include <nlohmann/json.hpp>
 
+#include <functional>
 #include <list>
 #include <map>
 #include <optional>
@@ -34,6 +36,14 @@
 
     unsigned short port() const { return server_->port(); }
     void set_mode(store_mode mode) { mode_ = mode; }
+    /// Delays each call before it is carried out, and its answer after that.
+    void set_delay(core::duration before, core::duration after)
+    {
+        delay_before_ = before;
+        delay_after_ = after;
+    }
+    /// Calls `hook` whenever a transaction is received.
+    void on_transaction(std::function<void()> hook) { on_transaction_ = std::move(hook); }
     /// Discards the history of changes, so that feeds have to start again.
     void compact() { oldest_version_ = version_; }
     /// Takes the copy from which `restore` brings the store back.
@@ -90,6 +100,9 @@
     std::optional<nlohmann::json> held_write_;
     std::int64_t calls_ = 0;
     store_mode mode_ = store_mode::serving;
+    core::duration delay_before_;
+    core::duration delay_after_;
+    std::function<void()> on_transaction_;
     std::list<core::asio::steady_timer*> waiting_feeds_;
     std::optional<http::server> server_;
 };
