--- a/standins/edge/keyed_backend.hpp
+++ b/standins/edge/keyed_backend.hpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -44,6 +45,8 @@
     void announce_leaving() { is_leaving_ = true; }
     /// Answers all grants and releases with this status from now on and does nothing else; none with 0.
     void refuse_control_calls(unsigned status) { control_status_ = status; }
+    /// Calls `hook` whenever keys are released.
+    void on_release(std::function<void()> hook) { on_release_ = std::move(hook); }
     void set_work_duration(core::duration work_duration) { work_duration_ = work_duration; }
 
     /// Returns the number of runs by attempt id.
@@ -82,6 +85,7 @@
     int registrations_ = 0;
     bool is_leaving_ = false;
     std::optional<unsigned> control_status_;
+    std::function<void()> on_release_;
     std::optional<http::server> server_;
 };
 
