Keep the fence of earlier fronts over a connection opened anew

Cause: a lost call closes its connection, and the new one voided the fence. Keys that were withdrawn then stayed without an owner until the grants of earlier fronts had ended.

A former front can renew only under a leader that was replaced; the fence is void in the simulation as well when a restart is registered.

--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -124,7 +124,7 @@
     }
     if (is_open)
     {
-        server->grants->on_connected(clock::now());
+        server->grants->on_connected();
         callbacks.request_report();
         co_return;
     }
--- a/src/grants/internal/server_grants.cpp
+++ b/src/grants/internal/server_grants.cpp
@@ -132,22 +132,12 @@
     merge_adjacent();
 }
 
-void server_grants::on_connected(core::time_point now)
+void server_grants::on_connected()
 {
     const bool is_first = last_sequence_ == 0;
-    if (is_first)
+    if (!is_first)
     {
-        return;
-    }
-    token_step_ = std::min(token_step_ + 1, max_token_step);
-    for (auto& item : ranges_)
-    {
-        item.is_fenced = false;
-        if (item.release == release_state::in_flight && item.prior_end > now)
-        {
-            // Without the fence its answer does not show that the keys are free.
-            item.release = release_state::pending;
-        }
+        token_step_ = std::min(token_step_ + 1, max_token_step);
     }
 }
 
--- a/src/grants/server_grants.hpp
+++ b/src/grants/server_grants.hpp
@@ -71,7 +71,7 @@
     void pause(core::time_point now);
     /// Records that a connection for the next grants was opened in place of a closed one. It may lead to
     /// another process, which knows no tokens and needs a later one.
-    void on_connected(core::time_point now);
+    void on_connected();
     /// Records that the backend server does not hold the key, so that it may be another process.
     void on_key_missing(std::uint32_t key, core::time_point now);
     /// Records that the process ended to which this front made its grants at the present address. Grants of
