--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -508,8 +508,8 @@
     BOOST_CHECK_EQUAL(write(), 0U);
 }
 
-// Guards against grants with the tokens of a former process: a router that restarted was confirmed although its
-// directory showed the former term of office.
+// Guards against grants with the tokens of a former process: a router that restarted was confirmed although
+// its directory showed the former term of office.
 BOOST_AUTO_TEST_CASE(a_restarted_front_is_confirmed_only_with_its_new_term_of_office)
 {
     start(3);
