Log each retry with the state of its budget, and each lost link

Fronts did not say how much of their budget they had used, nor entries that they sent a request again after a lost link, so logs could not tell the hypotheses of the incident apart.

--- a/src/dispatch/internal/retry_budget.cpp
+++ b/src/dispatch/internal/retry_budget.cpp
@@ -47,4 +47,16 @@
     return true;
 }
 
+std::size_t retry_budget::requests(core::time_point now)
+{
+    remove_expired(now);
+    return requests_.size();
+}
+
+std::size_t retry_budget::retries(core::time_point now)
+{
+    remove_expired(now);
+    return retries_.size();
+}
+
 } // namespace briarfold::dispatch
--- a/src/dispatch/retry_budget.hpp
+++ b/src/dispatch/retry_budget.hpp
@@ -28,6 +28,9 @@
     /// `share` is the fraction of the slack that this router may use.
     bool take(double share, core::time_point now);
     double remaining(double share, core::time_point now);
+    /// Number of requests and of retries counted in the window before `now`.
+    std::size_t requests(core::time_point now);
+    std::size_t retries(core::time_point now);
 
 private:
     void remove_expired(core::time_point now);
--- a/src/edge/internal/entry.cpp
+++ b/src/edge/internal/entry.cpp
@@ -378,6 +378,13 @@
             result.retry_after = other_router_retry_after;
         }
         const bool is_lost = result.outcome == wire::outcome::unknown && result.not_run_reason == "link";
+        if (is_lost)
+        {
+            log_.write("link lost", {{"request", context.head.attempt_id},
+                                     {"service", context.service},
+                                     {"front", to->front},
+                                     {"sent_again", context.is_idempotent && !context.may_have_run}});
+        }
         if (is_lost && context.is_idempotent && !context.may_have_run)
         {
             context.may_have_run = true;
--- a/src/edge/internal/front_outcomes.cpp
+++ b/src/edge/internal/front_outcomes.cpp
@@ -27,8 +27,18 @@
     const bool has_attempts = !pending.request.key.empty() ||
                               static_cast<int>(pending.tried_servers.size()) < pending.request.max_attempts;
     const auto budget = retry_budgets.find(pending.request.service);
-    return has_time && has_attempts && budget != retry_budgets.end() &&
-           budget->second.take(slack_share(), now);
+    if (!has_time || !has_attempts || budget == retry_budgets.end())
+    {
+        return false;
+    }
+    const bool is_allowed = budget->second.take(slack_share(), now);
+    log.write("retry", {{"request", pending.request.request_id},
+                        {"service", pending.request.service},
+                        {"allowed", is_allowed},
+                        {"requests_in_window", budget->second.requests(now)},
+                        {"retries_in_window", budget->second.retries(now)},
+                        {"slack_share", slack_share()}});
+    return is_allowed;
 }
 
 std::optional<wire::forward_result> front::state::handle_outcome(pending_request& pending,
