Let a router advertise another address to its peers than the one it listens on

Routers behind a proxy could not be reached: they told the others where they listen. A play that resets or silences the links between routers needs a proxy in front of each.

--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -133,7 +133,7 @@
     self.name = settings.name;
     self.incarnation = core::make_id("run");
     self.zone = settings.zone;
-    self.peer = settings.peer;
+    self.peer = settings.advertised_peer.port != 0 ? settings.advertised_peer : settings.peer;
     self.cpu = settings.cpu;
 }
 
--- a/src/settings/edge_settings.hpp
+++ b/src/settings/edge_settings.hpp
@@ -21,6 +21,8 @@
     http::endpoint readiness;
     /// Where other routers connect.
     http::endpoint peer;
+    /// Where other routers reach this one, if that differs from `peer`, for example behind a proxy.
+    http::endpoint advertised_peer;
     /// Where metrics are served.
     http::endpoint metrics;
     http::endpoint store;
--- a/src/settings/internal/edge_settings.cpp
+++ b/src/settings/internal/edge_settings.cpp
@@ -56,6 +56,8 @@
     result.frontend = read_endpoint(reader, "frontend");
     result.readiness = read_endpoint(reader, "readiness");
     result.peer = read_endpoint(reader, "peer");
+    result.advertised_peer =
+        object.contains("advertised_peer") ? read_endpoint(reader, "advertised_peer") : result.peer;
     result.metrics = read_endpoint(reader, "metrics");
     result.store = read_endpoint(reader, "store");
     constexpr double least_cpu = 0.001;
@@ -89,6 +91,7 @@
             {"frontend", http::to_string(value.frontend)},
             {"readiness", http::to_string(value.readiness)},
             {"peer", http::to_string(value.peer)},
+            {"advertised_peer", http::to_string(value.advertised_peer)},
             {"metrics", http::to_string(value.metrics)},
             {"store", http::to_string(value.store)},
             {"cpu", value.cpu},
--- a/src/settings/tests/edge_settings_tests.cpp
+++ b/src/settings/tests/edge_settings_tests.cpp
@@ -47,6 +47,15 @@
                       document::invalid_document);
 }
 
+// Guards against a router behind a proxy that others try to reach where it listens.
+BOOST_AUTO_TEST_CASE(the_address_for_other_routers_may_differ_from_the_one_to_listen_on)
+{
+    BOOST_CHECK_EQUAL(http::to_string(parse_edge_settings(text, "test").advertised_peer), "10.0.0.1:7000");
+    const auto settings = parse_edge_settings("advertised_peer = \"10.0.0.9:7100\"\n" + text, "test");
+    BOOST_CHECK_EQUAL(http::to_string(settings.advertised_peer), "10.0.0.9:7100");
+    BOOST_CHECK_EQUAL(http::to_string(settings.peer), "10.0.0.1:7000");
+}
+
 // Guards against a start with bad settings that reports only the first error.
 BOOST_AUTO_TEST_CASE(every_error_is_listed)
 {
