Play retries of router processes that restart and lose their links

Arrivals beyond the first of each request are counted at the backend servers and compared with what every window allows, while routers of their own processes stop, die, stand still and lose the links between them and half of the answers are spoiled.

The activities that the plays of router processes share move to a header. A router is stopped only once it has written its log: one that got SIGTERM right after its start ended with that signal.

--- a/standins/edge/keyed_backend.cpp
+++ b/standins/edge/keyed_backend.cpp
@@ -177,6 +177,7 @@
 {
     const auto attempt = header_value(message, "Briarfold-Attempt-Id");
     const auto key = header_value(message, "Briarfold-Shard-Key");
+    arrivals_.push_back({attempt, clock::now()});
     http::response answer(status_ok);
     answer.headers.emplace_back("Briarfold-Attempt-Id", attempt);
     const bool is_other_instance = header_value(message, "Briarfold-Expected-Instance") != id_;
@@ -198,10 +199,15 @@
     max_running_ = std::max(max_running_, running_);
     co_await core::pause_for(work_duration_);
     --running_;
-    if (answer_loss_interval_ > 0 && ++answers_ % answer_loss_interval_ == 0)
+    ++answers_;
+    if (answer_loss_interval_ > 0 && answers_ % answer_loss_interval_ == 0)
     {
         co_await core::pause_for(core::duration{3000});
     }
+    if (answer_spoil_interval_ > 0 && answers_ % answer_spoil_interval_ == 0)
+    {
+        co_return answer;
+    }
     answer.headers.emplace_back("Briarfold-Response-Signature", id_ + "." + attempt);
     answer.body = "answer of " + id_ + " to " + attempt;
     co_return answer;
--- a/standins/edge/keyed_backend.hpp
+++ b/standins/edge/keyed_backend.hpp
@@ -25,6 +25,13 @@
     core::time_point until;
 };
 
+/// A request that reached a backend server, whether it ran or not.
+struct arrival
+{
+    std::string attempt;
+    core::time_point at;
+};
+
 /// Not thread-safe: all calls on the executor's thread.
 class keyed_backend
 {
@@ -40,6 +47,8 @@
     void crash();
     /// Loses the answer to every `interval`-th request; 0 loses none.
     void lose_answers(int interval) { answer_loss_interval_ = interval; }
+    /// Leaves the signature out of every `interval`-th answer, so that it does not count; 0 spoils none.
+    void spoil_answers(int interval) { answer_spoil_interval_ = interval; }
 
     /// Says in all answers from now on that it leaves; the registry does not show it.
     void announce_leaving() { is_leaving_ = true; }
@@ -51,6 +60,8 @@
 
     /// Returns the number of runs by attempt id.
     const std::map<std::string, int>& runs() const { return runs_; }
+    const std::vector<arrival>& arrivals() const { return arrivals_; }
+    const std::string& service() const { return service_; }
     /// Returns all spans in which it held keys, including ended ones.
     std::vector<held_span> spans() const;
     int max_running() const { return max_running_; }
@@ -76,11 +87,13 @@
     std::vector<held_span> held_;
     std::vector<held_span> ended_;
     std::map<std::string, int> runs_;
+    std::vector<arrival> arrivals_;
     std::map<unsigned short, std::vector<std::string>> calls_by_port_;
     int running_ = 0;
     int max_running_ = 0;
     int misdirected_count_ = 0;
     int answer_loss_interval_ = 0;
+    int answer_spoil_interval_ = 0;
     int answers_ = 0;
     int registrations_ = 0;
     bool is_leaving_ = false;
--- a/standins/edge/tests/cluster_checks.hpp
+++ b/standins/edge/tests/cluster_checks.hpp
@@ -82,6 +82,87 @@
     });
 }
 
+struct retry_bounds
+{
+    double ratio = 0.2;
+    double slack = 60;
+    core::duration window{10000};
+};
+
+/// Arrivals at a service beyond the first of each request in one window, and how many were allowed.
+struct retry_window
+{
+    core::time_point start;
+    std::size_t retries = 0;
+    double allowed = 0;
+
+    double used() const { return static_cast<double>(retries) / allowed; }
+};
+
+/// Returns the window in which the retries at the service used most of their bound. The requests are those of
+/// that window, of the one before or of the one half a window before, whichever has most.
+inline retry_window find_worst_retry_window(const edge_cluster& cluster, const std::string& service,
+                                            const retry_bounds& bounds)
+{
+    std::vector<arrival> arrivals;
+    for (const auto& item : cluster.backends)
+    {
+        if (item->service() == service)
+        {
+            std::ranges::copy(item->arrivals(), std::back_inserter(arrivals));
+        }
+    }
+    std::ranges::sort(arrivals, {}, &arrival::at);
+    std::set<std::string> arrived;
+    std::vector<core::time_point> retries;
+    for (const auto& item : arrivals)
+    {
+        if (!arrived.insert(item.attempt).second)
+        {
+            retries.push_back(item.at);
+        }
+    }
+    std::vector<core::time_point> requests;
+    for (const auto& record : cluster.records)
+    {
+        if (record.service == service)
+        {
+            requests.push_back(record.sent);
+        }
+    }
+    std::ranges::sort(requests);
+    const auto count = [&](const std::vector<core::time_point>& sorted, core::time_point from) {
+        return std::ranges::lower_bound(sorted, from + bounds.window) -
+               std::ranges::lower_bound(sorted, from);
+    };
+    retry_window worst{{}, 0, bounds.slack};
+    for (const auto& start : retries)
+    {
+        const core::duration half{bounds.window.ms / 2};
+        const auto sent = std::max(
+            {count(requests, start), count(requests, start - half), count(requests, start - bounds.window)});
+        const retry_window window{start, static_cast<std::size_t>(count(retries, start)),
+                                  bounds.ratio * static_cast<double>(sent) + bounds.slack};
+        worst = window.used() > worst.used() ? window : worst;
+    }
+    return worst;
+}
+
+/// Returns the number of requests that ran at more than `most` backend servers.
+inline std::size_t count_attempts_beyond(const edge_cluster& cluster, std::size_t most)
+{
+    std::map<std::string, std::size_t> servers;
+    for (const auto& item : cluster.backends)
+    {
+        for (const auto& [attempt, runs] : item->runs())
+        {
+            ++servers[attempt];
+        }
+    }
+    return static_cast<std::size_t>(
+        std::ranges::count_if(servers, [most](const auto& item) { return item.second > most; }));
+}
+
 /// Returns the index of the router that took the leadership last.
 inline std::size_t find_leader(const edge_cluster& cluster)
 {
--- a/standins/edge/tests/edge_cluster.hpp
+++ b/standins/edge/tests/edge_cluster.hpp
@@ -23,6 +23,7 @@
     bool is_idempotent = false;
     core::time_point sent;
     core::duration elapsed;
+    std::string service = "keyed";
 };
 
 /// Test cluster on 127.0.0.1 with ports that the system chooses.
@@ -74,9 +75,10 @@
     }
 
     /// Starts a backend server without an entry in the registry.
-    void start_backend(const std::string& id, const http::endpoint& address, const std::string& zone)
+    void start_backend(const std::string& id, const http::endpoint& address, const std::string& zone,
+                       const std::string& service = "keyed")
     {
-        backends.push_back(std::make_unique<keyed_backend>(context.get_executor(), address, id, "keyed", zone,
+        backends.push_back(std::make_unique<keyed_backend>(context.get_executor(), address, id, service, zone,
                                                            2, core::duration{20}));
     }
 
--- a/standins/edge/tests/process_cluster.hpp
+++ b/standins/edge/tests/process_cluster.hpp
@@ -5,6 +5,7 @@
 #include "scenarios/child_process.hpp"
 #include "scenarios/ports.hpp"
 #include "standins/edge/tests/cluster_checks.hpp"
+#include "standins/relay/tcp_relay.hpp"
 
 #include <cstdlib>
 #include <filesystem>
@@ -34,6 +35,10 @@
         {
             names.push_back("r" + std::to_string(i));
             settings.push_back(make_process_settings(i));
+            relays.push_back(std::make_unique<relay_pair>());
+            relays.back()->listen = settings.back().advertised_peer;
+            relays.back()->target = settings.back().peer;
+            core::asio::co_spawn(context, relay_tcp(*relays.back()), core::asio::detached);
             processes.push_back(nullptr);
             starts_.push_back(0);
             start_process(i);
@@ -41,11 +46,11 @@
     }
 
     /// Starts a backend server with an address and an id of its own, without an entry in the registry.
-    keyed_backend& add_backend()
+    keyed_backend& add_backend(const std::string& service = "keyed")
     {
         const auto number = backends.size();
         start_backend("b" + std::to_string(number), {"127.0.0.1", scenarios::take_port()},
-                      number % 2 == 0 ? "a" : "b");
+                      number % 2 == 0 ? "a" : "b", service);
         return *backends.back();
     }
 
@@ -67,6 +72,15 @@
             std::vector<std::string>(), folder_ / log);
     }
 
+    /// Whether the process of a router has written its log, so that it handles signals.
+    bool has_started(std::size_t i) const
+    {
+        std::error_code absent;
+        const auto log = folder_ / (names[i] + "." + std::to_string(starts_[i]) + ".log");
+        const auto size = std::filesystem::file_size(log, absent);
+        return !absent && size > 0;
+    }
+
     /// Writes all spans in which keys were held, in the time of the routers' logs.
     void write_spans() const
     {
@@ -84,6 +98,8 @@
     }
 
     std::vector<std::unique_ptr<scenarios::child_process>> processes;
+    /// The relays through which the other routers reach each one.
+    std::vector<std::unique_ptr<relay_pair>> relays;
 
 private:
     std::filesystem::path folder_;
@@ -94,7 +110,8 @@
         settings::edge_settings value;
         value.name = names[i];
         value.zone = i % 2 == 0 ? "a" : "b";
-        for (auto* const local : {&value.frontend, &value.readiness, &value.peer, &value.metrics})
+        for (auto* const local :
+             {&value.frontend, &value.readiness, &value.peer, &value.advertised_peer, &value.metrics})
         {
             *local = {"127.0.0.1", scenarios::take_port()};
         }
--- a/standins/edge/tests/router_process_tests.cpp
+++ b/standins/edge/tests/router_process_tests.cpp
@@ -1,4 +1,4 @@
-#include "standins/edge/tests/process_cluster.hpp"
+#include "standins/edge/tests/process_play.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -10,33 +10,13 @@
 
 constexpr core::duration store_delay{300};
 constexpr core::duration play_length{24000};
-constexpr core::duration poll_interval{20};
-
-/// Random choices of one activity, which do not depend on the timing of the others.
-class choices
-{
-public:
-    choices(unsigned seed, unsigned activity) : random_(seed * activities + activity) {}
-
-    core::duration span(std::int64_t least_ms, std::int64_t most_ms)
-    {
-        return {std::uniform_int_distribution<std::int64_t>(least_ms, most_ms)(random_)};
-    }
-    std::size_t index(std::size_t count)
-    {
-        return std::uniform_int_distribution<std::size_t>(0, count - 1)(random_);
-    }
-
-private:
-    static constexpr unsigned activities = 8;
-    std::mt19937 random_;
-};
 
 /// Routers that restart beside a slow store while keys move.
-class restart_play
+class restart_play : public process_play
 {
 public:
-    restart_play(unsigned seed, const std::filesystem::path& folder) : cluster(6, 12, folder), seed_(seed)
+    restart_play(unsigned seed, const std::filesystem::path& folder)
+        : process_play(6, 12, folder), seed_(seed)
     {
         std::ranges::transform(cluster.backends, std::back_inserter(serving_),
                                [](const auto& item) { return item.get(); });
@@ -45,7 +25,7 @@
     /// Routers are killed with odd seeds; backend servers crash with every second pair of seeds.
     void run()
     {
-        end_ = core::clock::now() + play_length;
+        end_after(play_length);
         for (const auto& item : cluster.backends)
         {
             prepare(*item);
@@ -68,17 +48,9 @@
         cluster.write_spans();
     }
 
-    process_cluster cluster;
-    int stops = 0;
-    int kills = 0;
     int crashes = 0;
 
 private:
-    void start(asio::awaitable<void> activity)
-    {
-        asio::co_spawn(cluster.context, std::move(activity), asio::detached);
-    }
-
     /// Lets releases take different times, so that keys are freed one after the other.
     void prepare(keyed_backend& item)
     {
@@ -89,8 +61,6 @@
         item.on_release([this] { is_released_ = true; });
     }
 
-    bool is_over() const { return core::clock::now() >= end_; }
-
     /// Takes 300 ms a call on average; answers overtake each other.
     asio::awaitable<void> slow_store(choices random)
     {
@@ -103,40 +73,6 @@
         cluster.store.set_delay({}, {});
     }
 
-    bool can_stop(std::size_t router) const
-    {
-        constexpr std::size_t most_restarting = 3;
-        return !restarting_.contains(router) && restarting_.size() < most_restarting;
-    }
-
-    void check_running(std::size_t router)
-    {
-        BOOST_CHECK_MESSAGE(cluster.processes[router]->is_running(),
-                            cluster.names[router] << " ended by itself");
-    }
-
-    /// Starts a router again that was sent a signal.
-    asio::awaitable<void> restart(std::size_t router, core::duration pause)
-    {
-        auto& process = *cluster.processes[router];
-        const auto limit = core::clock::now() + cluster.settings[router].grace;
-        restarting_.insert(router);
-        while (process.is_running())
-        {
-            if (core::clock::now() >= limit)
-            {
-                process.kill();
-            }
-            co_await core::pause_for(poll_interval);
-        }
-        const auto status = process.exit_status();
-        BOOST_CHECK_MESSAGE(status == 0 || status == -SIGKILL,
-                            cluster.names[router] << " ended with status " << status);
-        co_await core::pause_for(pause);
-        cluster.start_process(router);
-        restarting_.erase(router);
-    }
-
     /// Stops two routers at a time in turn, soon after keys are released.
     asio::awaitable<void> stop_routers(choices random)
     {
@@ -158,17 +94,6 @@
         }
     }
 
-    void stop_router(std::size_t router, core::duration pause)
-    {
-        if (can_stop(router))
-        {
-            check_running(router);
-            cluster.processes[router]->terminate();
-            ++stops;
-            start(restart(router, pause));
-        }
-    }
-
     asio::awaitable<void> kill_routers(choices random)
     {
         while (!is_over())
@@ -184,13 +109,7 @@
             co_await core::pause_for(random.span(0, store_delay.ms));
             const auto router = random.index(cluster.processes.size());
             const auto pause = random.span(50, 900);
-            if (can_stop(router))
-            {
-                check_running(router);
-                cluster.processes[router]->kill();
-                ++kills;
-                co_await restart(router, pause);
-            }
+            co_await kill_router(router, pause);
         }
     }
 
@@ -272,35 +191,16 @@
             }
             const auto key = static_cast<std::uint32_t>(first + random.index(hot_keys));
             const auto router = random.index(cluster.settings.size());
-            start(send(cluster.settings[router].frontend, "hot-" + std::to_string(sent), key));
+            const auto attempt = "hot-" + std::to_string(sent);
+            start(send(cluster.settings[router].frontend, edge_cluster::make_request(attempt, false, key),
+                       {attempt}));
             co_await core::pause_for(hot_interval);
         }
     }
 
-    asio::awaitable<void> send(http::endpoint frontend, std::string attempt, std::uint32_t key)
-    {
-        constexpr core::duration client_timeout{3000};
-        call_record record;
-        record.attempt = attempt;
-        try
-        {
-            const auto answer = co_await http::fetch(
-                frontend, edge_cluster::make_request(attempt, false, key), client_timeout);
-            record.status = answer.status;
-            record.body = answer.body;
-        }
-        catch (const core::error&)
-        {
-            record.status = 0;
-        }
-        cluster.records.push_back(record);
-    }
-
     unsigned seed_;
-    core::time_point end_;
     bool is_released_ = false;
     int prepared_ = 0;
-    std::set<std::size_t> restarting_;
     std::vector<keyed_backend*> serving_;
 };
 
@@ -322,31 +222,21 @@
 // die while the answers to their writes of assignments are on their way.
 BOOST_AUTO_TEST_CASE(keys_keep_one_owner_while_routers_restart_beside_a_slow_store)
 {
-    const auto first = static_cast<unsigned>(std::stoul(read_variable("ROUTER_PLAY_SEED", "3")));
-    const auto count = static_cast<unsigned>(std::stoul(read_variable("ROUTER_PLAY_COUNT", "1")));
-    auto scratch = (std::filesystem::temp_directory_path() / "router-play-XXXXXX").string();
-    BOOST_REQUIRE(::mkdtemp(scratch.data()) != nullptr);
-    const auto folder = std::filesystem::path(read_variable("ROUTER_PLAY_LOGS", scratch));
-    for (auto seed = first; seed < first + count; ++seed)
-    {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            restart_play play(seed, folder / ("seed-" + std::to_string(seed)));
-            BOOST_REQUIRE(play.cluster.await_ready());
-            play.run();
-            BOOST_TEST_MESSAGE("seed " << seed << ": " << play.stops << " stops, " << play.kills << " kills, "
-                                       << play.crashes << " crashes, " << count_successions(play.cluster)
-                                       << " successions, " << play.cluster.count(200) << " of "
-                                       << play.cluster.records.size() << " requests served");
-            BOOST_CHECK_GT(play.stops, 5);
-            BOOST_CHECK_GT(count_successions(play.cluster), 10);
-            BOOST_CHECK_GT(success_ratio(play.cluster), 0.25);
-            check_invariants(play.cluster);
-            check_exclusive_ownership(play.cluster);
-            check_rising_tokens(play.cluster);
-        }
-    }
-    std::filesystem::remove_all(scratch);
+    play_seeds(3, [](unsigned seed, const std::filesystem::path& folder) {
+        restart_play play(seed, folder);
+        BOOST_REQUIRE(play.cluster.await_ready());
+        play.run();
+        BOOST_TEST_MESSAGE("seed " << seed << ": " << play.stops << " stops, " << play.kills << " kills, "
+                                   << play.crashes << " crashes, " << count_successions(play.cluster)
+                                   << " successions, " << play.cluster.count(200) << " of "
+                                   << play.cluster.records.size() << " requests served");
+        BOOST_CHECK_GT(play.stops, 5);
+        BOOST_CHECK_GT(count_successions(play.cluster), 10);
+        BOOST_CHECK_GT(success_ratio(play.cluster), 0.25);
+        check_invariants(play.cluster);
+        check_exclusive_ownership(play.cluster);
+        check_rising_tokens(play.cluster);
+    });
 }
 
 BOOST_AUTO_TEST_SUITE_END()
