Limit all retries of a request at the router that received it

The budget lived in the front. It was forgotten as the front ended or its backend servers moved, the next front had a whole part of the slack again, a request that went to a second front counted twice, and an entry that lost its link to a front sent the request again without any budget; the second front did not know of the first's sends.

Now a front sends a request to one backend server and returns what happened; the entry, which received it from its client, decides on every further send, whatever the path: it counts requests once, keeps the backend servers that were tried, and takes each retry from a budget of tokens that starts empty and holds a small part of a window. What a router forgets as it ends can only be unused. If no further send answers, the failure that a backend server gave is delivered.

The unit test of the budget checks every window now, also while all routers start anew; it replaces one that checked each 500th ms of one budget.

--- a/src/dispatch/retry_budget.hpp
+++ b/src/dispatch/retry_budget.hpp
@@ -1,9 +1,10 @@
-/// Limits the attempts beyond the first of each request at the backend servers of one service.
+/// Limits how often one router sends requests to a service again.
 #pragma once
 
 #include "core/clock.hpp"
 
 #include <deque>
+#include <optional>
 
 namespace briarfold::dispatch {
 
@@ -14,30 +15,34 @@
     core::duration window{10000};
     /// Retries allowed in the window in addition to the ratio, for all routers together.
     double slack = 0;
+
+    bool operator==(const retry_budget_settings&) const = default;
 };
 
-/// Retry budget over a sliding window. Without it, retries would multiply the load when backend servers fail
-/// or reject part of their requests.
+/// Tokens that requests and time add and retries take. It starts empty, and its capacity is a small part of a
+/// window's budget: what is forgotten when a router ends can only be unused, so the budgets of all routers
+/// together keep the bound in every window, whenever they end and start. Without a budget, retries would
+/// multiply the load when backend servers fail or reject part of their requests.
 class retry_budget
 {
 public:
     explicit retry_budget(retry_budget_settings settings) : settings_(settings) {}
 
-    void count_request(core::time_point now);
-    /// Counts a retry and returns true if the budget allows it, otherwise returns false and counts nothing.
-    /// `share` is the fraction of the slack that this router may use.
+    /// Counts a request of a client. `share` is the fraction of the slack that this router may use.
+    void count_request(double share, core::time_point now);
+    /// Takes one retry and returns true if the budget allows it, otherwise returns false and takes nothing.
     bool take(double share, core::time_point now);
-    double remaining(double share, core::time_point now);
-    /// Number of requests and of retries counted in the window before `now`.
-    std::size_t requests(core::time_point now);
-    std::size_t retries(core::time_point now);
+    /// Retries that are allowed at this moment; may be a fraction.
+    double available(double share, core::time_point now);
 
 private:
-    void remove_expired(core::time_point now);
+    void refill(double share, core::time_point now);
 
     retry_budget_settings settings_;
+    /// Times of the requests in the last window.
     std::deque<core::time_point> requests_;
-    std::deque<core::time_point> retries_;
+    double tokens_ = 0;
+    std::optional<core::time_point> refilled_at_;
 };
 
 } // namespace briarfold::dispatch
--- a/src/dispatch/tests/budget_tests.cpp
+++ b/src/dispatch/tests/budget_tests.cpp
@@ -4,37 +4,115 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
+
 using namespace briarfold::dispatch;
 using briarfold::core::duration;
 using briarfold::core::time_point;
 
 BOOST_AUTO_TEST_SUITE(dispatch_limits)
 
-// Guards against retries beyond the budget of any window while backend servers fail half of their requests.
-BOOST_AUTO_TEST_CASE(retries_stay_within_the_budget_of_every_window)
+namespace {
+
+const retry_budget_settings settings{0.2, {10000}, 60};
+constexpr std::size_t routers = 8;
+constexpr double share = 1.0 / routers;
+
+/// Retries and requests of a service that several routers serve.
+struct retry_history
 {
-    const retry_budget_settings settings{0.2, {10000}, 60};
-    retry_budget budget(settings);
     std::vector<time_point> retries;
     std::vector<time_point> requests;
-    for (std::int64_t ms = 0; ms < 60000; ms += 10)
+
+    static std::ptrdiff_t count(const std::vector<time_point>& sorted, time_point from)
+    {
+        return std::ranges::lower_bound(sorted, from + settings.window) -
+               std::ranges::lower_bound(sorted, from);
+    }
+
+    /// Returns the largest part of its bound that a window uses.
+    double worst_use() const
+    {
+        double worst = 0;
+        for (const auto& start : retries)
+        {
+            const auto sent = std::max(count(requests, start), count(requests, start - settings.window));
+            const double allowed = settings.ratio * static_cast<double>(sent) + settings.slack;
+            worst = std::max(worst, static_cast<double>(count(retries, start)) / allowed);
+        }
+        return worst;
+    }
+};
+
+/// Sends 200 requests a second for a minute, of which half fail as often as they are sent from `failing_from`
+/// on. `replace` says at which times which routers start anew.
+retry_history play_failures(time_point failing_from,
+                            const std::function<bool(std::size_t router, time_point now)>& replace)
+{
+    std::vector<retry_budget> budgets(routers, retry_budget(settings));
+    retry_history history;
+    for (std::int64_t ms = 0; ms < 60000; ms += 5)
     {
         const time_point now{ms};
-        budget.count_request(now);
-        requests.push_back(now);
-        if (ms % 20 == 0 && budget.take(0.1, now))
+        const auto router = static_cast<std::size_t>(ms / 5) % routers;
+        for (std::size_t i = 0; i < routers; ++i)
         {
-            retries.push_back(now);
+            if (replace(i, now))
+            {
+                budgets[i] = retry_budget(settings);
+            }
         }
-        const auto in_window = [&](const std::vector<time_point>& list) {
-            return std::ranges::count_if(list, [&](time_point at) { return at > now - duration{10000}; });
-        };
-        if (ms % 500 == 0)
+        history.requests.push_back(now);
+        budgets[router].count_request(share, now);
+        const bool fails = now >= failing_from && ms / 5 / routers % 2 == 0;
+        for (int sends = 1; fails && sends < 4 && budgets[router].take(share, now); ++sends)
         {
-            BOOST_CHECK_LE(in_window(retries), 0.2 * in_window(requests) + 60 * 0.1);
+            history.retries.push_back(now);
         }
     }
-    BOOST_CHECK_GT(retries.size(), 500U);
+    return history;
+}
+
+} // namespace
+
+// Guards against retries beyond the budget of any window while backend servers fail half of their requests.
+BOOST_AUTO_TEST_CASE(retries_stay_within_the_budget_of_every_window)
+{
+    const auto history = play_failures({12000}, [](std::size_t, time_point) { return false; });
+    BOOST_CHECK_LE(history.worst_use(), 1);
+    BOOST_CHECK_GT(history.worst_use(), 0.6);
+}
+
+// Guards against routers that forget their retries as they end, so that each window has several budgets.
+BOOST_AUTO_TEST_CASE(retries_stay_within_the_budget_while_routers_start_anew)
+{
+    for (const std::int64_t interval_ms : {400, 1000, 2500, 5000, 9000, 13000})
+    {
+        const auto history = play_failures({12000}, [&](std::size_t router, time_point now) {
+            const auto offset = static_cast<std::int64_t>(router) * 30;
+            return now.ms > 12000 && (now.ms - offset) % interval_ms == 0;
+        });
+        BOOST_TEST_CONTEXT("all routers start anew every " << interval_ms << " ms")
+        {
+            BOOST_CHECK_LE(history.worst_use(), 1);
+        }
+    }
+}
+
+// Guards against a single failure that is not repeated although hardly any retries were taken.
+BOOST_AUTO_TEST_CASE(a_router_without_recent_retries_can_repeat_the_requests_of_a_lost_front)
+{
+    retry_budget budget(settings);
+    for (std::int64_t ms = 0; ms < 20000; ms += 40)
+    {
+        budget.count_request(share, {ms});
+    }
+    int allowed = 0;
+    while (budget.take(share, {20000}))
+    {
+        ++allowed;
+    }
+    BOOST_CHECK_GE(allowed, 10);
 }
 
 // Guards against a backend server that rejects requests although it has free slots: it must get fewer
--- a/src/edge/entry.hpp
+++ b/src/edge/entry.hpp
@@ -4,6 +4,7 @@
 #include "core/asio.hpp"
 #include "core/cancellation.hpp"
 #include "directory/owner_index.hpp"
+#include "dispatch/retry_budget.hpp"
 #include "edge/event_log.hpp"
 #include "edge/protocol.hpp"
 #include "metrics/registry.hpp"
@@ -18,6 +19,16 @@
 
 namespace briarfold::edge {
 
+struct entry_settings
+{
+    /// Name and availability zone of this router.
+    std::string name;
+    std::string zone;
+    dispatch::retry_budget_settings retries;
+
+    bool operator==(const entry_settings&) const = default;
+};
+
 struct entry_callbacks
 {
     /// Passes a request to the front role of this router.
@@ -34,7 +45,7 @@
 class entry
 {
 public:
-    entry(core::asio::any_io_executor executor, std::string name, std::string zone, const protocol& adapter,
+    entry(core::asio::any_io_executor executor, entry_settings settings, const protocol& adapter,
           event_log& log, metrics::registry& metrics, entry_callbacks callbacks);
 
     /// Applies the directory update that led to `snapshot` and wakes the requests that wait for a change.
@@ -76,7 +87,21 @@
     /// Waits at most `limit` for a change of the directory.
     core::asio::awaitable<void> await_change(core::duration limit);
     std::optional<http::response> prepare(request_context& context, http::request& message);
+    /// Records which backend server received the request, or may have.
+    static void record_send(request_context& context, const destination& to,
+                            const wire::forward_result& result);
+    /// Decides on every send of a request beyond the first that may have reached a backend server. Takes a
+    /// retry from the budget of the service and returns true, or returns false.
+    bool take_retry(const request_context& context);
+    /// Fraction of the slack of the retry budgets that this router may use.
+    double retry_share() const;
+    dispatch::retry_budget& find_retry_budget(const std::string& service);
     http::response finish(const request_context& context, wire::forward_result result);
+    http::response make_answer(const request_context& context, wire::forward_result result);
+    /// Ends a request that was not answered by its last send: with the failure that a backend server answered
+    /// before, else with a refusal.
+    http::response end_unanswered(const request_context& context, unsigned status, core::duration retry_after,
+                                  const std::string& reason);
     http::response refuse(const request_context& context, unsigned status, core::duration retry_after,
                           const std::string& reason);
     /// Returns when the request must have its answer: at its deadline, or when this process ends.
@@ -84,8 +109,7 @@
     wire::forward_request make_forward(const request_context& context) const;
 
     core::asio::any_io_executor executor_;
-    std::string name_;
-    std::string zone_;
+    entry_settings settings_;
     const protocol& adapter_;
     event_log& log_;
     metrics::registry& metrics_;
@@ -94,6 +118,7 @@
     /// request's other lookups.
     std::map<unsigned, metrics::counter*> refused_;
     std::map<std::string, metrics::summary*> latencies_;
+    std::map<std::string, dispatch::retry_budget> retry_budgets_;
     entry_callbacks callbacks_;
     routes::route_table routes_;
     std::map<std::string, http::endpoint> router_peers_;
--- a/src/edge/front_types.hpp
+++ b/src/edge/front_types.hpp
@@ -3,7 +3,6 @@
 
 #include "core/cancellation.hpp"
 #include "directory/directory_types.hpp"
-#include "dispatch/retry_budget.hpp"
 #include "dispatch/slot_limit.hpp"
 #include "dispatch/slot_queue.hpp"
 #include "dispatch/work_estimate.hpp"
@@ -41,7 +40,6 @@
     double expected_ms = 0;
     std::set<std::string> tried_servers;
     int send_count = 0;
-    bool may_have_run = false;
 };
 
 /// Requests that share a queue: those of one backend server with keys, or of one service without keys.
--- a/src/edge/internal/entry.cpp
+++ b/src/edge/internal/entry.cpp
@@ -3,6 +3,7 @@
 #include "wire/iforwarder.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace briarfold::edge {
 
@@ -60,14 +61,28 @@
     core::time_point arrived;
     core::time_point deadline;
     core::time_point objective_deadline;
-    /// Whether an earlier attempt may have run.
+    /// Backend servers that received the request, or may have.
+    std::set<std::string> tried_servers;
+    /// Sends that may have reached a backend server that is not known.
+    int lost_sends = 0;
+    int send_count = 0;
+    /// Whether an earlier send may have run.
     bool may_have_run = false;
+    /// Answer of the backend server to an earlier send, a failure.
+    std::optional<wire::forward_result> failed_answer;
+
+    int attempts() const { return static_cast<int>(tried_servers.size()) + lost_sends; }
+    /// Whether the request may be sent to the backend server, or to an unknown one if the name is empty.
+    bool may_reach(const std::string& backend_server) const
+    {
+        return tried_servers.contains(backend_server) || attempts() < max_attempts;
+    }
 };
 
-entry::entry(asio::any_io_executor executor, std::string name, std::string zone, const protocol& adapter,
-             event_log& log, metrics::registry& metrics, entry_callbacks callbacks)
-    : executor_(std::move(executor)), name_(std::move(name)), zone_(std::move(zone)), adapter_(adapter),
-      log_(log), metrics_(metrics),
+entry::entry(asio::any_io_executor executor, entry_settings settings, const protocol& adapter, event_log& log,
+             metrics::registry& metrics, entry_callbacks callbacks)
+    : executor_(std::move(executor)), settings_(std::move(settings)), adapter_(adapter), log_(log),
+      metrics_(metrics),
       answered_(metrics.counter("briarfold_edge_answered_total", "Requests answered by a backend server.")),
       callbacks_(std::move(callbacks))
 {}
@@ -137,9 +152,9 @@
         const auto zone = router_zones_.find(front);
         // A stopping front is asked only when there is no other.
         constexpr double stopping_cost = 1e6;
-        const double cost = load +
-                            (zone != router_zones_.end() && zone->second == zone_ ? 0 : other_zone_cost) +
-                            (is_stopping(front, now) ? stopping_cost : 0);
+        const double cost =
+            load + (zone != router_zones_.end() && zone->second == settings_.zone ? 0 : other_zone_cost) +
+            (is_stopping(front, now) ? stopping_cost : 0);
         if (!best || cost < best_cost)
         {
             best = destination{"", front, false};
@@ -161,7 +176,7 @@
 {
     auto found =
         context.is_keyed ? find_owner(context.service, context.head.key.value_or(0)) : find_group(context);
-    if (found && found->front != name_ && !router_peers_.contains(found->front))
+    if (found && found->front != settings_.name && !router_peers_.contains(found->front))
     {
         return std::nullopt;
     }
@@ -210,6 +225,7 @@
     }
     context.route_name = route->name;
     context.service = routes_.choose_service(*route);
+    find_retry_budget(context.service).count_request(retry_share(), context.arrived);
     context.is_idempotent = route->is_idempotent;
     context.priority = route->priority;
     context.max_attempts = route->max_attempts;
@@ -256,6 +272,7 @@
     request.priority = context.priority;
     request.objective = context.objective_deadline - now;
     request.max_attempts = context.max_attempts;
+    request.tried_servers.assign(context.tried_servers.begin(), context.tried_servers.end());
     return request;
 }
 
@@ -272,7 +289,7 @@
     wire::forward_result result;
     try
     {
-        if (to.front == name_)
+        if (to.front == settings_.name)
         {
             result = co_await callbacks_.serve_locally(std::move(request), cancellation);
         }
@@ -288,6 +305,7 @@
         result.status = status_bad_gateway;
         result.reason = failure.what();
         result.not_run_reason = "link";
+        result.may_send_again = failure.is_sent() && context.is_idempotent;
     }
     catch (const core::timeout_error& failure)
     {
@@ -339,9 +357,9 @@
             if (limit.ms <= 0 || waiting_.size() >= max_waiting)
             {
                 const auto third_of_remaining = core::duration{(context.deadline - now).ms / 3};
-                co_return refuse(context, context.may_have_run ? status_bad_gateway : status_unavailable,
-                                 std::min(max_ownerless_retry_after, third_of_remaining),
-                                 "the key has no owner");
+                co_return end_unanswered(context, status_unavailable,
+                                         std::min(max_ownerless_retry_after, third_of_remaining),
+                                         "the key has no owner");
             }
             --hop;
             co_await await_change(limit);
@@ -350,13 +368,25 @@
         if (to->is_out_of_service)
         {
             const auto third_of_remaining = core::duration{(context.deadline - now).ms / 3};
-            co_return refuse(context, context.may_have_run ? status_bad_gateway : status_unavailable,
-                             std::min(max_ownerless_retry_after, third_of_remaining),
-                             "the backend server of the key is unreachable");
+            co_return end_unanswered(context, status_unavailable,
+                                     std::min(max_ownerless_retry_after, third_of_remaining),
+                                     "the backend server of the key is unreachable");
+        }
+        if (!context.may_reach(to->backend_server))
+        {
+            co_return end_unanswered(context, status_unavailable, {}, "no other backend server may get it");
         }
         auto result = co_await send(context, *to, cancellation);
-        const bool is_moved = result.outcome == wire::outcome::refused_not_run &&
-                              (result.not_run_reason == "moved" || result.not_run_reason == "link");
+        const bool is_lost = result.not_run_reason == "link";
+        if (is_lost)
+        {
+            log_.write("link lost", {{"request", context.head.attempt_id},
+                                     {"front", to->front},
+                                     {"sent", result.outcome == wire::outcome::unknown},
+                                     {"reason", result.reason}});
+        }
+        const bool is_moved =
+            result.outcome == wire::outcome::refused_not_run && (result.not_run_reason == "moved" || is_lost);
         if (is_moved)
         {
             constexpr core::duration moved_wait{60};
@@ -377,52 +407,127 @@
         {
             result.retry_after = other_router_retry_after;
         }
-        const bool is_lost = result.outcome == wire::outcome::unknown && result.not_run_reason == "link";
-        if (is_lost)
+        if (!result.may_send_again)
         {
-            log_.write("link lost", {{"request", context.head.attempt_id},
-                                     {"service", context.service},
-                                     {"front", to->front},
-                                     {"sent_again", context.is_idempotent && !context.may_have_run}});
+            co_return finish(context, std::move(result));
         }
-        if (is_lost && context.is_idempotent && !context.may_have_run)
+        record_send(context, *to, result);
+        if (!take_retry(context))
+        {
+            co_return finish(context, std::move(result));
+        }
+        if (result.outcome != wire::outcome::refused_not_run)
         {
             context.may_have_run = true;
+        }
+        if (result.outcome == wire::outcome::answered)
+        {
+            context.failed_answer = std::move(result);
+        }
+        if (is_lost)
+        {
             constexpr core::duration takeover_wait{100};
             co_await await_change(takeover_wait);
-            continue;
         }
-        co_return finish(context, std::move(result));
     }
-    const bool is_unknown = context.may_have_run;
-    co_return refuse(context, is_unknown ? status_gateway_timeout : status_unavailable, {},
-                     "no front served it in time");
+    co_return end_unanswered(context, context.may_have_run ? status_gateway_timeout : status_unavailable, {},
+                             "no front served it in time");
+}
+
+void entry::record_send(request_context& context, const destination& to, const wire::forward_result& result)
+{
+    ++context.send_count;
+    if (result.not_run_reason != "link")
+    {
+        context.tried_servers.insert(result.peer);
+    }
+    else if (context.is_keyed)
+    {
+        context.tried_servers.insert(to.backend_server);
+    }
+    else
+    {
+        ++context.lost_sends;
+    }
+}
+
+bool entry::take_retry(const request_context& context)
+{
+    /// Maximum number of sends of one request that may reach a backend server, including the first.
+    constexpr int max_sends = 4;
+    // Keys mostly stay at their owner, which the request has tried.
+    const bool has_attempts = context.is_keyed || context.may_reach("");
+    if (context.send_count >= max_sends || !has_attempts)
+    {
+        return false;
+    }
+    const auto now = clock::now();
+    auto& budget = find_retry_budget(context.service);
+    const bool is_allowed = budget.take(retry_share(), now);
+    metrics_
+        .counter("briarfold_edge_retries_total", "Retries that the budget of a service allowed or refused.",
+                 {{"service", context.service}, {"allowed", is_allowed ? "yes" : "no"}})
+        .add();
+    log_.write("retry", {{"request", context.head.attempt_id},
+                         {"service", context.service},
+                         {"sends", context.send_count},
+                         {"allowed", is_allowed},
+                         {"available", budget.available(retry_share(), now)},
+                         {"slack_share", retry_share()}});
+    return is_allowed;
+}
+
+double entry::retry_share() const
+{
+    return 1.0 / static_cast<double>(std::max<std::size_t>(router_peers_.size(), 1));
+}
+
+dispatch::retry_budget& entry::find_retry_budget(const std::string& service)
+{
+    return retry_budgets_.try_emplace(service, settings_.retries).first->second;
+}
+
+http::response entry::make_answer(const request_context& context, wire::forward_result result)
+{
+    http::response answer(result.status, std::move(result.headers), std::move(result.body));
+    drop_connection_headers(answer.headers);
+    answered_.add();
+    auto*& latency = latencies_[context.service];
+    if (latency == nullptr)
+    {
+        latency =
+            &metrics_.summary("briarfold_edge_request_milliseconds",
+                              "Time from a request's arrival to its answer.", {{"service", context.service}});
+    }
+    latency->record(static_cast<double>((clock::now() - context.arrived).ms));
+    return answer;
+}
+
+http::response entry::end_unanswered(const request_context& context, unsigned status,
+                                     core::duration retry_after, const std::string& reason)
+{
+    if (context.failed_answer)
+    {
+        return make_answer(context, *context.failed_answer);
+    }
+    const bool is_unknown = context.may_have_run && status == status_unavailable;
+    return refuse(context, is_unknown ? status_bad_gateway : status,
+                  is_unknown ? core::duration{} : retry_after, reason);
 }
 
 http::response entry::finish(const request_context& context, wire::forward_result result)
 {
     if (result.outcome == wire::outcome::answered)
     {
-        http::response answer(result.status, std::move(result.headers), std::move(result.body));
-        drop_connection_headers(answer.headers);
-        answered_.add();
-        auto*& latency = latencies_[context.service];
-        if (latency == nullptr)
-        {
-            latency = &metrics_.summary("briarfold_edge_request_milliseconds",
-                                        "Time from a request's arrival to its answer.",
-                                        {{"service", context.service}});
-        }
-        latency->record(static_cast<double>((clock::now() - context.arrived).ms));
-        return answer;
+        return make_answer(context, std::move(result));
     }
-    if (result.outcome == wire::outcome::unknown || context.may_have_run)
+    if (result.outcome == wire::outcome::unknown)
     {
         const auto status =
             result.status == status_gateway_timeout ? status_gateway_timeout : status_bad_gateway;
-        return refuse(context, status, {}, result.reason);
+        return end_unanswered(context, status, {}, result.reason);
     }
-    return refuse(context, status_unavailable, result.retry_after, result.reason);
+    return end_unanswered(context, status_unavailable, result.retry_after, result.reason);
 }
 
 } // namespace briarfold::edge
--- a/src/edge/internal/front.cpp
+++ b/src/edge/internal/front.cpp
@@ -145,7 +145,7 @@
     {
         apply_entry(entry, config);
     }
-    refresh_pools(snapshot);
+    refresh_pools();
 }
 
 void front::state::apply_change(const directory::snapshot& snapshot, const directory::update& change,
@@ -165,7 +165,7 @@
             apply_entry(entry->second, config);
         }
     }
-    refresh_pools(snapshot);
+    refresh_pools();
 }
 
 void front::state::apply_entry(const directory::entry& entry, const routes::routing_config& config)
@@ -191,9 +191,8 @@
     }
 }
 
-void front::state::refresh_pools(const directory::snapshot& snapshot)
+void front::state::refresh_pools()
 {
-    directory_size = std::max<std::size_t>(snapshot.entries.size(), 1);
     const auto all = pools;
     for (const auto& [name, pool] : all)
     {
--- a/src/edge/internal/front_outcomes.cpp
+++ b/src/edge/internal/front_outcomes.cpp
@@ -14,31 +14,16 @@
 constexpr unsigned status_gateway_timeout = 504;
 /// Keys whose owner is gone are granted to another backend server within about this time.
 constexpr core::duration max_owner_retry_after{1200};
-/// Maximum number of sends of one request, including the first.
+/// Maximum number of sends of one request, including those that did not reach the backend server.
 constexpr int max_sends = 4;
+/// Time before the deadline from which a request is not sent again.
+constexpr core::duration min_send_time{50};
 
 } // namespace
 
-bool front::state::take_retry(pending_request& pending, core::time_point now)
+bool front::state::has_time_for_retry(const pending_request& pending, core::time_point now)
 {
-    const bool has_time = static_cast<double>((pending.waiting.deadline - now).ms) > pending.expected_ms &&
-                          pending.send_count < max_sends;
-    // Keys stay at their owner, so a retry reaches no other backend server.
-    const bool has_attempts = !pending.request.key.empty() ||
-                              static_cast<int>(pending.tried_servers.size()) < pending.request.max_attempts;
-    const auto budget = retry_budgets.find(pending.request.service);
-    if (!has_time || !has_attempts || budget == retry_budgets.end())
-    {
-        return false;
-    }
-    const bool is_allowed = budget->second.take(slack_share(), now);
-    log.write("retry", {{"request", pending.request.request_id},
-                        {"service", pending.request.service},
-                        {"allowed", is_allowed},
-                        {"requests_in_window", budget->second.requests(now)},
-                        {"retries_in_window", budget->second.retries(now)},
-                        {"slack_share", slack_share()}});
-    return is_allowed;
+    return static_cast<double>((pending.waiting.deadline - now).ms) > pending.expected_ms;
 }
 
 std::optional<wire::forward_result> front::state::handle_outcome(pending_request& pending,
@@ -65,24 +50,20 @@
                             static_cast<double>(outcome.elapsed.ms));
         }
         const bool is_server_failure = outcome.answer.status >= first_server_failure;
-        if (is_server_failure && pending.request.is_idempotent && take_retry(pending, clock::now()))
-        {
-            pending.may_have_run = true;
-            return std::nullopt;
-        }
         wire::forward_result result;
         result.outcome = wire::outcome::answered;
         result.status = outcome.answer.status;
         result.headers = std::move(outcome.answer.headers);
         result.body = std::move(outcome.answer.body);
         result.peer = server.entry.server.id;
+        result.may_send_again =
+            is_server_failure && pending.request.is_idempotent && has_time_for_retry(pending, clock::now());
         return result;
     }
     return handle_failure(pending, outcome);
 }
 
-std::optional<wire::forward_result> front::state::handle_not_run(pending_request& pending,
-                                                                 exchange_result& outcome)
+wire::forward_result front::state::handle_not_run(pending_request& pending, exchange_result& outcome)
 {
     auto& server = *pending.server;
     const auto now = clock::now();
@@ -110,18 +91,11 @@
         server.grants->on_key_missing(pending.waiting.key, now);
     }
     const bool is_key_missing = outcome.head.is_misdirected && server.is_keyed();
-    if (!is_key_missing && take_retry(pending, now))
-    {
-        return std::nullopt;
-    }
-    if (pending.may_have_run)
-    {
-        return make_result(wire::outcome::unknown, status_bad_gateway, "rejected after a lost answer", "");
-    }
     auto result = make_result(
         wire::outcome::refused_not_run, status_unavailable,
         is_key_missing ? "backend server does not hold the key" : "backend server rejected", "shed");
     result.peer = id;
+    result.may_send_again = !is_key_missing && has_time_for_retry(pending, now);
     if (is_key_missing)
     {
         result.retry_after =
@@ -151,26 +125,23 @@
     {
         server.limit.on_failure(now);
     }
-    pending.may_have_run = pending.may_have_run || was_sent;
-    if (!was_sent)
+    if (was_sent)
     {
-        pending.tried_servers.erase(server.entry.server.id);
+        auto result =
+            make_result(wire::outcome::unknown, is_out_of_time ? status_gateway_timeout : status_bad_gateway,
+                        outcome.reason, "");
+        result.peer = server.entry.server.id;
+        result.may_send_again =
+            !is_out_of_time && pending.request.is_idempotent && has_time_for_retry(pending, now);
+        return result;
     }
-    const bool may_send_again = !was_sent || pending.request.is_idempotent;
-    // A request that was not sent has not arrived, so sending it again does not count against the budget.
-    const bool is_allowed =
-        was_sent ? take_retry(pending, now)
-                 : pending.send_count < max_sends && now + core::duration{50} < pending.waiting.deadline;
-    if (!is_out_of_time && may_send_again && is_allowed)
+    // What was not sent has not arrived, so sending it again is no retry.
+    pending.tried_servers.erase(server.entry.server.id);
+    if (pending.send_count < max_sends && now + min_send_time < pending.waiting.deadline)
     {
         return std::nullopt;
     }
-    if (!pending.may_have_run)
-    {
-        return make_result(wire::outcome::refused_not_run, status_unavailable, outcome.reason, "unreachable");
-    }
-    return make_result(wire::outcome::unknown, is_out_of_time ? status_gateway_timeout : status_bad_gateway,
-                       outcome.reason, "");
+    return make_result(wire::outcome::refused_not_run, status_unavailable, outcome.reason, "unreachable");
 }
 
 } // namespace briarfold::edge
--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -9,7 +9,6 @@
 namespace asio = core::asio;
 using core::clock;
 
-constexpr unsigned status_bad_gateway = 502;
 constexpr unsigned status_unavailable = 503;
 /// Time after the deadline of a request in which the backend server's own answer may still arrive.
 constexpr core::duration answer_grace{120};
@@ -21,12 +20,6 @@
 
 } // namespace
 
-double front::state::slack_share() const
-{
-    return static_cast<double>(servers.size()) /
-           static_cast<double>(std::max(directory_size, servers.size()));
-}
-
 std::shared_ptr<request_pool> front::state::find_pool(const wire::forward_request& request)
 {
     const auto server = servers.find(request.backend_server);
@@ -70,6 +63,8 @@
     pending->id = ++next_id;
     pending->arrived = now;
     pending->request = std::move(request);
+    const auto& tried = pending->request.tried_servers;
+    pending->tried_servers.insert(tried.begin(), tried.end());
     auto& waiting = pending->waiting;
     waiting.id = pending->id;
     waiting.priority = pending->request.priority;
@@ -94,9 +89,6 @@
         }
         offered_work[pool->service][waiting.key] += estimate.mean_ms(pending->request.route);
     }
-    const dispatch::retry_budget_settings budget{settings.retry_budget_ratio, settings.retry_budget_window,
-                                                 settings.retry_budget_slack};
-    retry_budgets.try_emplace(pool->service, budget).first->second.count_request(now);
     if (auto refusal = admit(pending, *pool))
     {
         log_result(*pending, *refusal);
@@ -149,6 +141,13 @@
     {
         return make_stopping_refusal(now);
     }
+    if (!pending->request.tried_servers.empty())
+    {
+        // A queue accepted it before.
+        pool.queue.put_back(pending->waiting);
+        pool.waiting.emplace(pending->id, pending);
+        return std::nullopt;
+    }
     const auto offer = pool.queue.offer(pending->waiting, count_slots(pool, now), now);
     if (offer.is_accepted)
     {
@@ -349,9 +348,7 @@
     if (is_moved)
     {
         pending->early_result =
-            pending->may_have_run
-                ? make_result(wire::outcome::unknown, status_bad_gateway, "keys moved during a retry", "")
-                : make_result(wire::outcome::refused_not_run, status_unavailable, "keys moved", "moved");
+            make_result(wire::outcome::refused_not_run, status_unavailable, "keys moved", "moved");
         return;
     }
     pool->waiting.emplace(pending->id, pending);
--- a/src/edge/internal/front_state.hpp
+++ b/src/edge/internal/front_state.hpp
@@ -23,7 +23,7 @@
                       const routes::routing_config& config);
     /// Adds, updates or removes one backend server according to its directory entry.
     void apply_entry(const directory::entry& entry, const routes::routing_config& config);
-    void refresh_pools(const directory::snapshot& snapshot);
+    void refresh_pools();
     void refuse_moved(const std::shared_ptr<request_pool>& pool);
     /// Removes and returns the requests of the pool that wait for a slot or a grant and match.
     static std::vector<dispatch::waiting_request>
@@ -44,12 +44,11 @@
     std::shared_ptr<fronted_server> choose_server(const request_pool& pool, const pending_request* pending,
                                                   core::time_point now);
     dispatch::slot_state count_slots(const request_pool& pool, core::time_point now) const;
-    /// Returns the result, or nothing when the request has to be sent again.
+    /// Returns the result, or nothing when the request did not reach the backend server and is sent again.
     std::optional<wire::forward_result> handle_outcome(pending_request& pending, exchange_result& outcome);
-    std::optional<wire::forward_result> handle_not_run(pending_request& pending, exchange_result& outcome);
+    wire::forward_result handle_not_run(pending_request& pending, exchange_result& outcome);
     std::optional<wire::forward_result> handle_failure(pending_request& pending, exchange_result& outcome);
-    /// Returns whether the request may be sent again; if so, takes one retry from the budget.
-    bool take_retry(pending_request& pending, core::time_point now);
+    static bool has_time_for_retry(const pending_request& pending, core::time_point now);
     void requeue(const std::shared_ptr<pending_request>& pending, const std::shared_ptr<request_pool>& pool);
     void cap_deadlines(core::time_point latest);
     static void cap_deadline(dispatch::waiting_request& waiting, core::time_point latest);
@@ -63,7 +62,6 @@
     void end_waiting(request_pool& pool, const dispatch::waiting_request& waiting,
                      wire::forward_result result);
     void log_result(const pending_request& pending, const wire::forward_result& result);
-    double slack_share() const;
     static wire::forward_result make_unreachable_refusal(const fronted_server& server,
                                                          core::duration retry_after);
     /// Refuses the requests that wait for the keys of an unreachable backend server.
@@ -91,10 +89,8 @@
     front_callbacks callbacks;
     std::map<std::string, std::shared_ptr<fronted_server>> servers;
     std::map<std::string, std::shared_ptr<request_pool>> pools;
-    std::map<std::string, dispatch::retry_budget> retry_budgets;
     std::map<std::string, std::map<std::uint32_t, double>> offered_work;
     dispatch::work_estimate estimate;
-    std::size_t directory_size = 1;
     std::size_t running = 0;
     std::uint64_t next_id = 0;
     /// Latest time of an answer, once this process is stopping.
--- a/src/edge/internal/router_node.cpp
+++ b/src/edge/internal/router_node.cpp
@@ -74,7 +74,11 @@
       adapter(std::move(message_adapter)), log(decision_log),
       member(executor, settings, adapter, std::move(tables), log, make_member_callbacks()),
       front(executor, settings, adapter, log, metrics, make_front_callbacks()),
-      entry(executor, settings.name, settings.zone, adapter, log, metrics, make_entry_callbacks())
+      entry(executor,
+            {settings.name,
+             settings.zone,
+             {settings.retry_budget_ratio, settings.retry_budget_window, settings.retry_budget_slack}},
+            adapter, log, metrics, make_entry_callbacks())
 {}
 
 member_callbacks router_node::state::make_member_callbacks()
--- a/src/edge/tests/entry_tests.cpp
+++ b/src/edge/tests/entry_tests.cpp
@@ -1,7 +1,11 @@
 #include "edge/entry.hpp"
+#include "wire/iforwarder.hpp"
 
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
+#include <numeric>
+
 using namespace briarfold;
 using namespace briarfold::core::literals;
 namespace asio = core::asio;
@@ -9,6 +13,8 @@
 namespace {
 
 constexpr unsigned status_ok = 200;
+constexpr unsigned status_server_error = 500;
+constexpr unsigned status_bad_gateway = 502;
 constexpr unsigned status_unavailable = 503;
 
 edge::protocol make_protocol()
@@ -35,6 +41,8 @@
     route.prefix = "/";
     route.services = {{"desk", 1}};
     route.timeout = 1000_ms;
+    route.is_idempotent = true;
+    route.max_attempts = 2;
     routes::service service;
     service.name = "desk";
     routes::routing_config config;
@@ -71,10 +79,20 @@
     std::vector<http::response> answers;
     /// Number of requests that each front got.
     std::map<std::string, int> by_front;
+
+    int sends() const
+    {
+        return std::accumulate(by_front.begin(), by_front.end(), 0,
+                               [](int sum, const auto& item) { return sum + item.second; });
+    }
 };
 
-/// Sends two requests, one after the other, through a router whose own front is not among `fronts`.
-served_requests send_two(const std::vector<std::string>& fronts, const std::string& stopping_front)
+/// Answers a request as the front of that name. May throw wire::link_error.
+using front_answer = std::function<wire::forward_result(const std::string& front)>;
+
+/// Sends requests, one after the other, through a router whose own front is not among `fronts`.
+served_requests send_requests(int count, const std::vector<std::string>& fronts, const front_answer& respond,
+                              const dispatch::retry_budget_settings& retries = {})
 {
     asio::io_context context;
     const auto adapter = make_protocol();
@@ -89,27 +107,18 @@
         const auto front = std::ranges::find_if(snapshot.routers,
                                                 [&](const auto& item) { return item.second.peer == peer; });
         ++result.by_front[front->first];
-        wire::forward_result forwarded;
-        if (front->first == stopping_front)
-        {
-            forwarded.outcome = wire::outcome::refused_not_run;
-            forwarded.not_run_reason = "stopping";
-            forwarded.retry_after = 300_ms;
-            co_return forwarded;
-        }
-        forwarded.outcome = wire::outcome::answered;
-        forwarded.status = status_ok;
-        co_return forwarded;
+        co_return respond(front->first);
     };
-    edge::entry entry(context.get_executor(), "entry", "a", adapter, log, metrics, std::move(callbacks));
+    edge::entry entry(context.get_executor(), {"entry", "a", retries}, adapter, log, metrics,
+                      std::move(callbacks));
     entry.apply(make_config());
     entry.apply(snapshot, directory::make_update(snapshot, {}, {}, 0));
     asio::co_spawn(
         context,
         [&]() -> asio::awaitable<void> {
-            for (int i = 0; i < 2; ++i)
+            for (int i = 0; i < count; ++i)
             {
-                http::request message("POST", "/x");
+                http::request message("GET", "/x");
                 message.headers.emplace_back("Host", "h.example");
                 result.answers.push_back(co_await entry.handle(std::move(message), nullptr));
             }
@@ -119,6 +128,54 @@
     return result;
 }
 
+wire::forward_result make_result(wire::outcome outcome, unsigned status)
+{
+    wire::forward_result result;
+    result.outcome = outcome;
+    result.status = status;
+    return result;
+}
+
+front_answer stop_front(const std::string& stopping_front)
+{
+    return [stopping_front](const std::string& front) {
+        if (front != stopping_front)
+        {
+            return make_result(wire::outcome::answered, status_ok);
+        }
+        auto refusal = make_result(wire::outcome::refused_not_run, status_unavailable);
+        refusal.not_run_reason = "stopping";
+        refusal.retry_after = 300_ms;
+        return refusal;
+    };
+}
+
+/// A result after which the entry may send the request again.
+wire::forward_result make_failure(const std::string& backend_server, wire::outcome outcome, unsigned status)
+{
+    auto result = make_result(outcome, status);
+    result.peer = backend_server;
+    result.may_send_again = true;
+    return result;
+}
+
+/// Requests that are served first, so that the budget has retries left.
+constexpr int served_first = 100;
+
+front_answer fail_later(front_answer respond)
+{
+    return [calls = 0, respond](const std::string& front) mutable {
+        return ++calls <= served_first ? make_result(wire::outcome::answered, status_ok) : respond(front);
+    };
+}
+
+wire::forward_result lose_link(const std::string& front)
+{
+    throw wire::link_error("forward", front, "connection reset", true);
+}
+
+const dispatch::retry_budget_settings some_retries{0.2, 10000_ms, 20};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(entries)
@@ -126,7 +183,7 @@
 // Guards against a request that is refused because its front stops, although another front could serve it.
 BOOST_AUTO_TEST_CASE(request_refused_by_a_stopping_front_goes_to_another_one)
 {
-    const auto served = send_two({"f1", "f2"}, "f1");
+    const auto served = send_requests(2, {"f1", "f2"}, stop_front("f1"));
     BOOST_CHECK_EQUAL(served.answers.at(0).status, status_ok);
     BOOST_CHECK_EQUAL(served.answers.at(1).status, status_ok);
     BOOST_CHECK_EQUAL(served.by_front.at("f1"), 1);
@@ -136,10 +193,55 @@
 // Guards against a request that is held, or sent again and again, when its only front stops.
 BOOST_AUTO_TEST_CASE(request_is_refused_at_once_when_its_only_front_stops)
 {
-    const auto served = send_two({"f1"}, "f1");
+    const auto served = send_requests(2, {"f1"}, stop_front("f1"));
     BOOST_CHECK_EQUAL(served.answers.at(0).status, status_unavailable);
     BOOST_CHECK_EQUAL(http::find_header(served.answers.at(0).headers, "X-Retry-Ms"), "300");
     BOOST_CHECK_EQUAL(served.by_front.at("f1"), 2);
 }
 
+// Guards against lost links to a front that repeat the requests on them without a budget.
+BOOST_AUTO_TEST_CASE(requests_on_lost_links_are_repeated_within_the_budget_only)
+{
+    constexpr int lost = 60;
+    constexpr int requests = served_first + lost;
+    const dispatch::retry_budget_settings none{0, 10000_ms, 0};
+    const auto without = send_requests(requests, {"f1"}, fail_later(lose_link), none);
+    BOOST_CHECK_EQUAL(without.sends(), requests);
+    BOOST_CHECK_EQUAL(without.answers.back().status, status_bad_gateway);
+    const auto with = send_requests(requests, {"f1"}, fail_later(lose_link), some_retries);
+    BOOST_CHECK_GT(with.sends(), requests + 10);
+    BOOST_CHECK_LE(with.sends(), requests + 0.2 * requests + 20);
+}
+
+// Guards against a request at more backend servers than its route allows, when each send goes to another
+// front.
+BOOST_AUTO_TEST_CASE(a_request_reaches_no_more_backend_servers_than_its_route_allows)
+{
+    bool is_first = true;
+    const auto served = send_requests(
+        served_first + 1, {"f1", "f2", "f3"}, fail_later([&](const std::string& front) {
+            return std::exchange(is_first, false)
+                       ? lose_link(front)
+                       : make_failure("server of " + front, wire::outcome::unknown, status_bad_gateway);
+        }),
+        some_retries);
+    BOOST_CHECK_EQUAL(served.sends(), served_first + 2);
+    BOOST_CHECK_EQUAL(served.answers.back().status, status_bad_gateway);
+}
+
+// Guards against the answer of a backend server that is replaced by a refusal of a later send.
+BOOST_AUTO_TEST_CASE(failure_of_a_backend_server_is_answered_when_the_retry_is_refused)
+{
+    bool is_first = true;
+    const auto served = send_requests(
+        served_first + 1, {"f1"}, fail_later([&](const std::string& front) {
+            return std::exchange(is_first, false)
+                       ? make_failure("server of " + front, wire::outcome::answered, status_server_error)
+                       : make_result(wire::outcome::refused_not_run, status_unavailable);
+        }),
+        some_retries);
+    BOOST_CHECK_EQUAL(served.sends(), served_first + 2);
+    BOOST_CHECK_EQUAL(served.answers.back().status, status_server_error);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/wire/frame_types.hpp
+++ b/src/wire/frame_types.hpp
@@ -48,6 +48,8 @@
     core::duration objective;
     /// Maximum number of backend servers that may receive the request.
     int max_attempts = 1;
+    /// Backend servers that received the request before, or may have.
+    std::vector<std::string> tried_servers;
 
     bool operator==(const forward_request&) const = default;
 };
@@ -66,6 +68,9 @@
     /// Cause of a refusal: not_owner, shed, draining, expired, cancelled, overload or stopping.
     std::string not_run_reason;
     core::duration retry_after;
+    /// Whether the backend server `peer` received the request and another send may succeed. The front leaves
+    /// it to the entry, which limits them.
+    bool may_send_again = false;
 
     bool operator==(const forward_result&) const = default;
 };
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -120,6 +120,10 @@
     {
         fields.read(request.is_entry_stopping);
     }
+    if (fields.has_next())
+    {
+        fields.read(request.tried_servers);
+    }
 }
 
 void read_result(field_cursor& fields, forward_result& result)
@@ -139,6 +143,10 @@
     fields.read(result.reason);
     fields.read(result.not_run_reason);
     fields.read(result.retry_after.ms);
+    if (fields.has_next())
+    {
+        fields.read(result.may_send_again);
+    }
 }
 
 frame decode(const char* data, std::size_t size)
@@ -192,7 +200,7 @@
 
 void append_forward(std::string& out, std::uint64_t id, const forward_request& request)
 {
-    constexpr std::uint32_t fields = 17;
+    constexpr std::uint32_t fields = 18;
     append_frame(out, frame_type::forward, id, fields, [&](packer& pack) {
         pack.pack(request.customer);
         pack.pack(request.service);
@@ -211,12 +219,13 @@
         pack.pack(request.objective.ms);
         pack.pack(request.max_attempts);
         pack.pack(request.is_entry_stopping);
+        pack.pack(request.tried_servers);
     });
 }
 
 void append_result(std::string& out, std::uint64_t id, const forward_result& result)
 {
-    constexpr std::uint32_t fields = 9;
+    constexpr std::uint32_t fields = 10;
     append_frame(out, frame_type::result, id, fields, [&](packer& pack) {
         pack.pack(static_cast<std::uint8_t>(result.outcome));
         pack.pack(result.status);
@@ -227,6 +236,7 @@
         pack.pack(result.reason);
         pack.pack(result.not_run_reason);
         pack.pack(result.retry_after.ms);
+        pack.pack(result.may_send_again);
     });
 }
 
