Grant keys over a new connection only after the store shows who leads

Two backend servers held the same keys, or the next life of one got keys with a token below that of its former life: a leader that had been replaced confirmed, for up to 3.2 s until it noticed, a front that opened a connection to a backend server which had restarted and knew no tokens.

A front grants keys over a connection only after its leader has proved that it leads: the store's answer to a call that was made after the connection was opened. Reports ask for the proof, and the leader waits for it before it answers.

--- a/src/edge/front.hpp
+++ b/src/edge/front.hpp
@@ -23,6 +23,8 @@
     /// Returns when the leader last confirmed this router's assignments: the time at which the report that it
     /// answered was sent.
     std::function<core::time_point()> last_confirmation;
+    /// Returns when the leader last proved that it leads: in an answer to a report that was sent then.
+    std::function<core::time_point()> last_proof;
     /// Whether grants need a longer duration because no other router could take over.
     std::function<bool()> needs_outage_grants;
     /// Requests a report to the leader at once: keys were freed, a backend server became unreachable, or the
--- a/src/edge/internal/front.cpp
+++ b/src/edge/internal/front.cpp
@@ -98,6 +98,7 @@
         {
             report.leaving.push_back({id, server->entry.server.start_time_ms});
         }
+        report.needs_proof = report.needs_proof || state_->needs_proof(*server);
         const double slow = state_->estimate.slowness(id);
         if (server->is_keyed())
         {
--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -82,10 +82,11 @@
 {
     const auto now = clock::now();
     const auto last_confirmation = callbacks.last_confirmation();
-    // A new connection may reach a restarted backend server, which knows no fencing tokens, so the assignment
-    // must have been confirmed after the connection was opened.
+    // A new connection may reach a restarted backend server, which knows no fencing tokens. Its keys may have
+    // later ones from another leader, unless it is proved that none was elected before the connection.
+    const auto connected_at = server->control_link->connected_at();
     const bool is_confirmed = now - last_confirmation < grants::max_confirmation_age &&
-                              server->control_link->connected_at() < last_confirmation;
+                              connected_at < last_confirmation && connected_at < callbacks.last_proof();
     const bool is_due = server->grants->next_due(now) <= now;
     if (is_due && !server->is_grant_pending && !server->control_link->has_idle())
     {
@@ -112,6 +113,14 @@
     }
 }
 
+bool front::state::needs_proof(const fronted_server& server) const
+{
+    const auto connected_at = server.control_link->connected_at();
+    const bool has_connected = connected_at != core::time_point();
+    return server.grants && !server.entry.keys.empty() && has_connected &&
+           callbacks.last_proof() <= connected_at;
+}
+
 asio::awaitable<void> front::state::open_control_link(std::shared_ptr<fronted_server> server)
 {
     const auto self = shared_from_this();
@@ -229,6 +238,7 @@
                 {"elapsed_ms", result.elapsed.ms},
                 {"connection_age_ms", (now - link->connected_at()).ms},
                 {"confirmation_age_ms", (now - callbacks.last_confirmation()).ms},
+                {"proof_age_ms", (now - callbacks.last_proof()).ms},
                 {"reason", result.reason}};
     };
     const bool is_accepted_grant = is_grant && is_answered && result.answer.status == status_ok;
--- a/src/edge/internal/front_state.hpp
+++ b/src/edge/internal/front_state.hpp
@@ -76,6 +76,8 @@
     // Grants.
     void tick();
     void run_grants(const std::shared_ptr<fronted_server>& server);
+    /// Whether its keys can only be granted after the leader has proved that it leads.
+    bool needs_proof(const fronted_server& server) const;
     core::asio::awaitable<void> open_control_link(std::shared_ptr<fronted_server> server);
     core::asio::awaitable<void> send_grant_call(std::shared_ptr<fronted_server> server,
                                                 grants::grant_call call);
--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -15,6 +15,11 @@
 using namespace core::literals;
 
 constexpr core::duration tick_interval{50};
+/// Minimum interval between two checks of the leadership in the store.
+constexpr core::duration min_check_interval{40};
+/// Maximum wait of a report for the proof; below the time for which its sender waits.
+constexpr core::duration max_proof_wait{300};
+constexpr core::duration proof_poll_interval{5};
 /// A move of keys takes a few hundred milliseconds, so this interval adds little to it.
 constexpr core::duration min_publish_interval{40};
 /// Processor time to send an update to one router and to read its answer: about that of a forwarded request,
@@ -183,6 +188,12 @@
     return confirmation_.undisputed_at(now, state_->do_all_routers_follow(now), health_.is_failing());
 }
 
+core::time_point leader_service::proved_at() const
+{
+    const auto now = clock::now();
+    return confirmation_.proved_at(now, state_->do_all_routers_follow(now), health_.is_failing());
+}
+
 bool leader_service::knows_own_fronts(const directory::snapshot& known) const
 {
     return state_->knows_its_fronts(self_.name, known.term == term_ ? known.revision : 0);
@@ -348,8 +359,9 @@
     }
 }
 
-std::string leader_service::handle_report(const json& message)
+asio::awaitable<std::string> leader_service::handle_report(json message)
 {
+    const auto self = shared_from_this();
     auto report = leader::report_from_json(message.at("report"));
     const auto term = message.at("term").get<directory::generation>();
     const auto revision = message.at("revision").get<std::int64_t>();
@@ -371,22 +383,43 @@
         recipient.config = config;
     }
     propagate_changes();
+    if (report.needs_proof)
+    {
+        confirmation_.request_proof(now);
+        start_check();
+        while (is_running() && proved_at() < now && clock::now() - now < max_proof_wait)
+        {
+            co_await core::pause_for(proof_poll_interval);
+        }
+        if (!is_running())
+        {
+            co_return json{{"kind", "none"}}.dump();
+        }
+    }
     // Changes are pushed, so that answers to reports are short and in time however much there is to send.
     auto reply = update_header();
     if (term == term_ && state_->knows_its_fronts(report.router.name, revision))
     {
-        reply["confirmed_age"] = (now - confirmed_at()).ms;
+        reply["confirmed_age"] = (clock::now() - confirmed_at()).ms;
+        // Counts from the arrival of the report, however long the proof took.
+        reply["proved_age"] = std::max(now - proved_at(), core::duration{0}).ms;
     }
     reply["config_position"] = position_to_json(config_position_);
     reply["registry_position"] = position_to_json(registry_position_);
-    reply["store_failing"] = health_.failing_for(now).ms;
+    reply["store_failing"] = health_.failing_for(clock::now()).ms;
     reply["report_interval"] = report_interval().ms;
-    return reply.dump();
+    co_return reply.dump();
 }
 
 void leader_service::on_own_report(const leader::router_report& report)
 {
-    state_->on_report(report, clock::now());
+    const auto now = clock::now();
+    state_->on_report(report, now);
+    if (report.needs_proof)
+    {
+        confirmation_.request_proof(now);
+        start_check();
+    }
     propagate_changes();
 }
 
@@ -398,14 +431,25 @@
         state_->choose_deputies(clock::now());
         propagate_changes();
         offer_to_stronger_deputy();
-        if (confirmation_.is_check_due(clock::now()) && !is_writing_)
-        {
-            co_await check_leadership();
-        }
+        start_check();
         co_await core::pause_for(tick_interval);
     }
 }
 
+void leader_service::start_check()
+{
+    const auto now = clock::now();
+    const bool is_due = confirmation_.is_check_due(now) && now - last_check_ >= min_check_interval;
+    if (!is_due || is_checking_ || is_writing_)
+    {
+        return;
+    }
+    is_checking_ = true;
+    last_check_ = now;
+    asio::co_spawn(
+        executor_, [self = shared_from_this()] { return self->check_leadership(); }, asio::detached);
+}
+
 void leader_service::offer_to_stronger_deputy()
 {
     const auto now = clock::now();
--- a/src/edge/internal/leader_service.hpp
+++ b/src/edge/internal/leader_service.hpp
@@ -68,11 +68,14 @@
     /// Makes the directory known to this router as far as it was sent to any.
     void publish();
     /// Handles a report and returns the answer, with the changes that the reporting router does not have yet.
-    std::string handle_report(const nlohmann::json& message);
+    /// If the router needs a proof that this one leads, waits for it for a while.
+    core::asio::awaitable<std::string> handle_report(nlohmann::json message);
     void on_own_report(const leader::router_report& report);
     const directory::generation& term() const { return term_; }
     /// Returns when the leadership was last known to be undisputed.
     core::time_point confirmed_at() const;
+    /// Returns when it was last proved that no other router had taken the leadership.
+    core::time_point proved_at() const;
     /// Returns whether this router knows of every front role that was taken from it.
     bool knows_own_fronts(const directory::snapshot& known) const;
     bool is_started() const { return state_.has_value() && is_started_; }
@@ -137,6 +140,8 @@
     /// Returns the next content of the leadership row; `has_all_rows` is whether it goes with the last rows.
     leadership_record make_record(bool has_all_rows) const;
     core::asio::awaitable<void> check_leadership();
+    /// Has the leadership looked up in the store, at most once at a time, if that is due.
+    void start_check();
     core::asio::awaitable<void> push(std::string name);
     void apply_registration(const store::row& row);
     /// `packed` is the document as encoded by `pack`, or empty when it is not encoded yet.
@@ -206,6 +211,8 @@
     bool is_started_ = false;
     bool is_stopped_ = false;
     bool is_writing_ = false;
+    bool is_checking_ = false;
+    core::time_point last_check_;
 };
 
 constexpr const char* leadership_key = "leader";
--- a/src/edge/internal/leader_store.cpp
+++ b/src/edge/internal/leader_store.cpp
@@ -234,6 +234,7 @@
 
 asio::awaitable<void> leader_service::check_leadership()
 {
+    const auto self = shared_from_this();
     try
     {
         const auto expected_version = leadership_version_;
@@ -243,25 +244,26 @@
         if (is_writing_ || leadership_version_ != expected_version)
         {
             // A write of this leader has changed the row meanwhile, or is about to.
-            co_return;
         }
-        if (is_rewrite_due())
+        else if (is_rewrite_due())
         {
             // The versions are those of a restored copy; the rewrite finds out who leads.
             propagate_changes();
-            co_return;
         }
-        if (stored.rows.empty() || stored.rows.front().version != leadership_version_)
+        else if (stored.rows.empty() || stored.rows.front().version != leadership_version_)
         {
             callbacks_.on_deposed("the leadership row changed");
-            co_return;
         }
-        confirmation_.on_confirmed(sent);
+        else
+        {
+            confirmation_.on_confirmed(sent);
+        }
     }
     catch (const std::exception& failure)
     {
         note_store_failure(health_, log_, "leadership", failure);
     }
+    is_checking_ = false;
 }
 
 asio::awaitable<void> leader_service::write_rows(std::vector<leader::assignment_row> rows)
--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -93,6 +93,12 @@
                                                                   : core::time_point();
 }
 
+core::time_point member::last_proof() const
+{
+    const bool is_leading = state_->leadership && state_->leadership->is_started();
+    return is_leading ? state_->leadership->proved_at() : state_->proved_at;
+}
+
 bool member::is_store_failing() const
 {
     const auto now = clock::now();
@@ -331,6 +337,11 @@
                 const core::duration age{reply.at("confirmed_age").get<std::int64_t>()};
                 confirmed_at = std::max(confirmed_at, sent - age);
             }
+            if (reply.contains("proved_age"))
+            {
+                const core::duration age{reply.at("proved_age").get<std::int64_t>()};
+                proved_at = std::max(proved_at, sent - age);
+            }
             contact.set_report_interval(core::duration{reply.value("report_interval", std::int64_t{0})});
             drop_confirmed_rows(reply);
         }
@@ -448,7 +459,8 @@
             step_down("a router follows a later leader");
             co_return json{{"kind", "none"}}.dump();
         }
-        co_return leadership->handle_report(message);
+        const auto service = leadership;
+        co_return co_await service->handle_report(std::move(message));
     }
     if (kind == "report" && leadership)
     {
--- a/src/edge/internal/member_state.hpp
+++ b/src/edge/internal/member_state.hpp
@@ -79,6 +79,7 @@
     std::string packed_config;
     std::int64_t config_version = 0;
     core::time_point confirmed_at;
+    core::time_point proved_at;
     leader::leader_contact contact{clock::now()};
     core::duration leader_store_failing_for;
     bool is_stopping = false;
--- a/src/edge/internal/router_node.cpp
+++ b/src/edge/internal/router_node.cpp
@@ -119,6 +119,7 @@
 {
     front_callbacks result;
     result.last_confirmation = [this] { return member.last_confirmation(); };
+    result.last_proof = [this] { return member.last_proof(); };
     result.needs_outage_grants = [this] { return member.is_store_failing(); };
     result.request_report = [this] { member.request_report(); };
     return result;
--- a/src/edge/member.hpp
+++ b/src/edge/member.hpp
@@ -62,6 +62,8 @@
 
     /// Returns the start of the last exchange in which the leader confirmed this router's directory.
     core::time_point last_confirmation() const;
+    /// Returns when the leader last proved to this router that no other one had taken the leadership.
+    core::time_point last_proof() const;
     /// Whether the store has failed for long enough that no router could take over.
     bool is_store_failing() const;
     bool is_leader() const;
--- a/src/leader/internal/leader_json.cpp
+++ b/src/leader/internal/leader_json.cpp
@@ -52,6 +52,7 @@
             {"short_of_tokens", value.short_of_tokens},
             {"ended", to_json(value.ended)},
             {"leaving", to_json(value.leaving)},
+            {"needs_proof", value.needs_proof},
             {"work", std::move(work)},
             {"slowness", value.slowness}};
 }
@@ -71,6 +72,7 @@
     result.short_of_tokens = value.value("short_of_tokens", std::vector<std::string>());
     result.ended = processes_from_json(value.value("ended", json::array()));
     result.leaving = processes_from_json(value.value("leaving", json::array()));
+    result.needs_proof = value.value("needs_proof", false);
     for (const auto& [service, list] : value.at("work").items())
     {
         auto& keys = result.work[service];
--- a/src/leader/internal/leadership_confirmation.cpp
+++ b/src/leader/internal/leadership_confirmation.cpp
@@ -40,7 +40,14 @@
 
 bool leadership_confirmation::is_check_due(core::time_point now) const
 {
-    return stood_still_since_ || now - confirmed_at_ > check_interval;
+    return stood_still_since_ || proof_requested_at_ > confirmed_at_ || now - confirmed_at_ > check_interval;
+}
+
+core::time_point leadership_confirmation::proved_at(core::time_point now, bool all_routers_follow,
+                                                    bool is_store_failing) const
+{
+    return is_store_failing ? undisputed_at(now, all_routers_follow, is_store_failing)
+                            : std::min(now, confirmed_at_);
 }
 
 core::time_point leadership_confirmation::undisputed_at(core::time_point now, bool all_routers_follow,
--- a/src/leader/leader_types.hpp
+++ b/src/leader/leader_types.hpp
@@ -55,6 +55,9 @@
     std::vector<server_process> ended;
     /// Processes that said in an answer that they leave.
     std::vector<server_process> leaving;
+    /// Whether keys are to be granted over a connection that was opened since the leader last proved that it
+    /// leads.
+    bool needs_proof = false;
     /// Load of keys by service.
     std::map<std::string, std::vector<key_work>> work;
     /// Processing time of a backend server relative to the average, by id.
--- a/src/leader/leadership_confirmation.hpp
+++ b/src/leader/leadership_confirmation.hpp
@@ -29,6 +29,13 @@
     /// process stood still.
     bool is_check_due(core::time_point now) const;
 
+    /// Has the leadership looked up in the store once more.
+    void request_proof(core::time_point now) { proof_requested_at_ = now; }
+    /// Returns when the store last showed that no other router had taken the leadership. A replaced leader
+    /// believes to be undisputed until it notices. While the store fails, nothing better than
+    /// `undisputed_at` is known, or a lost router could not be replaced.
+    core::time_point proved_at(core::time_point now, bool all_routers_follow, bool is_store_failing) const;
+
     /// Returns when the leadership was last undisputed. `all_routers_follow` is whether every router that
     /// this leader has ever known follows it: the others may follow another leader. An isolated leader
     /// confirms nothing without the store, since a connection to a backend server that is opened now may
@@ -40,6 +47,7 @@
 private:
     core::time_point confirmed_at_;
     core::time_point last_tick_;
+    core::time_point proof_requested_at_;
     std::optional<core::time_point> isolated_since_;
     /// When this process last ran before it stood still.
     std::optional<core::time_point> stood_still_since_;
--- a/src/leader/tests/ownership_model.cpp
+++ b/src/leader/tests/ownership_model.cpp
@@ -498,10 +498,15 @@
     {
         message.work[service].push_back({key, hot_key_work_ms});
     }
+    message.needs_proof = needs_proof(router);
     if (router.office)
     {
         if (router.office->is_started)
         {
+            if (message.needs_proof)
+            {
+                router.office->confirmation.request_proof(now_);
+            }
             router.office->state->on_report(message, now_);
             propagate(index);
         }
@@ -543,6 +548,10 @@
             {
                 self.confirmed_at = std::max(self.confirmed_at, sent - *answer->confirmed_age);
             }
+            if (answer->proved_age)
+            {
+                self.proved_at = std::max(self.proved_at, sent - *answer->proved_age);
+            }
         });
 }
 
@@ -552,7 +561,7 @@
     const auto office = routers_[index].office;
     if (!office || !office->is_started)
     {
-        return {false, {}, routers_[index].leader == index ? -1 : routers_[index].leader, {}, {}};
+        return {false, {}, routers_[index].leader == index ? -1 : routers_[index].leader, {}, {}, {}};
     }
     if (message.term > office->term)
     {
@@ -566,11 +575,16 @@
         recipient.revision = message.term == office->term ? message.revision : 0;
     }
     propagate(index);
-    report_answer answer{true, office->term, index, {}, {}};
+    if (message.needs_proof)
+    {
+        office->confirmation.request_proof(now_);
+    }
+    report_answer answer{true, office->term, index, {}, {}, {}};
     if (message.term == office->term &&
         office->state->knows_its_fronts(message.router.name, message.revision))
     {
         answer.confirmed_age = now_ - office_confirmed_at(routers_[index]);
+        answer.proved_age = now_ - office_proved_at(routers_[index]);
     }
     const auto failing_since = routers_[index].store_failing_since;
     answer.store_failing = failing_since ? now_ - *failing_since : duration{0};
@@ -1047,6 +1061,24 @@
                                              router.store_failing_since.has_value());
 }
 
+time_point ownership_model::office_proved_at(const router_model& router) const
+{
+    const auto& office = *router.office;
+    if (!office.is_started || router.snapshot.term != office.term)
+    {
+        return router.proved_at;
+    }
+    return office.confirmation.proved_at(now_, office.state->do_all_routers_follow(now_),
+                                         router.store_failing_since.has_value());
+}
+
+bool ownership_model::needs_proof(const router_model& router) const
+{
+    const auto proved_at = router.office ? office_proved_at(router) : router.proved_at;
+    return std::ranges::any_of(router.fronts,
+                               [&](const auto& item) { return item.second->connected_at >= proved_at; });
+}
+
 void ownership_model::apply_fronts(int index)
 {
     auto& router = routers_[index];
@@ -1092,8 +1124,10 @@
 {
     const auto& router = routers_[index];
     const auto confirmed_at = router.office ? office_confirmed_at(router) : router.confirmed_at;
-    const bool is_confirmed =
-        now_ - confirmed_at < grants::max_confirmation_age && server->connected_at < confirmed_at;
+    const auto proved_at = router.office ? office_proved_at(router) : router.proved_at;
+    const bool is_proved = server->connected_at < proved_at;
+    const bool is_confirmed = is_proved && now_ - confirmed_at < grants::max_confirmation_age &&
+                              server->connected_at < confirmed_at;
     if (server->grants.next_due(now_) <= now_ && !server->is_grant_pending && !server->connection)
     {
         server->is_grant_pending = true;
--- a/src/leader/tests/ownership_model.hpp
+++ b/src/leader/tests/ownership_model.hpp
@@ -128,6 +128,7 @@
     int leader = -1;
     std::int64_t leadership_version = 0;
     time_point confirmed_at;
+    time_point proved_at;
     leader_contact contact{time_point{}};
     duration leader_failing;
     std::optional<time_point> store_failing_since;
@@ -189,6 +190,7 @@
         directory::generation term;
         int leader = -1;
         std::optional<duration> confirmed_age;
+        std::optional<duration> proved_age;
         duration store_failing;
     };
     /// What the last holder of a key was granted.
@@ -248,6 +250,9 @@
     void write_rows(int router, const std::vector<assignment_row>& rows, bool may_be_committed);
     void push(int router, int to);
     time_point office_confirmed_at(const router_model& router) const;
+    time_point office_proved_at(const router_model& router) const;
+    /// Whether a connection for grants was opened since the leader last proved that it leads.
+    bool needs_proof(const router_model& router) const;
 
     void apply_fronts(int router);
     void run_grants(int router, const std::shared_ptr<fronted_model>& server);
