--- a/src/leader/tests/leadership_confirmation_tests.cpp
+++ b/src/leader/tests/leadership_confirmation_tests.cpp
@@ -99,3 +99,35 @@
     run(confirmation, start, now, false);
     BOOST_CHECK(confirmation.undisputed_at(now, true, true) == now);
 }
+
+// Guards against keys of a restarted backend server that a replaced leader lets its fronts grant over a
+// connection that is newer than its successor.
+BOOST_AUTO_TEST_CASE(a_leader_proves_that_it_leads_only_by_the_store)
+{
+    const time_point start{1000000};
+    leadership_confirmation confirmation(start);
+    confirmation.on_confirmed(start);
+    const auto now = start + duration{2000};
+    run(confirmation, start, now, false);
+    BOOST_CHECK(confirmation.undisputed_at(now, true, false) == now);
+    BOOST_CHECK(confirmation.proved_at(now, true, false) == start);
+    BOOST_CHECK(!confirmation.is_check_due(now));
+    confirmation.request_proof(now);
+    BOOST_CHECK(confirmation.is_check_due(now));
+    confirmation.on_confirmed(now);
+    BOOST_CHECK(!confirmation.is_check_due(now));
+    BOOST_CHECK(confirmation.proved_at(now + duration{500}, true, false) == now);
+}
+
+// Guards against keys of a lost router that stay without service until the store is back.
+BOOST_AUTO_TEST_CASE(a_leader_that_most_routers_follow_goes_on_while_the_store_fails)
+{
+    const time_point start{1000000};
+    leadership_confirmation confirmation(start);
+    const auto now = start + duration{2000};
+    run(confirmation, start, now, false);
+    BOOST_CHECK(confirmation.proved_at(now, false, true) == now);
+    const auto isolated = now + duration{1000};
+    run(confirmation, now, isolated, true);
+    BOOST_CHECK(confirmation.proved_at(isolated, false, true) < isolated);
+}
