--- a/src/edge/internal/entry.cpp
+++ b/src/edge/internal/entry.cpp
@@ -72,11 +72,7 @@
     std::optional<wire::forward_result> failed_answer;
 
     int attempts() const { return static_cast<int>(tried_servers.size()) + lost_sends; }
-    /// Whether the request may be sent to the backend server, or to an unknown one if the name is empty.
-    bool may_reach(const std::string& backend_server) const
-    {
-        return tried_servers.contains(backend_server) || attempts() < max_attempts;
-    }
+    bool may_reach_another() const { return attempts() < max_attempts; }
 };
 
 entry::entry(asio::any_io_executor executor, entry_settings settings, const protocol& adapter, event_log& log,
@@ -228,7 +224,7 @@
     find_retry_budget(context.service).count_request(retry_share(), context.arrived);
     context.is_idempotent = route->is_idempotent;
     context.priority = route->priority;
-    context.max_attempts = route->max_attempts;
+    context.max_attempts = std::max(route->max_attempts, 1);
     const auto* const service = routes_.find_service(context.service);
     context.is_keyed = service != nullptr && service->has_key_ownership;
     if (context.is_keyed && !context.head.key)
@@ -372,9 +368,10 @@
                                      std::min(max_ownerless_retry_after, third_of_remaining),
                                      "the backend server of the key is unreachable");
         }
-        if (!context.may_reach(to->backend_server))
+        if (!context.tried_servers.contains(to->backend_server) && !context.may_reach_another())
         {
-            co_return end_unanswered(context, status_unavailable, {}, "no other backend server may get it");
+            co_return end_unanswered(context, status_unavailable, {},
+                                     "it has reached as many backend servers as its route allows");
         }
         auto result = co_await send(context, *to, cancellation);
         const bool is_lost = result.not_run_reason == "link";
@@ -456,7 +453,7 @@
     /// Maximum number of sends of one request that may reach a backend server, including the first.
     constexpr int max_sends = 4;
     // Keys mostly stay at their owner, which the request has tried.
-    const bool has_attempts = context.is_keyed || context.may_reach("");
+    const bool has_attempts = context.is_keyed || context.may_reach_another();
     if (context.send_count >= max_sends || !has_attempts)
     {
         return false;
--- a/src/wire/tests/wire_tests.cpp
+++ b/src/wire/tests/wire_tests.cpp
@@ -48,6 +48,7 @@
     request.deadline = long_timeout;
     request.is_idempotent = true;
     request.traceparent = "00-1-2-01";
+    request.tried_servers = {"s1", "s2"};
     return request;
 }
 
@@ -59,6 +60,7 @@
     result.headers = {{"X-Request-Id", request.request_id}};
     result.body = request.body;
     result.retry_after = 7_ms;
+    result.may_send_again = request.tried_servers == std::vector<std::string>{"s1", "s2"};
     return result;
 }
 
@@ -138,7 +140,9 @@
     }
     for (int i = 0; i < calls; ++i)
     {
-        BOOST_TEST(results[i].get().body == std::to_string(i));
+        const auto result = results[i].get();
+        BOOST_TEST(result.body == std::to_string(i));
+        BOOST_TEST(result.may_send_again);
     }
 }
 
