--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -317,7 +317,9 @@
     const auto link = server.control_link;
     const auto result = co_await link->exchange(adapter.make_grant_request(call, server.entry.server.id), "",
                                                 probe_timeout, nullptr, connection_choice::own);
-    co_return result.outcome == exchange_outcome::answered&& result.answer.status == status_ok;
+    const bool is_answered =
+        result.outcome == exchange_outcome::answered && result.answer.status == status_ok;
+    co_return is_answered;
 }
 
 wire::forward_result front::state::make_unreachable_refusal(const fronted_server& server,
