--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -460,7 +460,7 @@
             co_return json{{"kind", "none"}}.dump();
         }
         const auto service = leadership;
-        co_return co_await service->handle_report(std::move(message));
+        co_return co_await service->handle_report(message);
     }
     if (kind == "report" && leadership)
     {
--- a/src/edge/tests/entry_tests.cpp
+++ b/src/edge/tests/entry_tests.cpp
@@ -162,7 +162,7 @@
 /// Requests that are served first, so that the budget has retries left.
 constexpr int served_first = 100;
 
-front_answer fail_later(front_answer respond)
+front_answer fail_later(const front_answer& respond)
 {
     return [calls = 0, respond](const std::string& front) mutable {
         return ++calls <= served_first ? make_result(wire::outcome::answered, status_ok) : respond(front);
