Bound what a router reads, for each message and for the process

Callers saw requests end without an answer: a backend server that sent a chunk extension, a trailer or a long body without end made the router that had called it run out of memory, and all its requests ended with it. A client could do the same.

Cause: the limits of reading were those of the HTTP library, which do not hold. Its buffer grows without limit while the parser looks for the end of a chunk's first line or of the trailer; the error of the body's limit is overwritten when the first bytes of the body come together with the head; and a timer does not end reads that find bytes at once. Limits also held for each exchange only.

Messages are read by a loop of the project's own, which counts every byte received, parses one step at a time, so that no error is lost, and looks at the clock between reads. All messages in flight share one budget, a quarter of the memory of the machine; when it is full, the largest message is given up.

A connection whose request ends without an answer is logged and counted, and closed after any exception.

--- a/src/edge/backend_link.hpp
+++ b/src/edge/backend_link.hpp
@@ -35,6 +35,8 @@
     std::string reason;
     core::duration elapsed;
     bool is_new_connection = false;
+    /// The answer was cut off because it was longer than any may be.
+    bool is_over_limit = false;
 };
 
 /// Connections that an exchange may use.
@@ -62,12 +64,23 @@
     bool is_cancelled_ = false;
 };
 
+/// What the connections of a link carry.
+enum class link_use
+{
+    requests,
+    /// Grants and releases, which have short answers.
+    control
+};
+
 /// Not thread-safe: all calls on the executor's thread.
 class backend_link : public std::enable_shared_from_this<backend_link>
 {
 public:
-    backend_link(core::asio::any_io_executor executor, http::endpoint peer, const protocol& adapter)
-        : executor_(std::move(executor)), peer_(std::move(peer)), adapter_(adapter)
+    /// Answers count in `budget` while they are read.
+    backend_link(core::asio::any_io_executor executor, http::endpoint peer, const protocol& adapter,
+                 link_use use = link_use::requests, std::shared_ptr<http::transfer_budget> budget = nullptr)
+        : executor_(std::move(executor)), peer_(std::move(peer)), adapter_(adapter), use_(use),
+          budget_(std::move(budget))
     {}
 
     /// Sends the request and reads its answer. Reports failures of the peer in the result and never throws
@@ -112,6 +125,8 @@
     core::asio::any_io_executor executor_;
     http::endpoint peer_;
     const protocol& adapter_;
+    link_use use_;
+    std::shared_ptr<http::transfer_budget> budget_;
     std::vector<pooled_connection> idle_;
     std::uint64_t opened_ = 0;
     core::time_point connected_at_;
--- a/src/edge/front.hpp
+++ b/src/edge/front.hpp
@@ -17,9 +17,11 @@
 
 namespace briarfold::edge {
 
-/// Callbacks from the front to its router.
+/// What the front uses of its router.
 struct front_callbacks
 {
+    /// Memory for the answers of backend servers.
+    std::shared_ptr<http::transfer_budget> budget;
     /// Returns when the leader last confirmed this router's assignments: the time at which the report that it
     /// answered was sent.
     std::function<core::time_point()> last_confirmation;
--- a/src/edge/internal/backend_link.cpp
+++ b/src/edge/internal/backend_link.cpp
@@ -24,13 +24,13 @@
 /// Time after the end of an attempt in which another router, whose view of the deadline is later by the delay
 /// of a forwarded request, may still send it again.
 constexpr core::duration attempt_end_margin{1000};
-/// The answers of all slots of a few faulty backend servers fit into the memory of a small instance.
 constexpr std::size_t max_answer_bytes = std::size_t{4} * 1024 * 1024;
+constexpr std::size_t max_control_answer_bytes = std::size_t{16} * 1024;
 
-http::answer_limits make_answer_limits()
+http::answer_limits make_answer_limits(link_use use)
 {
     http::answer_limits limits;
-    limits.body_bytes = max_answer_bytes;
+    limits.body_bytes = use == link_use::control ? max_control_answer_bytes : max_answer_bytes;
     return limits;
 }
 
@@ -103,7 +103,8 @@
 
 asio::awaitable<void> backend_link::connect(pooled_connection& pooled, core::duration timeout)
 {
-    pooled.connection = std::make_shared<http::client_connection>(executor_, peer_, make_answer_limits());
+    pooled.connection =
+        std::make_shared<http::client_connection>(executor_, peer_, make_answer_limits(use_), budget_);
     ++opened_;
     co_await pooled.connection->connect(timeout);
 }
@@ -171,6 +172,7 @@
     {
         result.elapsed = clock::now() - start;
         result.reason = failure.what();
+        result.is_over_limit = dynamic_cast<const http::limit_error*>(&failure) != nullptr;
         const bool was_sent = pooled.connection && pooled.connection->has_sent_bytes();
         const bool is_cancelled = handle && handle->is_cancelled();
         result.outcome = is_cancelled ? exchange_outcome::cancelled
--- a/src/edge/internal/front.cpp
+++ b/src/edge/internal/front.cpp
@@ -216,8 +216,7 @@
     }
     pool->servers.push_back(server);
     server->pool = pool;
-    server->link = std::make_shared<backend_link>(executor, entry.server.address, adapter);
-    server->control_link = std::make_shared<backend_link>(executor, entry.server.address, adapter);
+    open_links(*server);
     if (is_keyed)
     {
         server->grants.emplace(entry, clock::now());
@@ -235,6 +234,15 @@
     }
 }
 
+void front::state::open_links(fronted_server& server)
+{
+    const auto& address = server.entry.server.address;
+    server.link =
+        std::make_shared<backend_link>(executor, address, adapter, link_use::requests, callbacks.budget);
+    server.control_link =
+        std::make_shared<backend_link>(executor, address, adapter, link_use::control, callbacks.budget);
+}
+
 void front::state::update_server(fronted_server& server, const directory::entry& entry)
 {
     if (server.entry.revision == entry.revision && server.entry.token_base == entry.token_base)
@@ -249,8 +257,7 @@
     {
         server.link->close_idle();
         server.control_link->close_idle();
-        server.link = std::make_shared<backend_link>(executor, entry.server.address, adapter);
-        server.control_link = std::make_shared<backend_link>(executor, entry.server.address, adapter);
+        open_links(server);
         server.limit = dispatch::slot_limit(entry.server.slots);
         server.unreachable_since.reset();
         server.is_replaced = false;
--- a/src/edge/internal/front_state.hpp
+++ b/src/edge/internal/front_state.hpp
@@ -17,6 +17,7 @@
     // Directory.
     void apply(const directory::snapshot& snapshot, const routes::routing_config& config);
     void add_server(const directory::entry& entry, bool is_keyed);
+    void open_links(fronted_server& server);
     void update_server(fronted_server& server, const directory::entry& entry);
     void remove_server(const std::string& id);
     void apply_change(const directory::snapshot& snapshot, const directory::update& change,
--- a/src/edge/internal/router_node.cpp
+++ b/src/edge/internal/router_node.cpp
@@ -31,6 +31,19 @@
 /// Time before the end of the grace time by which the requests that came after the stop, from callers or
 /// other routers, have their final answer.
 constexpr core::duration answer_margin{900};
+/// Time in which the last results for other routers reach them.
+constexpr core::duration settle_time{150};
+
+/// A frame between routers carries the body together with the head.
+constexpr std::size_t max_body_bytes = std::size_t{60} << 20U;
+
+/// Messages are held in up to three copies, beside what the process needs itself.
+std::size_t choose_transfer_bytes(double memory_mb)
+{
+    constexpr double bytes_per_mb = 1e6;
+    constexpr double messages_share = 0.25;
+    return static_cast<std::size_t>(memory_mb * bytes_per_mb * messages_share);
+}
 
 } // namespace
 
@@ -46,6 +59,7 @@
     asio::awaitable<http::response> serve_readiness(http::request message);
     asio::awaitable<http::response> serve_metrics(http::request message);
     bool is_ready() const;
+    void record_loss(const http::unanswered_request& request, const std::string& reason);
     void apply_limits();
     member_callbacks make_member_callbacks();
     front_callbacks make_front_callbacks();
@@ -56,6 +70,7 @@
     protocol adapter;
     event_log& log;
     metrics::registry metrics;
+    std::shared_ptr<http::transfer_budget> budget;
     std::shared_ptr<wire::peer_network> network;
     edge::member member;
     edge::front front;
@@ -72,6 +87,7 @@
                           protocol message_adapter, store_tables tables, event_log& decision_log)
     : executor(context.get_executor()), settings(std::move(initial_settings)),
       adapter(std::move(message_adapter)), log(decision_log),
+      budget(std::make_shared<http::transfer_budget>(choose_transfer_bytes(settings.memory_mb))),
       member(executor, settings, adapter, std::move(tables), log, make_member_callbacks()),
       front(executor, settings, adapter, log, metrics, make_front_callbacks()),
       entry(executor,
@@ -118,6 +134,7 @@
 front_callbacks router_node::state::make_front_callbacks()
 {
     front_callbacks result;
+    result.budget = budget;
     result.last_confirmation = [this] { return member.last_confirmation(); };
     result.last_proof = [this] { return member.last_proof(); };
     result.needs_outage_grants = [this] { return member.is_store_failing(); };
@@ -154,14 +171,39 @@
     const auto& input = entry.routes().config().limits;
     http::server_limits limits;
     limits.head_bytes = input.head_bytes;
-    limits.body_bytes = input.body_bytes;
+    limits.body_bytes = std::min(input.body_bytes, max_body_bytes);
     limits.idle = input.idle_timeout;
     frontend->set_limits(limits);
 }
 
+void router_node::state::record_loss(const http::unanswered_request& request, const std::string& reason)
+{
+    metrics
+        .counter("briarfold_edge_answers_lost_total",
+                 "Requests whose connection ended before their answer was written.",
+                 {{"answered", request.answer ? "yes" : "no"}})
+        .add();
+    const auto head = request.answer ? adapter.read_response(*request.answer) : response_head();
+    log.write("answer lost", {{"request", head.attempt_id},
+                              {"caller", http::to_string(request.caller)},
+                              {"method", request.method},
+                              {"target", request.target},
+                              {"status", request.answer ? request.answer->status : 0},
+                              {"reason", reason},
+                              {"elapsed_ms", (clock::now() - request.arrived).ms}});
+}
+
 void router_node::state::start()
 {
     const auto weak = weak_from_this();
+    http::server_hooks hooks;
+    hooks.budget = budget;
+    hooks.on_loss = [weak](const http::unanswered_request& request, const std::string& reason) {
+        if (const auto self = weak.lock())
+        {
+            self->record_loss(request, reason);
+        }
+    };
     frontend.emplace(
         executor, settings.frontend,
         http::watched_handler(
@@ -173,7 +215,8 @@
                     co_return http::response(status_unavailable);
                 }
                 co_return co_await self->entry.handle(std::move(message), std::move(cancellation));
-            }));
+            }),
+        http::server_limits(), std::move(hooks));
     readiness.emplace(
         executor, settings.readiness,
         http::handler([weak](http::request message, http::endpoint) -> asio::awaitable<http::response> {
@@ -200,6 +243,13 @@
                            [this] { return static_cast<double>(front.in_flight()); });
     metrics.computed_gauge("briarfold_edge_backend_servers", "Backend servers whose front this router is.",
                            {}, [this] { return static_cast<double>(front.servers()); });
+    metrics.computed_gauge("briarfold_edge_message_bytes", "Bytes of messages in flight.", {},
+                           [this] { return static_cast<double>(budget->held_bytes()); });
+    metrics.computed_gauge("briarfold_edge_message_peak_bytes", "Most bytes of messages in flight so far.",
+                           {}, [this] { return static_cast<double>(budget->peak_bytes()); });
+    metrics.computed_gauge("briarfold_edge_messages_given_up",
+                           "Messages given up because the memory for messages was full.", {},
+                           [this] { return static_cast<double>(budget->given_up()); });
     metrics.computed_gauge("briarfold_edge_configuration_version", "Configuration in force.", {},
                            [this] { return static_cast<double>(entry.routes().config().version); });
     metrics.computed_gauge("briarfold_edge_leader", "1 while this router is the leader.", {},
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -3,13 +3,16 @@
 
 #include "core/asio.hpp"
 #include "core/clock.hpp"
+#include "core/error.hpp"
 #include "http/http_types.hpp"
+#include "http/transfer_budget.hpp"
 
 #include <memory>
 
 namespace briarfold::http {
 
-/// Limits of one answer. A faulty server may send bytes without end.
+/// Limits of one answer. A faulty server may send bytes without end. The framing of a body may take as many
+/// bytes as the body's limit.
 struct answer_limits
 {
     std::size_t head_bytes = std::size_t{64} * 1024;
@@ -18,12 +21,21 @@
     int interim_answers = 16;
 };
 
+/// An answer that is longer than its limits allow.
+class limit_error : public core::connection_error
+{
+public:
+    using core::connection_error::connection_error;
+};
+
 /// Not thread-safe: all calls run on the executor given at construction. After an exchange that threw, the
 /// connection is closed for good; open a new one.
 class client_connection
 {
 public:
-    client_connection(core::asio::any_io_executor executor, endpoint peer, answer_limits limits = {});
+    /// Answers count in `budget` while they are read; without one, only their own limits hold.
+    client_connection(core::asio::any_io_executor executor, endpoint peer, answer_limits limits = {},
+                      std::shared_ptr<transfer_budget> budget = nullptr);
     ~client_connection();
     client_connection(client_connection&&) noexcept;
     client_connection& operator=(client_connection&&) noexcept;
@@ -33,8 +45,8 @@
 
     /// Sends the request and reads the whole final answer. An answer over the limits closes the connection. A
     /// failure resets it, so that a request that is still on its way is not delivered later.
-    /// Throws core::connection_error or core::timeout_error; `has_sent_bytes` then tells whether any byte of
-    /// the request may have left.
+    /// Throws core::connection_error, limit_error or core::timeout_error; `has_sent_bytes` then tells whether
+    /// any byte of the request may have left.
     core::asio::awaitable<response> exchange(const request& message, core::duration timeout);
 
     /// Whether any byte of the current or last request was handed to the operating system.
--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -1,7 +1,7 @@
 #include "http/client_connection.hpp"
 
 #include "core/error.hpp"
-#include "http/internal/beast_message.hpp"
+#include "http/internal/message_reader.hpp"
 
 #include <cerrno>
 #include <sys/socket.h>
@@ -13,12 +13,22 @@
 namespace asio = core::asio;
 namespace beast = boost::beast;
 
+bool is_over_limit(const boost::system::error_code& code)
+{
+    using beast::http::error;
+    return code == error::body_limit || code == error::header_limit || code == error::buffer_overflow;
+}
+
 [[noreturn]] void rethrow(const boost::system::system_error& failure, const char* step, const endpoint& peer)
 {
     if (failure.code() == beast::error::timeout)
     {
         throw core::timeout_error(step, to_string(peer), "timeout");
     }
+    if (is_over_limit(failure.code()))
+    {
+        throw limit_error(step, to_string(peer), failure.code().message());
+    }
     throw core::connection_error(step, to_string(peer), failure.code().message());
 }
 
@@ -26,33 +36,47 @@
 
 struct client_connection::state
 {
-    state(asio::any_io_executor executor, endpoint remote, answer_limits answer_limits)
-        : stream(std::move(executor)), peer(std::move(remote)), limits(answer_limits)
+    state(asio::any_io_executor executor, endpoint remote, answer_limits answer_limits,
+          std::shared_ptr<transfer_budget> shared_budget)
+        : stream(std::move(executor)), peer(std::move(remote)), limits(answer_limits),
+          budget(std::move(shared_budget))
     {}
 
     /// Reads the next answer, final or not.
-    asio::awaitable<beast::http::response<beast::http::string_body>> read(bool has_body);
+    asio::awaitable<beast::http::response<beast::http::string_body>> read(bool has_body,
+                                                                          core::time_point deadline);
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     endpoint peer;
     answer_limits limits;
+    std::shared_ptr<transfer_budget> budget;
     bool sent = false;
     bool open = false;
 };
 
-asio::awaitable<beast::http::response<beast::http::string_body>> client_connection::state::read(bool has_body)
+asio::awaitable<beast::http::response<beast::http::string_body>>
+client_connection::state::read(bool has_body, core::time_point deadline)
 {
     beast::http::response_parser<beast::http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(limits.head_bytes));
-    parser.body_limit(limits.body_bytes);
     parser.skip(!has_body);
-    co_await beast::http::async_read(stream, buffer, parser, asio::use_awaitable);
+    held_message held(budget, [this] {
+        boost::system::error_code ignored;
+        stream.socket().cancel(ignored);
+    });
+    const internal::read_limits all_limits{limits.head_bytes, limits.body_bytes, deadline};
+    const auto code = co_await internal::read_message(stream, buffer, parser, all_limits, held);
+    if (code)
+    {
+        throw boost::system::system_error(
+            held.is_given_up() ? make_error_code(boost::system::errc::not_enough_memory) : code);
+    }
     co_return parser.release();
 }
 
-client_connection::client_connection(asio::any_io_executor executor, endpoint peer, answer_limits limits)
-    : state_(std::make_unique<state>(std::move(executor), std::move(peer), limits))
+client_connection::client_connection(asio::any_io_executor executor, endpoint peer, answer_limits limits,
+                                     std::shared_ptr<transfer_budget> budget)
+    : state_(std::make_unique<state>(std::move(executor), std::move(peer), limits, std::move(budget)))
 {}
 
 client_connection::~client_connection() = default;
@@ -91,8 +115,9 @@
     }
     try
     {
+        const auto deadline = core::clock::now() + timeout;
         s.stream.expires_after(std::chrono::milliseconds(timeout.ms));
-        internal::beast_request outgoing;
+        beast::http::request<beast::http::span_body<const char>> outgoing;
         outgoing.version(11);
         outgoing.method_string(message.method);
         outgoing.target(message.target);
@@ -101,13 +126,13 @@
         {
             outgoing.set(beast::http::field::host, to_string(s.peer));
         }
-        outgoing.body() = message.body;
+        outgoing.body() = {message.body.data(), message.body.size()};
         outgoing.prepare_payload();
         // From here on bytes may leave at any time, whatever the outcome of the write.
         s.sent = true;
         co_await beast::http::async_write(s.stream, outgoing, asio::use_awaitable);
         const bool has_body = message.method != "HEAD";
-        auto incoming = co_await s.read(has_body);
+        auto incoming = co_await s.read(has_body, deadline);
         for (int interim = 0;
              beast::http::to_status_class(incoming.result()) == beast::http::status_class::informational;
              ++interim)
@@ -115,9 +140,9 @@
             if (interim == s.limits.interim_answers)
             {
                 throw boost::system::system_error(
-                    beast::http::make_error_code(beast::http::error::bad_status));
+                    beast::http::make_error_code(beast::http::error::header_limit));
             }
-            incoming = co_await s.read(has_body);
+            incoming = co_await s.read(has_body, deadline);
         }
         if (!incoming.keep_alive())
         {
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -1,7 +1,10 @@
 #include "http/server.hpp"
 
 #include "core/error.hpp"
-#include "http/internal/beast_message.hpp"
+#include "core/pause.hpp"
+#include "http/internal/message_reader.hpp"
+
+#include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <atomic>
@@ -23,6 +26,7 @@
 constexpr unsigned status_body_too_large = 413;
 constexpr unsigned status_head_too_large = 431;
 constexpr unsigned status_internal_error = 500;
+constexpr unsigned status_unavailable = 503;
 
 unsigned status_of(const error_code& code)
 {
@@ -44,6 +48,12 @@
            code != beast::http::error::end_of_stream && code != beast::http::error::partial_message;
 }
 
+/// The answer to a request for which this process has no memory; it was not read to its end.
+response make_memory_refusal()
+{
+    return response(status_unavailable, {{"Retry-After", "1"}});
+}
+
 } // namespace
 
 struct server::state : std::enable_shared_from_this<server::state>
@@ -58,12 +68,14 @@
         bool is_busy = false;
         /// Since when the session waits for the caller; 0 while a request is being answered.
         std::int64_t waiting_since_ms = 0;
+        /// The request that is being answered.
+        std::optional<unanswered_request> current;
     };
 
     state(const asio::any_io_executor& base, watched_handler request_handler, server_limits sizes,
-          bad_input_handler input_handler)
+          server_hooks server_hooks)
         : executor(base), acceptor(core::make_strand(base)), sweep_timer(acceptor.get_executor()),
-          on_request(std::move(request_handler)), limits(sizes), on_bad_input(std::move(input_handler))
+          on_request(std::move(request_handler)), limits(sizes), hooks(std::move(server_hooks))
     {}
 
     asio::awaitable<void> accept();
@@ -72,9 +84,14 @@
     asio::awaitable<void> serve(std::shared_ptr<session> connection);
     /// Returns false when the connection must close.
     asio::awaitable<bool> serve_one(session& connection);
-    asio::awaitable<void> write(session& connection, const response& answer, unsigned version,
-                                bool keep_alive, bool is_head);
-    asio::awaitable<response> answer(session& connection, const internal::beast_request& incoming);
+    /// Answers a request that was read.
+    asio::awaitable<bool> serve_request(session& connection, internal::beast_request incoming);
+    /// Answers input that is no request, or none that is served.
+    asio::awaitable<void> refuse_input(session& connection, const error_code& code, bool has_no_memory);
+    asio::awaitable<void> write(session& connection, response answer, unsigned version, bool keep_alive,
+                                bool is_head);
+    asio::awaitable<response> answer(session& connection, internal::beast_request& incoming);
+    void report_loss(const session& connection, const char* reason);
     static bool has_departed(session& connection);
     /// Raises `departure` when the caller closes the connection while its request is being answered.
     static void watch_departure(const std::shared_ptr<session>& connection,
@@ -92,7 +109,7 @@
     asio::steady_timer sweep_timer;
     watched_handler on_request;
     server_limits limits;
-    bad_input_handler on_bad_input;
+    server_hooks hooks;
     unsigned short port = 0;
     std::atomic<std::size_t> in_flight{0};
     std::atomic<bool> is_stopping{false};
@@ -102,18 +119,18 @@
 };
 
 server::server(const asio::any_io_executor& executor, const endpoint& local, handler on_request,
-               server_limits limits, bad_input_handler on_bad_input)
+               server_limits limits, server_hooks hooks)
     : server(executor, local,
              watched_handler([inner = std::move(on_request)](request message, endpoint caller,
                                                              const std::shared_ptr<core::cancellation>&) {
                  return inner(std::move(message), std::move(caller));
              }),
-             limits, std::move(on_bad_input))
+             limits, std::move(hooks))
 {}
 
 server::server(const asio::any_io_executor& executor, const endpoint& local, watched_handler on_request,
-               server_limits limits, bad_input_handler on_bad_input)
-    : state_(std::make_shared<state>(executor, std::move(on_request), limits, std::move(on_bad_input)))
+               server_limits limits, server_hooks hooks)
+    : state_(std::make_shared<state>(executor, std::move(on_request), limits, std::move(hooks)))
 {
     try
     {
@@ -238,6 +255,10 @@
         }
         if (code)
         {
+            // Without a free descriptor, each further attempt fails at once.
+            constexpr core::duration accept_pause{100};
+            spdlog::warn("no connection was accepted at port {}: {}", port, code.message());
+            co_await core::pause_for(accept_pause);
             continue;
         }
         error_code ignored;
@@ -284,9 +305,10 @@
         {
         }
     }
-    catch (const system_error&)
+    catch (const std::exception& failure)
     {
-        // The caller closed the connection or fell silent; there is nobody to tell.
+        // Mostly a caller that closed the connection or fell silent.
+        report_loss(*connection, failure.what());
     }
     error_code ignored;
     connection->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
@@ -295,6 +317,14 @@
     sessions.erase(connection);
 }
 
+void server::state::report_loss(const session& connection, const char* reason)
+{
+    if (connection.current && hooks.on_loss)
+    {
+        hooks.on_loss(*connection.current, reason);
+    }
+}
+
 asio::awaitable<bool> server::state::serve_one(session& connection)
 {
     beast::http::request_parser<beast::http::string_body> parser;
@@ -302,47 +332,67 @@
         const std::scoped_lock lock(mutex);
         return limits;
     }();
-    parser.header_limit(static_cast<std::uint32_t>(current.head_bytes));
-    parser.body_limit(current.body_bytes);
     connection.is_busy = false;
     if (is_stopping)
     {
         co_return false;
     }
     connection.waiting_since_ms = core::clock::now().ms;
-    error_code code;
-    co_await beast::http::async_read(connection.stream, connection.buffer, parser,
-                                     asio::redirect_error(asio::use_awaitable, code));
-    if (code && is_bad_input(code))
+    held_message held(hooks.budget, [&connection] {
+        error_code ignored;
+        connection.stream.socket().cancel(ignored);
+    });
+    const internal::read_limits read_limits{current.head_bytes, current.body_bytes, std::nullopt};
+    const auto code =
+        co_await internal::read_message(connection.stream, connection.buffer, parser, read_limits, held);
+    if (code)
     {
-        const auto status = status_of(code);
-        const auto answer = on_bad_input ? on_bad_input(status, code.message()) : response{status, {}, ""};
-        co_await write(connection, answer, 11, false, false);
+        co_await refuse_input(connection, code, held.is_given_up());
         co_return false;
     }
-    if (code)
+    held.keep();
+    co_return co_await serve_request(connection, parser.release());
+}
+
+asio::awaitable<void> server::state::refuse_input(session& connection, const error_code& code,
+                                                  bool has_no_memory)
+{
+    if (!has_no_memory && !is_bad_input(code))
     {
-        co_return false;
+        co_return;
     }
+    const auto status = status_of(code);
+    auto refusal = has_no_memory        ? make_memory_refusal()
+                   : hooks.on_bad_input ? hooks.on_bad_input(status, code.message())
+                                        : response{status, {}, ""};
+    co_await write(connection, std::move(refusal), 11, false, false);
+}
+
+asio::awaitable<bool> server::state::serve_request(session& connection, internal::beast_request incoming)
+{
     connection.is_busy = true;
     connection.waiting_since_ms = 0;
-    const auto incoming = parser.release();
+    connection.current = {connection.caller, std::string(incoming.method_string()),
+                          std::string(incoming.target()), std::nullopt, core::clock::now()};
+    bool keep_alive = false;
     ++in_flight;
     try
     {
-        const auto reply = co_await answer(connection, incoming);
-        const bool keep_alive = incoming.keep_alive() && !is_stopping && !is_draining;
+        auto reply = co_await answer(connection, incoming);
+        keep_alive = incoming.keep_alive() && !is_stopping && !is_draining;
+        connection.current->answer = response(reply.status, reply.headers);
         connection.waiting_since_ms = core::clock::now().ms;
-        co_await write(connection, reply, incoming.version(), keep_alive,
+        co_await write(connection, std::move(reply), incoming.version(), keep_alive,
                        incoming.method() == beast::http::verb::head);
+        connection.current.reset();
         --in_flight;
-        co_return keep_alive;
     }
     catch (...)
     {
         --in_flight;
         throw;
     }
+    co_return keep_alive;
 }
 
 bool server::state::has_departed(session& connection)
@@ -374,14 +424,14 @@
         });
 }
 
-asio::awaitable<response> server::state::answer(session& connection, const internal::beast_request& incoming)
+asio::awaitable<response> server::state::answer(session& connection, internal::beast_request& incoming)
 {
     const auto departure = std::make_shared<core::cancellation>();
     watch_departure(connection.shared_from_this(), departure);
     try
     {
         request message{std::string(incoming.method_string()), std::string(incoming.target()),
-                        internal::to_headers(incoming), incoming.body()};
+                        internal::to_headers(incoming), std::move(incoming.body())};
         auto reply = co_await on_request(std::move(message), connection.caller, departure);
         error_code ignored;
         connection.stream.socket().cancel(ignored);
@@ -394,7 +444,7 @@
     }
 }
 
-asio::awaitable<void> server::state::write(session& connection, const response& answer, unsigned version,
+asio::awaitable<void> server::state::write(session& connection, response answer, unsigned version,
                                            bool keep_alive, bool is_head)
 {
     internal::beast_response outgoing;
@@ -402,12 +452,20 @@
     outgoing.result(answer.status);
     internal::copy_headers(answer.headers, outgoing);
     outgoing.keep_alive(keep_alive);
-    outgoing.body() = answer.body;
+    outgoing.body() = std::move(answer.body);
     outgoing.prepare_payload();
     if (is_head)
     {
         outgoing.body().clear();
     }
+    held_message held(hooks.budget, [&connection] {
+        error_code ignored;
+        connection.stream.socket().close(ignored);
+    });
+    if (!held.resize(outgoing.body().size()))
+    {
+        throw system_error(make_error_code(boost::system::errc::not_enough_memory));
+    }
     co_await beast::http::async_write(connection.stream, outgoing, asio::use_awaitable);
 }
 
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -5,9 +5,12 @@
 #include "core/cancellation.hpp"
 #include "core/clock.hpp"
 #include "http/http_types.hpp"
+#include "http/transfer_budget.hpp"
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace briarfold::http {
 
@@ -26,14 +29,36 @@
 /// Makes the answer for input that could not be parsed: 400, 413 or 431.
 using bad_input_handler = std::function<response(unsigned status, const std::string& reason)>;
 
+/// A request that was read and whose connection ended before its answer was written.
+struct unanswered_request
+{
+    endpoint caller;
+    std::string method;
+    std::string target;
+    /// The answer that could not be written, without its body.
+    std::optional<response> answer;
+    core::time_point arrived;
+};
+
+using loss_handler = std::function<void(const unanswered_request& request, const std::string& reason)>;
+
+struct server_hooks
+{
+    bad_input_handler on_bad_input;
+    /// Called on the strand of the connection.
+    loss_handler on_loss;
+    /// Messages count in it while they are read, answered and written. Only for servers on one thread.
+    std::shared_ptr<transfer_budget> budget;
+};
+
 class server
 {
 public:
     /// Listens at once. Port 0 picks a free port. Throws core::connection_error when the address is in use.
     server(const core::asio::any_io_executor& executor, const endpoint& local, handler on_request,
-           server_limits limits = {}, bad_input_handler on_bad_input = {});
+           server_limits limits = {}, server_hooks hooks = {});
     server(const core::asio::any_io_executor& executor, const endpoint& local, watched_handler on_request,
-           server_limits limits = {}, bad_input_handler on_bad_input = {});
+           server_limits limits = {}, server_hooks hooks = {});
     /// Stops accepting and closes connections at once.
     ~server();
 
--- a/src/http/tests/http_tests.cpp
+++ b/src/http/tests/http_tests.cpp
@@ -369,6 +369,30 @@
     BOOST_TEST(*was_departed);
 }
 
+// Guards against a connection that stays open without an answer: an exception other than a failed write left
+// its coroutine, and a stop waited for it until the end of the grace time.
+BOOST_AUTO_TEST_CASE(connection_whose_answer_cannot_be_written_is_closed)
+{
+    asio::io_context context;
+    std::optional<http::unanswered_request> lost;
+    http::server_hooks hooks;
+    hooks.on_loss = [&lost](const http::unanswered_request& request, const std::string&) { lost = request; };
+    http::server server(context.get_executor(), {"127.0.0.1", 0},
+                        http::handler([](http::request, http::endpoint) -> asio::awaitable<http::response> {
+                            constexpr unsigned no_status = 1000;
+                            co_return http::response(no_status);
+                        }),
+                        http::server_limits(), hooks);
+    asio::ip::tcp::socket caller(context);
+    caller.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+    asio::write(caller, asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: a\r\n\r\n")));
+    context.run_for(std::chrono::milliseconds(100));
+    BOOST_TEST(server.connections() == 0U);
+    BOOST_TEST(server.in_flight() == 0U);
+    BOOST_REQUIRE(lost);
+    BOOST_TEST(lost->target == "/a");
+}
+
 // Guards against oversized input reaching a handler.
 BOOST_AUTO_TEST_CASE(oversized_input_is_refused)
 {
--- a/src/settings/edge_settings.hpp
+++ b/src/settings/edge_settings.hpp
@@ -28,6 +28,8 @@
     http::endpoint store;
     /// Share of a processor core, by which fronts are distributed.
     double cpu = 1;
+    /// Memory that the process may use, in MB.
+    double memory_mb = 256;
     /// Arrivals beyond the first of each request: share of the requests, window, and number on top.
     double retry_budget_ratio = 0.2;
     core::duration retry_budget_window{10000};
