Wait for the caller to close after the last answer of a connection

Callers could lose an answer that was on its way: a connection that is closed while bytes of the caller are unread is reset, and the system drops what it had not delivered yet. That is so after a refused body, which the caller still sends, and after bytes that follow a request.

The server ends its own side after the last answer and closes the connection when the caller has, at the latest after a second. It reads nothing meanwhile, so a request that crosses the end stays unread. A request that was read together with the one before it is answered too before a draining server closes the connection.

--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -90,6 +90,9 @@
     asio::awaitable<void> refuse_input(session& connection, const error_code& code, bool has_no_memory);
     asio::awaitable<void> write(session& connection, response answer, unsigned version, bool keep_alive,
                                 bool is_head);
+    /// Waits after the last answer until the caller has closed its side. A connection that is closed with
+    /// unread bytes is reset, and the caller may lose the answer.
+    static asio::awaitable<void> linger(session& connection);
     asio::awaitable<response> answer(session& connection, internal::beast_request& incoming);
     void report_loss(const session& connection, const char* reason);
     static bool has_departed(session& connection);
@@ -325,6 +328,26 @@
     }
 }
 
+asio::awaitable<void> server::state::linger(session& connection)
+{
+    constexpr std::chrono::milliseconds linger_time(1000);
+    connection.is_busy = true;
+    connection.waiting_since_ms = 0;
+    auto& socket = connection.stream.socket();
+    error_code ignored;
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    const auto timer = std::make_shared<asio::steady_timer>(socket.get_executor(), linger_time);
+    socket.async_wait(asio::ip::tcp::socket::wait_read,
+                      [timer, owner = connection.shared_from_this()](const error_code& code) {
+                          // Unread bytes hide the end, so they get the whole time.
+                          if (code || has_departed(*owner))
+                          {
+                              timer->cancel();
+                          }
+                      });
+    co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
 asio::awaitable<bool> server::state::serve_one(session& connection)
 {
     beast::http::request_parser<beast::http::string_body> parser;
@@ -366,6 +389,7 @@
                    : hooks.on_bad_input ? hooks.on_bad_input(status, code.message())
                                         : response{status, {}, ""};
     co_await write(connection, std::move(refusal), 11, false, false);
+    co_await linger(connection);
 }
 
 asio::awaitable<bool> server::state::serve_request(session& connection, internal::beast_request incoming)
@@ -379,7 +403,9 @@
     try
     {
         auto reply = co_await answer(connection, incoming);
-        keep_alive = incoming.keep_alive() && !is_stopping && !is_draining;
+        // A further request that was read with this one is answered too.
+        const bool is_ending = is_stopping || (is_draining && connection.buffer.size() == 0);
+        keep_alive = incoming.keep_alive() && !is_ending;
         connection.current->answer = response(reply.status, reply.headers);
         connection.waiting_since_ms = core::clock::now().ms;
         co_await write(connection, std::move(reply), incoming.version(), keep_alive,
@@ -392,6 +418,10 @@
         --in_flight;
         throw;
     }
+    if (!keep_alive)
+    {
+        co_await linger(connection);
+    }
     co_return keep_alive;
 }
 
--- a/src/http/tests/http_tests.cpp
+++ b/src/http/tests/http_tests.cpp
@@ -393,6 +393,51 @@
     BOOST_TEST(lost->target == "/a");
 }
 
+// Guards against the loss of an answer that is on its way: a connection that is closed with unread bytes of
+// the caller is reset.
+BOOST_AUTO_TEST_CASE(last_answer_arrives_although_the_caller_sent_more)
+{
+    constexpr std::size_t answer_bytes = 3000000;
+    asio::io_context context;
+    http::server server(context.get_executor(), {"127.0.0.1", 0},
+                        http::handler([](http::request, http::endpoint) -> asio::awaitable<http::response> {
+                            co_return http::response(200, {}, std::string(answer_bytes, 'a'));
+                        }));
+    asio::io_context caller_context;
+    asio::ip::tcp::socket caller(caller_context);
+    caller.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+    asio::write(caller, asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")));
+    context.run_for(std::chrono::milliseconds(20));
+    asio::write(caller, asio::buffer(std::string("\r\n")));
+    std::thread runner([&context] { context.run_for(std::chrono::milliseconds(1500)); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    std::string input;
+    boost::system::error_code code;
+    asio::read(caller, asio::dynamic_buffer(input), code);
+    runner.join();
+    BOOST_TEST(input.size() > answer_bytes);
+}
+
+// Guards against a request that was read together with the one before it and got no answer during a stop.
+BOOST_AUTO_TEST_CASE(requests_read_together_are_both_answered_while_draining)
+{
+    asio::io_context context;
+    http::server server(context.get_executor(), {"127.0.0.1", 0}, echo);
+    server.begin_drain();
+    asio::ip::tcp::socket caller(context);
+    caller.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+    const std::string get = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+    asio::write(caller, asio::buffer(get + get));
+    context.run_for(std::chrono::milliseconds(50));
+    std::string answers;
+    boost::system::error_code code;
+    caller.non_blocking(true);
+    asio::read(caller, asio::dynamic_buffer(answers), code);
+    std::vector<std::string> found;
+    BOOST_TEST(boost::algorithm::find_all(found, answers, "HTTP/1.1 200").size() == 2U);
+    BOOST_TEST(boost::algorithm::find_all(found, answers, "Connection: close").size() == 1U);
+}
+
 // Guards against oversized input reaching a handler.
 BOOST_AUTO_TEST_CASE(oversized_input_is_refused)
 {
