Deliver the last results for other routers before a stop, and bound what waits for them

A router that stopped looked at its running requests alone. A result that waited in the queue of a slow link, or was sent but not yet delivered, ended with the process, and the entry answered 502 in its place.

Results for a peer that does not read were kept without limit, and each link kept the memory of its largest frame for good. Above 2 MB the result becomes a failure, and buffers are returned after a large frame.

--- a/src/edge/internal/router_node.cpp
+++ b/src/edge/internal/router_node.cpp
@@ -328,6 +328,8 @@
     const auto self = shared_from_this();
     constexpr core::duration poll{50};
     const auto start = *stopping_since;
+    bool is_idle = false;
+    std::optional<core::time_point> idle_since;
     while (true)
     {
         const auto elapsed = clock::now() - start;
@@ -339,15 +341,22 @@
         {
             entry.refuse_new();
         }
-        const bool is_idle = entry.in_flight() == 0 && front.in_flight() == 0 && front.servers() == 0 &&
-                             frontend->connections() == 0 && !member.is_needed_as_leader();
-        if ((is_idle && elapsed > min_drain_time) || elapsed > settings.grace - grace_margin)
+        const bool has_unsent_results = network && network->unsent_results() > 0;
+        is_idle = entry.in_flight() == 0 && front.in_flight() == 0 && front.servers() == 0 &&
+                  frontend->connections() == 0 && !has_unsent_results && !member.is_needed_as_leader();
+        idle_since = is_idle ? idle_since.value_or(clock::now()) : std::optional<core::time_point>();
+        const bool has_settled = idle_since && clock::now() - *idle_since >= settle_time;
+        if ((has_settled && elapsed > min_drain_time) || elapsed > settings.grace - grace_margin)
         {
             break;
         }
         co_await core::pause_for(poll);
     }
-    log.write("stopped", {{"in_flight", entry.in_flight()}, {"running", front.in_flight()}});
+    log.write("stopped", {{"reason", is_idle ? "idle" : "the grace time ends"},
+                          {"in_flight", entry.in_flight()},
+                          {"running", front.in_flight()},
+                          {"connections", frontend->connections()},
+                          {"unsent_results", network ? network->unsent_results() : 0}});
     log.flush();
     on_done();
 }
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -12,6 +12,8 @@
 
 constexpr unsigned byte_bits = 8;
 constexpr unsigned byte_mask = 0xff;
+/// Memory that a buffer of frames keeps after a large frame.
+constexpr std::size_t max_kept_bytes = std::size_t{256} * 1024;
 
 /// Stream adapter with which the packer writes directly into the outgoing buffer.
 struct string_stream
@@ -250,6 +252,15 @@
     append_frame(out, type, id, 0, [](packer&) {});
 }
 
+void clear_frames(std::string& frames)
+{
+    frames.clear();
+    if (frames.capacity() > max_kept_bytes)
+    {
+        frames.shrink_to_fit();
+    }
+}
+
 char* frame_reader::prepare(std::size_t size)
 {
     if (parsed_ > 0)
@@ -258,6 +269,10 @@
         filled_ -= parsed_;
         parsed_ = 0;
     }
+    if (filled_ == 0 && buffer_.size() > max_kept_bytes)
+    {
+        buffer_ = std::string();
+    }
     if (buffer_.size() - filled_ < size)
     {
         buffer_.resize(std::max(buffer_.size() * 2, filled_ + size));
--- a/src/wire/internal/codec.hpp
+++ b/src/wire/internal/codec.hpp
@@ -50,6 +50,9 @@
 /// Appends a frame without payload: cancel, ping or pong.
 void append_empty(std::string& out, frame_type type, std::uint64_t id);
 
+/// Removes all frames and returns the memory that a large one took.
+void clear_frames(std::string& frames);
+
 /// Buffer that collects received bytes and extracts complete frames.
 class frame_reader
 {
--- a/src/wire/internal/peer_link.cpp
+++ b/src/wire/internal/peer_link.cpp
@@ -203,7 +203,7 @@
         return;
     }
     current->is_writing = true;
-    current->writing.clear();
+    clear_frames(current->writing);
     current->writing.swap(outbox_);
     for (const auto& item : unsent_)
     {
--- a/src/wire/internal/peer_network.cpp
+++ b/src/wire/internal/peer_network.cpp
@@ -65,6 +65,7 @@
     asio::ip::tcp::acceptor acceptor;
     unsigned short port = 0;
     std::atomic<bool> is_stopping{false};
+    std::shared_ptr<std::atomic<std::size_t>> unsent_results = std::make_shared<std::atomic<std::size_t>>(0);
     std::mutex mutex;
     std::shared_ptr<const forward_handler> on_forward;
     std::shared_ptr<const message_handler> on_message;
@@ -98,6 +99,7 @@
 {
     auto context = std::make_shared<internal::session_context>();
     context->token = settings.token;
+    context->unsent_results = unsent_results;
     const auto weak = weak_from_this();
     context->forward = [weak]() -> std::shared_ptr<const forward_handler> {
         const auto self = weak.lock();
@@ -225,6 +227,11 @@
     return state_->port;
 }
 
+std::size_t peer_network::unsent_results() const
+{
+    return *state_->unsent_results;
+}
+
 void peer_network::on_forward(forward_handler handler)
 {
     const std::scoped_lock lock(state_->mutex);
--- a/src/wire/internal/peer_session.cpp
+++ b/src/wire/internal/peer_session.cpp
@@ -12,6 +12,8 @@
 using boost::system::error_code;
 
 constexpr std::size_t read_bytes = 65536;
+/// Above this size the peer does not keep up, and no further answers are kept for it.
+constexpr std::size_t max_outbox_bytes = std::size_t{2} << 20U;
 
 /// Compares in constant time for texts of equal length.
 bool is_same_secret(const std::string& a, const std::string& b)
@@ -140,11 +142,18 @@
         }
     }
     in_flight_.erase(id);
-    if (!is_ended_)
+    if (is_ended_)
     {
-        append_result(outbox_, id, result);
-        flush();
+        co_return;
+    }
+    if (outbox_.size() > max_outbox_bytes)
+    {
+        result = make_unknown("the router that received the request reads too slowly");
     }
+    append_result(outbox_, id, result);
+    ++results_in_outbox_;
+    ++*context_->unsent_results;
+    flush();
 }
 
 void peer_session::serve_rpc(std::uint64_t id, std::string message)
@@ -193,11 +202,13 @@
         return;
     }
     is_writing_ = true;
-    writing_.clear();
+    clear_frames(writing_);
     writing_.swap(outbox_);
+    results_in_writing_ = std::exchange(results_in_outbox_, 0);
     const auto self = shared_from_this();
     asio::async_write(socket_, asio::buffer(writing_), [self](const error_code& code, std::size_t) {
         self->is_writing_ = false;
+        *self->context_->unsent_results -= std::exchange(self->results_in_writing_, 0);
         if (code)
         {
             self->end();
@@ -215,6 +226,7 @@
     }
     error_code ignored;
     socket_.close(ignored);
+    *context_->unsent_results -= std::exchange(results_in_outbox_, 0);
     // The peer can no longer receive these results.
     for (const auto& [id, cancel] : std::exchange(in_flight_, {}))
     {
--- a/src/wire/internal/peer_session.hpp
+++ b/src/wire/internal/peer_session.hpp
@@ -5,6 +5,7 @@
 #include "wire/internal/codec.hpp"
 #include "wire/peer_network.hpp"
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -16,6 +17,8 @@
 struct session_context
 {
     std::string token;
+    /// Results of all sessions that are not yet written.
+    std::shared_ptr<std::atomic<std::size_t>> unsent_results;
     std::function<std::shared_ptr<const forward_handler>()> forward;
     /// Answers a JSON-RPC message; calls `reply` once, on another thread.
     std::function<void(std::string message, std::function<void(std::string)> reply)> rpc;
@@ -51,6 +54,8 @@
     bool is_writing_ = false;
     std::string outbox_;
     std::string writing_;
+    std::size_t results_in_outbox_ = 0;
+    std::size_t results_in_writing_ = 0;
     std::map<std::uint64_t, std::shared_ptr<core::cancellation>> in_flight_;
 };
 
--- a/src/wire/peer_network.hpp
+++ b/src/wire/peer_network.hpp
@@ -42,6 +42,8 @@
     ~peer_network() override;
 
     unsigned short port() const;
+    /// Results of forwarded requests that are not yet handed to the operating system.
+    std::size_t unsent_results() const;
     /// Sets the handler of forwarded requests. Until then they are refused as not run.
     void on_forward(forward_handler handler);
 
