--- a/src/edge/internal/entry.cpp
+++ b/src/edge/internal/entry.cpp
@@ -325,9 +325,17 @@
         co_return std::move(*refusal);
     }
     ++in_flight_;
-    auto answer = co_await route(context, std::move(cancellation));
-    --in_flight_;
-    co_return answer;
+    try
+    {
+        auto answer = co_await route(context, std::move(cancellation));
+        --in_flight_;
+        co_return answer;
+    }
+    catch (...)
+    {
+        --in_flight_;
+        throw;
+    }
 }
 
 asio::awaitable<http::response> entry::route(request_context& context,
