--- a/src/dispatch/slot_limit.hpp
+++ b/src/dispatch/slot_limit.hpp
@@ -24,6 +24,7 @@
     void on_answer()
     {
         failures_ = 0;
+        is_on_trial_ = false;
         limit_ = std::min<double>(slots_, limit_ + recovery_per_answer);
     }
     /// Records that the backend server rejected a request because it was full.
@@ -36,6 +37,15 @@
         paused_until_ = now + std::min(backoff, max_pause);
     }
 
+    /// Records an answer that was cut off because it was too long. Each further one costs as much, so the
+    /// backend server gets one request at a time until it answers.
+    void on_faulty_answer(core::time_point now)
+    {
+        is_on_trial_ = true;
+        failures_ = std::max(failures_, failures_before_pause);
+        paused_until_ = std::max(paused_until_, now + max_pause);
+    }
+
     /// Records that another backend server, which rejects all requests for this one, answers at its address.
     void on_replaced(core::time_point now)
     {
@@ -48,7 +58,14 @@
         return failures_ >= failures_before_pause && now < paused_until_;
     }
     /// Returns how many requests may run at the same time; 0 during a pause.
-    int slots(core::time_point now) const { return is_paused(now) ? 0 : static_cast<int>(limit_); }
+    int slots(core::time_point now) const
+    {
+        if (is_paused(now))
+        {
+            return 0;
+        }
+        return is_on_trial_ ? 1 : static_cast<int>(limit_);
+    }
     int failures() const { return failures_; }
 
 private:
@@ -67,6 +84,7 @@
     int slots_;
     double limit_;
     int failures_ = 0;
+    bool is_on_trial_ = false;
     core::time_point paused_until_;
 };
 
--- a/src/dispatch/tests/budget_tests.cpp
+++ b/src/dispatch/tests/budget_tests.cpp
@@ -149,6 +149,22 @@
     BOOST_CHECK_EQUAL(limit.slots(now), 6);
 }
 
+// Guards against the cost of a backend server that sends answers without end: all its slots were used again
+// after each pause.
+BOOST_AUTO_TEST_CASE(backend_server_with_faulty_answers_gets_one_request_at_a_time)
+{
+    slot_limit limit(6);
+    const time_point now{1000};
+    limit.on_faulty_answer(now);
+    BOOST_CHECK_EQUAL(limit.slots(now), 0);
+    const auto later = now + duration{1000};
+    BOOST_CHECK_EQUAL(limit.slots(later), 1);
+    limit.on_faulty_answer(later);
+    BOOST_CHECK_EQUAL(limit.slots(later), 0);
+    limit.on_answer();
+    BOOST_CHECK_EQUAL(limit.slots(later), 6);
+}
+
 // Guards against requests to a backend server whose address now belongs to another one. The other one rejects
 // them at once, so the slots always look free: without a pause it received each request four times, which
 // used up the retry budget.
--- a/src/edge/internal/front_outcomes.cpp
+++ b/src/edge/internal/front_outcomes.cpp
@@ -125,6 +125,15 @@
     {
         server.limit.on_failure(now);
     }
+    if (outcome.is_over_limit)
+    {
+        server.limit.on_faulty_answer(now);
+        metrics
+            .counter("briarfold_edge_oversized_answers_total",
+                     "Answers of backend servers that were cut off because they were too long.",
+                     {{"service", pending.request.service}})
+            .add();
+    }
     if (was_sent)
     {
         auto result =
