Go on after a handler that fails

An exception that left a handler ended the process and all its requests. It is logged, and the other requests go on. A reload signal that comes before the program handles it no longer ends the process.

--- a/apps/edge/main.cpp
+++ b/apps/edge/main.cpp
@@ -88,11 +88,28 @@
 
     void run()
     {
-        context_.run();
+        while (!run_handlers())
+        {
+        }
         log_.flush();
     }
 
 private:
+    /// Returns false after a handler that failed. The other requests of the process go on.
+    bool run_handlers()
+    {
+        try
+        {
+            context_.run();
+            return true;
+        }
+        catch (const std::exception& failure)
+        {
+            log_.write("handler failed", {{"reason", failure.what()}});
+            return false;
+        }
+    }
+
     void wait_for_signal()
     {
         signals_.async_wait([this](const boost::system::error_code& code, int signal_number) {
@@ -155,6 +172,8 @@
 
 int main(int argc, char** argv)
 {
+    // Until the application handles it, a reload signal would end the process.
+    std::signal(SIGHUP, SIG_IGN);
     options::options_description all_options(
         "Edge router of briarfold.\n\nUsage: briarfold-edge [--config FILE] [options]\n"
         "Example: briarfold-edge --check --config edge.toml\n\nOptions");
