--- a/scenarios/child_process.cpp
+++ b/scenarios/child_process.cpp
@@ -109,6 +109,27 @@
     send(state_->child.id(), SIGTERM, name_);
 }
 
+void child_process::hang_up()
+{
+    send(state_->child.id(), SIGHUP, name_);
+}
+
+std::size_t child_process::peak_memory() const
+{
+    constexpr std::size_t bytes_per_kb = 1024;
+    std::ifstream file("/proc/" + std::to_string(state_->child.id()) + "/status");
+    std::string field;
+    while (file >> field)
+    {
+        std::size_t kilobytes = 0;
+        if (field == "VmHWM:" && file >> kilobytes)
+        {
+            return kilobytes * bytes_per_kb;
+        }
+    }
+    return 0;
+}
+
 bool child_process::wait(core::duration limit)
 {
     const auto end = core::clock::now() + limit;
--- a/scenarios/child_process.hpp
+++ b/scenarios/child_process.hpp
@@ -31,6 +31,10 @@
     void resume();
     /// SIGTERM; does not wait.
     void terminate();
+    /// SIGHUP; does not wait.
+    void hang_up();
+    /// Most memory that the process has used so far, in bytes; 0 after its end.
+    std::size_t peak_memory() const;
     /// Returns whether the process ended within `limit`.
     bool wait(core::duration limit);
     /// Exit status; negative signal number when a signal ended it. Only after the end.
--- a/standins/edge/keyed_backend.cpp
+++ b/standins/edge/keyed_backend.cpp
@@ -210,6 +210,10 @@
     }
     answer.headers.emplace_back("Briarfold-Response-Signature", id_ + "." + attempt);
     answer.body = "answer of " + id_ + " to " + attempt;
+    if (answer.body.size() < answer_bytes_)
+    {
+        answer.body.insert(0, answer_bytes_ - answer.body.size(), '.');
+    }
     co_return answer;
 }
 
--- a/standins/edge/keyed_backend.hpp
+++ b/standins/edge/keyed_backend.hpp
@@ -56,6 +56,8 @@
     void refuse_control_calls(unsigned status) { control_status_ = status; }
     /// Calls `hook` whenever keys are released.
     void on_release(std::function<void()> hook) { on_release_ = std::move(hook); }
+    /// Answers of requests that ran have at least this many bytes.
+    void set_answer_bytes(std::size_t bytes) { answer_bytes_ = bytes; }
     void set_work_duration(core::duration work_duration) { work_duration_ = work_duration; }
 
     /// Returns the number of runs by attempt id.
@@ -95,6 +97,7 @@
     int answer_loss_interval_ = 0;
     int answer_spoil_interval_ = 0;
     int answers_ = 0;
+    std::size_t answer_bytes_ = 0;
     int registrations_ = 0;
     bool is_leaving_ = false;
     std::optional<unsigned> control_status_;
