Count messages of all servers of a router in its budget, and test a full budget

Readiness and metrics addresses took 1 MB from each connection. Tests: the largest of two exchanges, and of two requests, is given up when the memory is full; the request gets 503.

--- a/apps/router/router_app.cpp
+++ b/apps/router/router_app.cpp
@@ -121,9 +121,10 @@
           context.get_executor(), {values.ip, values.http_port},
           [this](http::request message, const http::endpoint&) { return answer_caller(std::move(message)); },
           {},
-          [this](unsigned status, const std::string& reason) {
-              return is_started ? entry.make_refusal_response(status, reason) : http::response(status);
-          }),
+          {.on_bad_input =
+               [this](unsigned status, const std::string& reason) {
+                   return is_started ? entry.make_refusal_response(status, reason) : http::response(status);
+               }}),
       table(context.get_executor(), values.platform), objects(context.get_executor(), values.platform),
       admin_server(context.get_executor(), {values.ip, values.admin_port},
                    [this](http::request message, http::endpoint caller) -> asio::awaitable<http::response> {
--- a/src/edge/internal/router_node.cpp
+++ b/src/edge/internal/router_node.cpp
@@ -196,8 +196,9 @@
 void router_node::state::start()
 {
     const auto weak = weak_from_this();
-    http::server_hooks hooks;
-    hooks.budget = budget;
+    http::server_hooks internal_hooks;
+    internal_hooks.budget = budget;
+    auto hooks = internal_hooks;
     hooks.on_loss = [weak](const http::unanswered_request& request, const std::string& reason) {
         if (const auto self = weak.lock())
         {
@@ -226,7 +227,8 @@
                 co_return http::response(status_unavailable);
             }
             co_return co_await self->serve_readiness(std::move(message));
-        }));
+        }),
+        http::server_limits(), internal_hooks);
     metrics_server.emplace(
         executor, settings.metrics,
         http::handler([weak](http::request message, http::endpoint) -> asio::awaitable<http::response> {
@@ -236,7 +238,8 @@
                 co_return http::response(status_unavailable);
             }
             co_return co_await self->serve_metrics(std::move(message));
-        }));
+        }),
+        http::server_limits(), internal_hooks);
     metrics.computed_gauge("briarfold_edge_queued_requests", "Requests that wait for a slot.", {},
                            [this] { return static_cast<double>(front.queued()); });
     metrics.computed_gauge("briarfold_edge_running_requests", "Requests at backend servers.", {},
--- a/src/http/tests/endless_message_tests.cpp
+++ b/src/http/tests/endless_message_tests.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <optional>
+#include <vector>
 
 using namespace briarfold;
 using namespace briarfold::core::literals;
@@ -199,3 +200,86 @@
     BOOST_TEST(send_to_server({head, "X-Filler: more\r\n"}) < accepted_bytes);
     BOOST_TEST(send_to_server({"", "\r\n"}) < accepted_bytes);
 }
+
+// Guards against a process whose messages together exceed its memory although each keeps its own limit.
+BOOST_AUTO_TEST_CASE(exchange_with_the_largest_answer_fails_when_memory_is_full)
+{
+    constexpr std::size_t large_bytes = 900000;
+    constexpr std::size_t small_bytes = 300000;
+    asio::io_context context;
+    const auto budget = std::make_shared<http::transfer_budget>(limit_bytes);
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    std::vector<std::optional<http::response>> answers(2);
+    const auto serve = [&](std::size_t length, std::size_t sent) -> asio::awaitable<void> {
+        auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+        const auto text =
+            answer_head + "Content-Length: " + std::to_string(length) + "\r\n\r\n" + std::string(sent, 'x');
+        co_await asio::async_write(socket, asio::buffer(text), asio::use_awaitable);
+        co_await core::pause_for(500_ms);
+    };
+    const auto exchange = [&](std::size_t number) -> asio::awaitable<void> {
+        http::client_connection connection(context.get_executor(),
+                                           {"127.0.0.1", acceptor.local_endpoint().port()}, {}, budget);
+        co_await connection.connect(1000_ms);
+        try
+        {
+            answers[number] = co_await connection.exchange({"GET", "/", {}, ""}, 400_ms);
+        }
+        catch (const core::connection_error&)
+        {
+            BOOST_TEST(!connection.is_open());
+        }
+    };
+    const auto run = [&]() -> asio::awaitable<void> {
+        asio::co_spawn(context, serve(large_bytes + 1, large_bytes), asio::detached);
+        asio::co_spawn(context, exchange(0), asio::detached);
+        co_await core::pause_for(100_ms);
+        BOOST_TEST(budget->held_bytes() >= large_bytes);
+        asio::co_spawn(context, serve(small_bytes, small_bytes), asio::detached);
+        co_await exchange(1);
+    };
+    asio::co_spawn(context, run(), asio::detached);
+    context.run();
+    BOOST_TEST(!answers[0]);
+    BOOST_REQUIRE(answers[1]);
+    BOOST_TEST(answers[1]->body.size() == small_bytes);
+    BOOST_TEST(budget->held_bytes() == 0U);
+}
+
+// Guards against clients whose bodies together exceed the memory of the process. The one that is given up
+// learns that its request does not run.
+BOOST_AUTO_TEST_CASE(largest_request_is_refused_when_memory_is_full)
+{
+    constexpr std::size_t large_bytes = 900000;
+    asio::io_context context;
+    http::server_hooks hooks;
+    hooks.budget = std::make_shared<http::transfer_budget>(limit_bytes);
+    http::server server(
+        context.get_executor(), {"127.0.0.1", 0},
+        http::handler([](http::request message, http::endpoint) -> asio::awaitable<http::response> {
+            co_return http::response(200, {}, std::to_string(message.body.size()));
+        }),
+        http::server_limits(), hooks);
+    std::string large_answer;
+    std::string small_answer;
+    const auto run = [&]() -> asio::awaitable<void> {
+        const http::endpoint peer("127.0.0.1", server.port());
+        asio::ip::tcp::socket large(context);
+        co_await large.async_connect({asio::ip::make_address("127.0.0.1"), server.port()},
+                                     asio::use_awaitable);
+        const auto text = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(large_bytes + 1) +
+                          "\r\n\r\n" + std::string(large_bytes, 'x');
+        co_await asio::async_write(large, asio::buffer(text), asio::use_awaitable);
+        co_await core::pause_for(50_ms);
+        http::request small("POST", "/", {}, std::string(300000, 'x'));
+        small_answer = (co_await http::fetch(peer, std::move(small), 1000_ms)).body;
+        co_await asio::async_read_until(large, asio::dynamic_buffer(large_answer), "\r\n\r\n",
+                                        asio::use_awaitable);
+        context.stop();
+    };
+    asio::co_spawn(context, run(), asio::detached);
+    context.run_for(std::chrono::seconds(3));
+    BOOST_TEST(small_answer == "300000");
+    BOOST_TEST(large_answer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(large_answer.find("Retry-After: 1") != std::string::npos);
+}
