--- a/src/wire/tests/wire_tests.cpp
+++ b/src/wire/tests/wire_tests.cpp
@@ -255,3 +255,57 @@
     });
     BOOST_CHECK_THROW(call("slow", nlohmann::json::object(), 50_ms), core::timeout_error);
 }
+
+// Guards against answers that pile up in memory for a router that does not read them, and against a stop that
+// does not wait for the last results.
+BOOST_AUTO_TEST_CASE(results_for_a_peer_that_does_not_read_are_bounded)
+{
+    constexpr std::size_t body_bytes = 1000000;
+    constexpr std::uint64_t requests = 60;
+    asio::io_context context;
+    wire::peer_network network(context.get_executor(), {{"127.0.0.1", 0}, "token", "front"});
+    network.on_forward([](wire::forward_request request,
+                          std::shared_ptr<core::cancellation>) -> asio::awaitable<wire::forward_result> {
+        request.body = std::string(body_bytes, 'x');
+        co_return make_echo(request);
+    });
+    asio::ip::tcp::socket peer(context);
+    peer.connect({asio::ip::make_address("127.0.0.1"), network.port()});
+    std::string frames;
+    wire::internal::append_hello(frames, "token", "entry");
+    for (std::uint64_t id = 1; id <= requests; ++id)
+    {
+        wire::internal::append_forward(frames, id, make_request(""));
+    }
+    asio::write(peer, asio::buffer(frames));
+    context.run_for(std::chrono::milliseconds(500));
+    BOOST_TEST(network.unsent_results() > 0U);
+    std::size_t answered = 0;
+    std::size_t failed = 0;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            wire::internal::frame_reader reader;
+            while (answered + failed < requests)
+            {
+                constexpr std::size_t read_bytes = 65536;
+                char* const space = reader.prepare(read_bytes);
+                reader.commit(co_await peer.async_read_some(asio::buffer(space, reader.capacity()),
+                                                            asio::use_awaitable));
+                while (const auto message = reader.next())
+                {
+                    const bool is_whole = message->result.body.size() == body_bytes;
+                    const bool is_unknown = message->result.outcome == wire::outcome::unknown;
+                    answered += is_whole ? 1 : 0;
+                    failed += is_unknown ? 1 : 0;
+                }
+            }
+            context.stop();
+        },
+        asio::detached);
+    context.restart();
+    context.run_for(std::chrono::seconds(10));
+    BOOST_TEST(answered + failed == requests);
+    BOOST_TEST(failed > 0U);
+    BOOST_TEST(network.unsent_results() == 0U);
+}
