Answer unfinished requests at the end of the grace time

Requests that were still in flight when the grace time ended were cut off without an answer. They get 504, which promises nothing more than the closed connection did, but at once. unfinished_requests_are_answered_before_the_end passes; the server had no such call before.

--- a/src/edge/internal/router_node.cpp
+++ b/src/edge/internal/router_node.cpp
@@ -18,6 +18,7 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_gateway_timeout = 504;
 /// Interval of the ticks of the front while requests are queued; without any, grants need fewer ticks.
 constexpr core::duration busy_tick_interval{20};
 constexpr core::duration idle_tick_interval{60};
@@ -361,6 +362,13 @@
                           {"connections", frontend->connections()},
                           {"unsent_results", network ? network->unsent_results() : 0}});
     log.flush();
+    if (!is_idle)
+    {
+        // Their outcome is unknown; a closed connection would say no more, but only after the callers noticed
+        // it.
+        frontend->answer_unfinished(http::response(status_gateway_timeout));
+        co_await core::pause_for(poll);
+    }
     on_done();
 }
 
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -11,6 +11,7 @@
 #include <cerrno>
 #include <mutex>
 #include <set>
+#include <sstream>
 #include <sys/socket.h>
 
 namespace briarfold::http {
@@ -27,6 +28,7 @@
 constexpr unsigned status_head_too_large = 431;
 constexpr unsigned status_internal_error = 500;
 constexpr unsigned status_unavailable = 503;
+constexpr unsigned http_1_1 = 11;
 
 unsigned status_of(const error_code& code)
 {
@@ -48,6 +50,18 @@
            code != beast::http::error::end_of_stream && code != beast::http::error::partial_message;
 }
 
+internal::beast_response make_message(response answer, unsigned version, bool keep_alive)
+{
+    internal::beast_response message;
+    message.version(version);
+    message.result(answer.status);
+    internal::copy_headers(answer.headers, message);
+    message.keep_alive(keep_alive);
+    message.body() = std::move(answer.body);
+    message.prepare_payload();
+    return message;
+}
+
 /// The answer to a request for which this process has no memory; it was not read to its end.
 response make_memory_refusal()
 {
@@ -94,6 +108,7 @@
     /// unread bytes is reset, and the caller may lose the answer.
     static asio::awaitable<void> linger(session& connection);
     asio::awaitable<response> answer(session& connection, internal::beast_request& incoming);
+    void answer_unfinished(const response& answer);
     void report_loss(const session& connection, const char* reason);
     static bool has_departed(session& connection);
     /// Raises `departure` when the caller closes the connection while its request is being answered.
@@ -187,6 +202,11 @@
     state_->close_idle_sessions();
 }
 
+void server::answer_unfinished(const response& answer)
+{
+    state_->answer_unfinished(answer);
+}
+
 std::size_t server::connections() const
 {
     const std::scoped_lock lock(state_->mutex);
@@ -230,6 +250,27 @@
     }
 }
 
+void server::state::answer_unfinished(const response& answer)
+{
+    std::ostringstream text;
+    text << make_message(answer, http_1_1, false);
+    const std::scoped_lock lock(mutex);
+    for (const auto& connection : sessions)
+    {
+        asio::post(connection->stream.get_executor(), [connection, text = text.str()] {
+            if (connection->current && !connection->current->answer)
+            {
+                // Nothing else is being written, so that a short answer fits into the socket's buffer.
+                auto& socket = connection->stream.socket();
+                error_code ignored;
+                socket.non_blocking(true, ignored);
+                socket.write_some(asio::buffer(text), ignored);
+                socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+            }
+        });
+    }
+}
+
 void server::state::close_all_sessions()
 {
     const std::scoped_lock lock(mutex);
@@ -388,7 +429,7 @@
     auto refusal = has_no_memory        ? make_memory_refusal()
                    : hooks.on_bad_input ? hooks.on_bad_input(status, code.message())
                                         : response{status, {}, ""};
-    co_await write(connection, std::move(refusal), 11, false, false);
+    co_await write(connection, std::move(refusal), http_1_1, false, false);
     co_await linger(connection);
 }
 
@@ -477,13 +518,7 @@
 asio::awaitable<void> server::state::write(session& connection, response answer, unsigned version,
                                            bool keep_alive, bool is_head)
 {
-    internal::beast_response outgoing;
-    outgoing.version(version);
-    outgoing.result(answer.status);
-    internal::copy_headers(answer.headers, outgoing);
-    outgoing.keep_alive(keep_alive);
-    outgoing.body() = std::move(answer.body);
-    outgoing.prepare_payload();
+    auto outgoing = make_message(std::move(answer), version, keep_alive);
     if (is_head)
     {
         outgoing.body().clear();
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -68,6 +68,9 @@
     void begin_drain();
     /// Closes connections that wait for a request.
     void close_idle();
+    /// Answers the requests that are still being answered in place of their handlers, before the process
+    /// ends.
+    void answer_unfinished(const response& answer);
     /// Open connections.
     std::size_t connections() const;
 
--- a/src/http/tests/http_tests.cpp
+++ b/src/http/tests/http_tests.cpp
@@ -1,4 +1,5 @@
 #include "core/error.hpp"
+#include "core/pause.hpp"
 #include "http/client_connection.hpp"
 #include "http/server.hpp"
 
@@ -438,6 +439,30 @@
     BOOST_TEST(boost::algorithm::find_all(found, answers, "Connection: close").size() == 1U);
 }
 
+// Guards against connections that a stop cuts off without an answer at the end of its grace time.
+BOOST_AUTO_TEST_CASE(unfinished_requests_are_answered_before_the_end)
+{
+    asio::io_context context;
+    http::server server(context.get_executor(), {"127.0.0.1", 0},
+                        http::handler([](http::request, http::endpoint) -> asio::awaitable<http::response> {
+                            co_await core::pause_for(60000_ms);
+                            co_return http::response();
+                        }));
+    asio::ip::tcp::socket caller(context);
+    caller.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+    asio::write(caller, asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: a\r\n\r\n")));
+    context.run_for(std::chrono::milliseconds(50));
+    constexpr unsigned status_gateway_timeout = 504;
+    server.answer_unfinished(http::response(status_gateway_timeout));
+    context.run_for(std::chrono::milliseconds(50));
+    std::string answer;
+    boost::system::error_code code;
+    asio::read(caller, asio::dynamic_buffer(answer), code);
+    BOOST_TEST(answer.starts_with("HTTP/1.1 504"));
+    BOOST_TEST(answer.ends_with("\r\n\r\n"));
+    BOOST_TEST(code == asio::error::eof);
+}
+
 // Guards against oversized input reaching a handler.
 BOOST_AUTO_TEST_CASE(oversized_input_is_refused)
 {
