End a stopped router without restoring the default actions of signals

A reload signal in the last milliseconds of a stopping router ended it with signal 1, and a platform takes that for a failure. The destructors of the application had restored the signal's default action. The process now ends without running the destructors.

--- a/apps/edge/main.cpp
+++ b/apps/edge/main.cpp
@@ -212,7 +212,9 @@
         briarfold::edge::report_crashes();
         application app(path, settings);
         app.run();
-        return 0;
+        // The destructors would restore the default actions of signals, and a reload signal would then end
+        // the process with a failure.
+        std::quick_exit(EXIT_SUCCESS);
     }
     catch (const options::error& failure)
     {
