--- a/standins/edge/tests/edge_cluster.hpp
+++ b/standins/edge/tests/edge_cluster.hpp
@@ -48,30 +48,21 @@
         }
     }
 
-    void put_config(int version, const std::string& prefix = "/keyed/")
+    /// `extra_routes` is a number of routes that no request takes.
+    void put_config(int version, const std::string& prefix = "/keyed/", int extra_routes = 0)
     {
+        auto paths = nlohmann::json::array();
+        paths.push_back(make_path("read", prefix, true));
+        paths.push_back(make_path("write", "/write/", false));
+        for (int i = 0; i < extra_routes; ++i)
+        {
+            const auto name = "extra-" + std::to_string(i);
+            paths.push_back(make_path(name, "/" + name + "/", true));
+        }
         store.put("op", "config",
                   {{"version", "r" + std::to_string(version)},
                    {"backends", {{{"name", "keyed"}, {"sharded", true}, {"warm-s", 1.0}}}},
-                   {"hosts",
-                    {{{"hostname", "h.example"},
-                      {"paths",
-                       {{{"name", "read"},
-                         {"prefix", prefix},
-                         {"type", "safe"},
-                         {"timeout-ms", 2000},
-                         {"slo-ms", 500},
-                         {"priority", 1},
-                         {"backend", "keyed"},
-                         {"max-attempts", 2}},
-                        {{"name", "write"},
-                         {"prefix", "/write/"},
-                         {"type", "unsafe"},
-                         {"timeout-ms", 2000},
-                         {"slo-ms", 500},
-                         {"priority", 0},
-                         {"backend", "keyed"},
-                         {"max-attempts", 2}}}}}}}});
+                   {"hosts", {{{"hostname", "h.example"}, {"paths", std::move(paths)}}}}});
     }
 
     /// Starts a backend server without an entry in the registry.
@@ -240,6 +231,13 @@
     std::vector<std::unique_ptr<edge::router_node>> ended_nodes_;
     std::size_t loads_ = 0;
 
+    static nlohmann::json make_path(const std::string& name, const std::string& prefix, bool is_idempotent)
+    {
+        return {{"name", name},       {"prefix", prefix}, {"type", is_idempotent ? "safe" : "unsafe"},
+                {"timeout-ms", 2000}, {"slo-ms", 500},    {"priority", is_idempotent ? 1 : 0},
+                {"backend", "keyed"}, {"max-attempts", 2}};
+    }
+
     /// Returns a port that no outgoing connection takes before the router listens on it.
     unsigned short free_port()
     {
