Let each router confirm its configuration, and read it from the store when the leader does not

Callers got 404 on routes that had been added more than two seconds before. A configuration reached a router through the leader alone, and a leader that was slow, but not silent, was neither replaced nor bypassed; a router did not know how old its configuration was.

The leader's answers to reports say now as of when its configuration was the newest. A missing route is answered with 404 only while the configuration is confirmed; otherwise it is looked for first, and refused with 503 when that fails. The time comes from the deployment's bounds. The leader's reads of changes wait 0.8 s in place of 1 s, so that a leader that works confirms often enough.

--- a/src/edge/entry.hpp
+++ b/src/edge/entry.hpp
@@ -39,6 +39,9 @@
     std::function<core::asio::awaitable<wire::forward_result>(http::endpoint, wire::forward_request,
                                                               std::shared_ptr<core::cancellation>)>
         forward_to_router;
+    /// Returns whether the configuration in force is recent enough to say that a route does not exist; may
+    /// look for a newer one first.
+    std::function<core::asio::awaitable<bool>()> await_current_config;
 };
 
 /// Not thread-safe: all calls on the executor's thread.
@@ -86,7 +89,11 @@
     std::optional<destination> find_group(const request_context& context) const;
     /// Waits at most `limit` for a change of the directory.
     core::asio::awaitable<void> await_change(core::duration limit);
+    /// Returns a refusal, or nothing when the request can be routed or has no route.
     std::optional<http::response> prepare(request_context& context, http::request& message);
+    /// The same for a request without a route, once the configuration in force is known to be current.
+    core::asio::awaitable<std::optional<http::response>> prepare_unrouted(request_context& context,
+                                                                          http::request& message);
     /// Records which backend server received the request, or may have.
     static void record_send(request_context& context, const destination& to,
                             const wire::forward_result& result);
--- a/src/edge/internal/entry.cpp
+++ b/src/edge/internal/entry.cpp
@@ -28,6 +28,9 @@
 constexpr core::duration max_ownerless_retry_after{1200};
 constexpr std::size_t max_waiting = 64;
 constexpr int max_hops = 6;
+/// A router that lost touch with the store and all others finds a newer configuration within this time of its
+/// return.
+constexpr core::duration unconfirmed_retry_after{500};
 /// Another router can serve the request at once.
 constexpr core::duration other_router_retry_after{50};
 
@@ -50,7 +53,8 @@
 struct entry::request_context
 {
     request_head head;
-    const routes::route* route = nullptr;
+    /// Whether the configuration has a route for the request.
+    bool is_routed = false;
     std::string route_name;
     std::string service;
     bool is_keyed = false;
@@ -204,8 +208,6 @@
 
 std::optional<http::response> entry::prepare(request_context& context, http::request& message)
 {
-    context.arrived = clock::now();
-    context.head = adapter_.read_request(message);
     if (is_refusing_)
     {
         return refuse(context, status_unavailable, other_router_retry_after, "this router is about to end");
@@ -215,9 +217,10 @@
         return refuse(context, status_unavailable, startup_retry_after, "no configuration is known yet");
     }
     const auto* const route = routes_.match(http::find_header(message.headers, "Host"), message.target);
-    if (route == nullptr)
+    context.is_routed = route != nullptr;
+    if (!context.is_routed)
     {
-        return refuse(context, status_not_found, {}, "no route matches");
+        return std::nullopt;
     }
     context.route_name = route->name;
     context.service = routes_.choose_service(*route);
@@ -244,6 +247,23 @@
     return std::nullopt;
 }
 
+asio::awaitable<std::optional<http::response>> entry::prepare_unrouted(request_context& context,
+                                                                       http::request& message)
+{
+    const bool is_current = !callbacks_.await_current_config || co_await callbacks_.await_current_config();
+    auto refusal = prepare(context, message);
+    if (refusal || context.is_routed)
+    {
+        co_return refusal;
+    }
+    if (is_current)
+    {
+        co_return refuse(context, status_not_found, {}, "no route matches");
+    }
+    co_return refuse(context, status_unavailable, unconfirmed_retry_after,
+                     "no route matches, and the configuration may be outdated");
+}
+
 core::time_point entry::answer_limit(const request_context& context) const
 {
     return process_end_ ? std::min(context.deadline, *process_end_) : context.deadline;
@@ -320,7 +340,14 @@
                                               std::shared_ptr<core::cancellation> cancellation)
 {
     request_context context;
-    if (auto refusal = prepare(context, message))
+    context.arrived = clock::now();
+    context.head = adapter_.read_request(message);
+    auto refusal = prepare(context, message);
+    if (!refusal && !context.is_routed)
+    {
+        refusal = co_await prepare_unrouted(context, message);
+    }
+    if (refusal)
     {
         co_return std::move(*refusal);
     }
--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -404,6 +404,8 @@
         // Counts from the arrival of the report, however long the proof took.
         reply["proved_age"] = std::max(now - proved_at(), core::duration{0}).ms;
     }
+    reply["config_version"] = config_version_;
+    reply["config_age"] = (clock::now() - config_confirmed_at_).ms;
     reply["config_position"] = position_to_json(config_position_);
     reply["registry_position"] = position_to_json(registry_position_);
     reply["store_failing"] = health_.failing_for(clock::now()).ms;
--- a/src/edge/internal/leader_service.hpp
+++ b/src/edge/internal/leader_service.hpp
@@ -5,6 +5,7 @@
 #include "leader/leader_state.hpp"
 #include "leader/leadership_confirmation.hpp"
 
+#include <algorithm>
 #include <optional>
 #include <set>
 
@@ -71,6 +72,14 @@
     /// If the router needs a proof that this one leads, waits for it for a while.
     core::asio::awaitable<std::string> handle_report(nlohmann::json message);
     void on_own_report(const leader::router_report& report);
+    /// Takes a configuration that its router learned in another way, if it is newer.
+    void offer_config(const nlohmann::json& document);
+    /// Records that no newer configuration than the one in force existed at `at`.
+    void on_config_confirmed(core::time_point at)
+    {
+        config_confirmed_at_ = std::max(config_confirmed_at_, at);
+    }
+    core::time_point config_confirmed_at() const { return config_confirmed_at_; }
     const directory::generation& term() const { return term_; }
     /// Returns when the leadership was last known to be undisputed.
     core::time_point confirmed_at() const;
@@ -183,6 +192,7 @@
     std::string secret_;
     std::map<std::string, std::int64_t> assignment_versions_;
     std::int64_t config_version_ = 0;
+    core::time_point config_confirmed_at_;
     std::optional<leader::leader_state> state_;
     std::map<std::string, follower> followers_;
     std::set<std::string> registered_;
--- a/src/edge/internal/leader_store.cpp
+++ b/src/edge/internal/leader_store.cpp
@@ -17,6 +17,8 @@
 /// Maximum wait of one read of changes. With a longer wait, a store that does not answer would be noticed too
 /// late for a change of leader.
 constexpr core::duration feed_wait{1000};
+/// The same for the configuration, whose answers without changes confirm the one in force on all routers.
+constexpr core::duration config_feed_wait{800};
 /// Pause between reads of the registry. Changes are batched, since each answer wakes all routers.
 constexpr core::duration registry_read_pause{120};
 constexpr core::duration min_healthy_time{2200};
@@ -26,6 +28,12 @@
 
 } // namespace
 
+void leader_service::offer_config(const json& document)
+{
+    apply_config(document);
+    propagate_changes();
+}
+
 void leader_service::apply_config(const json& document, std::string packed)
 {
     try
@@ -65,6 +73,7 @@
         const auto packed = packed_config_;
         apply_config(unpack(packed), packed);
     }
+    const auto sent = clock::now();
     const auto rows = co_await tables_.config->read_prefix(tables_.config_key, store_timeout);
     note_store_answer(health_, log_, rows.era);
     for (const auto& row : rows.rows)
@@ -75,6 +84,7 @@
         }
     }
     config_position_ = std::max(config_position_, rows.position());
+    on_config_confirmed(sent);
     co_return rows.position();
 }
 
@@ -196,7 +206,8 @@
         bool has_failed = false;
         try
         {
-            const auto batch = co_await tables_.config->changes(position.number, feed_wait);
+            const auto sent = clock::now();
+            const auto batch = co_await tables_.config->changes(position.number, config_feed_wait);
             if (!is_running())
             {
                 co_return;
@@ -210,6 +221,9 @@
             {
                 position = batch.position();
                 config_position_ = std::max(config_position_, position);
+                // An answer without changes was given when the wait had ended.
+                on_config_confirmed(batch.rows.empty() ? std::min(clock::now(), sent + config_feed_wait)
+                                                       : sent);
                 for (const auto& row : batch.rows)
                 {
                     if (row.key == tables_.config_key && !row.value.is_null())
--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -80,6 +80,17 @@
     state_->report_timer.cancel();
 }
 
+asio::awaitable<bool> member::await_current_config()
+{
+    const auto state = state_;
+    co_return co_await state->await_current_config();
+}
+
+core::duration member::config_age() const
+{
+    return state_->config_age();
+}
+
 core::time_point member::last_confirmation() const
 {
     // Until a leader has read the rows, its fronts act on the directory of the former one.
@@ -134,7 +145,7 @@
                      member_callbacks owner_callbacks)
     : executor(std::move(io_executor)), settings(std::move(initial_settings)), adapter(message_adapter),
       tables(std::move(all_tables)), log(decision_log), callbacks(std::move(owner_callbacks)),
-      report_timer(executor)
+      report_timer(executor), currency(settings.max_config_delay, clock::now())
 {
     self.name = settings.name;
     self.incarnation = core::make_id("run");
@@ -217,6 +228,8 @@
             co_return co_await state->on_message(std::move(from), std::move(text));
         });
     callbacks.on_network(network);
+    asio::co_spawn(
+        executor, [self_reference] { return self_reference->watch_config(); }, asio::detached);
     // The stored leader gets a whole timeout: it may be busy because all routers have just started.
     contact = leader::leader_contact(clock::now());
     while (!is_ended)
@@ -344,6 +357,7 @@
             }
             contact.set_report_interval(core::duration{reply.value("report_interval", std::int64_t{0})});
             drop_confirmed_rows(reply);
+            confirm_config(reply, sent);
         }
         else if (kind == "starting")
         {
@@ -391,22 +405,7 @@
     }
     if (message.contains("config"))
     {
-        try
-        {
-            auto packed = message.at("config").get<std::string>();
-            auto parsed = adapter.read_config(internal::unpack(packed));
-            const auto version = parsed.version;
-            if (callbacks.on_config(std::move(parsed)))
-            {
-                packed_config = std::move(packed);
-                config_version = version;
-                log.write("configuration in force", {{"version", version}, {"from", leader.name}});
-            }
-        }
-        catch (const std::exception& failure)
-        {
-            log.write("configuration refused", {{"reason", failure.what()}});
-        }
+        adopt_packed_config(message.at("config").get<std::string>(), leader.name);
     }
     if (message.contains("directory"))
     {
@@ -493,6 +492,10 @@
         const bool is_seen = is_same && (leadership || contact.can_vouch(clock::now()));
         co_return json{{"kind", "leader seen"}, {"seen", is_seen}}.dump();
     }
+    if (kind == "configuration")
+    {
+        co_return co_await answer_config_question(message);
+    }
     if (kind == "directory position")
     {
         co_return report_position(message);
--- a/src/edge/internal/member_state.hpp
+++ b/src/edge/internal/member_state.hpp
@@ -4,6 +4,9 @@
 #include "edge/internal/store_health.hpp"
 #include "edge/member.hpp"
 #include "leader/leader_contact.hpp"
+#include "routes/config_currency.hpp"
+
+#include <list>
 
 namespace briarfold::edge {
 
@@ -51,6 +54,35 @@
     void become_leader(internal::leadership_start start);
     void step_down(const char* reason);
     void apply_update(const nlohmann::json& message);
+
+    // Configuration. The leader hands changes on and confirms with each answer that there is none; a router
+    // that is not confirmed asks others of its zone or the store.
+    enum class config_answer
+    {
+        none,
+        /// The other router could not confirm its configuration either.
+        outdated,
+        current
+    };
+    /// Puts a configuration in force if it is newer; `packed` is the document as encoded by `internal::pack`,
+    /// or empty when it is not encoded yet.
+    void adopt_config(const nlohmann::json& document, std::string packed, const std::string& source);
+    void adopt_packed_config(std::string packed, const std::string& source);
+    /// Handles what an answer to a question or report that was sent at `asked` tells of the newest version.
+    void confirm_config(const nlohmann::json& reply, core::time_point asked);
+    void on_config_confirmed(core::time_point at);
+    core::duration config_age();
+    core::asio::awaitable<void> watch_config();
+    core::asio::awaitable<bool> await_current_config();
+    /// Starts a check unless one is running, and waits at most `limit` for its end.
+    core::asio::awaitable<void> await_config_check(core::duration limit);
+    core::asio::awaitable<void> check_config();
+    std::vector<directory::router> choose_config_readers() const;
+    core::asio::awaitable<config_answer> ask_for_config(directory::router reader);
+    /// Returns whether the store answered.
+    core::asio::awaitable<bool> read_config_changes();
+    core::asio::awaitable<std::string> answer_config_question(nlohmann::json question);
+
     leader::router_report make_report();
     core::duration election_delay() const;
 
@@ -78,6 +110,11 @@
     /// Document of the configuration in force, as encoded by `internal::pack`.
     std::string packed_config;
     std::int64_t config_version = 0;
+    routes::config_currency currency;
+    /// Position in the store up to which the configuration in force contains all changes.
+    store::position config_position;
+    bool is_checking_config = false;
+    std::list<core::asio::steady_timer*> config_waits;
     core::time_point confirmed_at;
     core::time_point proved_at;
     leader::leader_contact contact{clock::now()};
--- a/src/edge/internal/router_node.cpp
+++ b/src/edge/internal/router_node.cpp
@@ -160,6 +160,7 @@
         }
         co_return co_await link->forward(std::move(peer), std::move(request), std::move(cancellation));
     };
+    result.await_current_config = [this] { return member.await_current_config(); };
     return result;
 }
 
@@ -256,6 +257,9 @@
                            [this] { return static_cast<double>(budget->given_up()); });
     metrics.computed_gauge("briarfold_edge_configuration_version", "Configuration in force.", {},
                            [this] { return static_cast<double>(entry.routes().config().version); });
+    metrics.computed_gauge("briarfold_edge_configuration_age_milliseconds",
+                           "Time since the configuration in force was known to be the newest one.", {},
+                           [this] { return static_cast<double>(member.config_age().ms); });
     metrics.computed_gauge("briarfold_edge_leader", "1 while this router is the leader.", {},
                            [this] { return member.is_leader() ? 1.0 : 0.0; });
     metrics.computed_gauge("briarfold_edge_store_era",
--- a/src/edge/member.hpp
+++ b/src/edge/member.hpp
@@ -60,6 +60,11 @@
     /// Requests a report at once; the answer confirms the assignments of this router.
     void request_report();
 
+    /// Returns whether the configuration in force is recent enough to say that a route does not exist. If it
+    /// is not known to be, looks for a newer one first, for at most 450 ms.
+    core::asio::awaitable<bool> await_current_config();
+    /// Returns the time since the configuration in force was known to be the newest one.
+    core::duration config_age() const;
     /// Returns the start of the last exchange in which the leader confirmed this router's directory.
     core::time_point last_confirmation() const;
     /// Returns when the leader last proved to this router that no other one had taken the leadership.
--- a/src/edge/tests/entry_tests.cpp
+++ b/src/edge/tests/entry_tests.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr unsigned status_ok = 200;
+constexpr unsigned status_not_found = 404;
 constexpr unsigned status_server_error = 500;
 constexpr unsigned status_bad_gateway = 502;
 constexpr unsigned status_unavailable = 503;
@@ -136,6 +137,41 @@
     return result;
 }
 
+/// Answers a request without a route. `find_config` looks for a newer configuration and returns whether the
+/// one in force is current then.
+http::response answer_unrouted(const std::function<bool(edge::entry&)>& find_config)
+{
+    asio::io_context context;
+    const auto adapter = make_protocol();
+    edge::event_log log({"entry"}, [](const char*, std::size_t size) { return size; });
+    metrics::registry metrics;
+    edge::entry* checked = nullptr;
+    edge::entry_callbacks callbacks;
+    callbacks.serve_locally =
+        [](wire::forward_request,
+           std::shared_ptr<core::cancellation>) -> asio::awaitable<wire::forward_result> {
+        co_return make_result(wire::outcome::answered, status_ok);
+    };
+    callbacks.await_current_config = [&]() -> asio::awaitable<bool> { co_return find_config(*checked); };
+    edge::entry entry(context.get_executor(), {"entry", "a", {}}, adapter, log, metrics,
+                      std::move(callbacks));
+    checked = &entry;
+    entry.apply(make_config());
+    const auto snapshot = make_directory({"entry"});
+    entry.apply(snapshot, directory::make_update(snapshot, {}, {}, 0));
+    http::response answer;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            http::request message("GET", "/x");
+            message.headers.emplace_back("Host", "other.example");
+            answer = co_await entry.handle(std::move(message), nullptr);
+        },
+        asio::detached);
+    context.run();
+    return answer;
+}
+
 front_answer stop_front(const std::string& stopping_front)
 {
     return [stopping_front](const std::string& front) {
@@ -244,4 +280,24 @@
     BOOST_CHECK_EQUAL(served.answers.back().status, status_server_error);
 }
 
+// Guards against a route that is said not to exist by a router that has missed the change which added it.
+BOOST_AUTO_TEST_CASE(a_route_of_a_configuration_that_was_missed_is_found)
+{
+    const auto answer = answer_unrouted([](edge::entry& entry) {
+        auto config = make_config();
+        config.version = 2;
+        config.routes.front().host = "other.example";
+        return entry.apply(std::move(config));
+    });
+    BOOST_CHECK_EQUAL(answer.status, status_ok);
+}
+
+BOOST_AUTO_TEST_CASE(a_route_is_unknown_only_by_a_current_configuration)
+{
+    BOOST_CHECK_EQUAL(answer_unrouted([](edge::entry&) { return true; }).status, status_not_found);
+    const auto refusal = answer_unrouted([](edge::entry&) { return false; });
+    BOOST_CHECK_EQUAL(refusal.status, status_unavailable);
+    BOOST_CHECK_EQUAL(http::find_header(refusal.headers, "X-Retry-Ms"), "500");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/settings/edge_settings.hpp
+++ b/src/settings/edge_settings.hpp
@@ -40,6 +40,8 @@
     bool is_first_start = true;
     /// Longest duration of a grant that backend servers accept.
     core::duration max_grant_duration{10000};
+    /// Time in which a change of the configuration has to be in force.
+    core::duration max_config_delay{2000};
 
     bool operator==(const edge_settings&) const = default;
 };
@@ -52,6 +54,7 @@
     std::string retry_budget_slack = "repeat_slack";
     std::string grace_s = "grace_s";
     std::string max_grant_duration_ms = "longest_hold_ms";
+    std::string max_config_delay_ms = "config_delay_ms";
 };
 
 /// Throws document::invalid_document with every error in the text; `name` appears in it.
--- a/src/settings/internal/edge_settings.cpp
+++ b/src/settings/internal/edge_settings.cpp
@@ -41,6 +41,8 @@
     result.grace.ms = static_cast<std::int64_t>(grace_s * ms_per_s);
     result.max_grant_duration.ms = static_cast<std::int64_t>(
         number(names.max_grant_duration_ms, static_cast<double>(result.max_grant_duration.ms)));
+    result.max_config_delay.ms = static_cast<std::int64_t>(
+        number(names.max_config_delay_ms, static_cast<double>(result.max_config_delay.ms)));
 }
 
 } // namespace
@@ -105,7 +107,8 @@
               {"repeat_window_s", static_cast<double>(value.retry_budget_window.ms) / ms_per_s},
               {"repeat_slack", value.retry_budget_slack},
               {"grace_s", static_cast<double>(value.grace.ms) / ms_per_s},
-              {"longest_hold_ms", value.max_grant_duration.ms}}}};
+              {"longest_hold_ms", value.max_grant_duration.ms},
+              {"config_delay_ms", value.max_config_delay.ms}}}};
 }
 
 } // namespace briarfold::settings
--- a/src/settings/tests/edge_settings_tests.cpp
+++ b/src/settings/tests/edge_settings_tests.cpp
@@ -32,8 +32,10 @@
 {
     bound_names names;
     names.retry_budget_ratio = "ratio";
+    names.max_config_delay_ms = "other-bound";
     const auto settings = parse_edge_settings(text, "test", names);
     BOOST_CHECK_EQUAL(settings.retry_budget_ratio, 0.3);
+    BOOST_CHECK_EQUAL(settings.max_config_delay.ms, 12);
     BOOST_CHECK_EQUAL(settings.name, "edge-a-1");
     BOOST_CHECK_EQUAL(settings.cpu, 0.2);
 }
