Log what shows that keys are free

Keys were given on while their last holder worked on them, and no line told why the front took them for free. The line "keys free" names the proof, the requests of these keys that are unanswered, and the age of the last answer. free_keys_say_what_shows_it.

--- a/src/edge/front_types.hpp
+++ b/src/edge/front_types.hpp
@@ -83,6 +83,10 @@
     core::time_point last_grant_end;
     /// Whether its process has ended, as another backend server answers at the address.
     bool has_ended = false;
+    /// Keys that were reported as free.
+    keyspace::key_set reported_free;
+    /// When it last answered a call or request.
+    core::time_point last_answer;
     /// Whether it said in an answer that it leaves, which the registry may show seconds later.
     bool is_leaving = false;
     bool is_removed = false;
--- a/src/edge/internal/front.cpp
+++ b/src/edge/internal/front.cpp
@@ -107,7 +107,9 @@
             {
                 report.short_of_tokens.push_back(id);
             }
-            for (const auto& item : server->grants->freed(now))
+            const auto freed = server->grants->freed(now);
+            state_->log_free_keys(*server, freed, now);
+            for (const auto& item : freed)
             {
                 report.freed.push_back({id, item.range, item.handover});
             }
@@ -292,6 +294,29 @@
     log.write("front given up", {{"backend_server", id}, {"running", server->running.size()}});
 }
 
+void front::state::log_free_keys(fronted_server& server, const std::vector<grants::freed_keys>& freed,
+                                 core::time_point now)
+{
+    keyspace::key_set all;
+    for (const auto& item : freed)
+    {
+        all.push_back(item.range);
+        for (const auto& range : keyspace::set_difference({item.range}, server.reported_free))
+        {
+            const auto unanswered = std::ranges::count_if(
+                server.running, [&](const auto& pending) { return range.contains(pending->waiting.key); });
+            log.write("keys free", {{"backend_server", server.entry.server.id},
+                                    {"first", range.first},
+                                    {"last", range.last},
+                                    {"proof", grants::to_text(item.proof)},
+                                    {"unanswered_requests", unanswered},
+                                    {"last_answer_age_ms", (now - server.last_answer).ms},
+                                    {"token", server.accepted_token}});
+        }
+    }
+    server.reported_free = keyspace::normalized(std::move(all));
+}
+
 void front::state::refuse_moved(const std::shared_ptr<request_pool>& pool)
 {
     const auto is_moved = [&](const dispatch::waiting_request& waiting) {
--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -382,6 +382,7 @@
     constexpr int failures_until_unreachable = 2;
     if (is_reached)
     {
+        server.last_answer = clock::now();
         if (std::exchange(server.unreachable_since, std::nullopt))
         {
             log.write("backend server reached", {{"backend_server", server.entry.server.id}, {"by", reason}});
--- a/src/edge/internal/front_state.hpp
+++ b/src/edge/internal/front_state.hpp
@@ -25,6 +25,9 @@
     /// Adds, updates or removes one backend server according to its directory entry.
     void apply_entry(const directory::entry& entry, const routes::routing_config& config);
     void refresh_pools();
+    /// Logs the keys that were not reported as free before, and what shows it.
+    void log_free_keys(fronted_server& server, const std::vector<grants::freed_keys>& freed,
+                       core::time_point now);
     void refuse_moved(const std::shared_ptr<request_pool>& pool);
     /// Removes and returns the requests of the pool that wait for a slot or a grant and match.
     static std::vector<dispatch::waiting_request>
--- a/src/grants/internal/server_grants.cpp
+++ b/src/grants/internal/server_grants.cpp
@@ -194,6 +194,7 @@
         last.prior_end = std::max(last.prior_end, item.prior_end);
         last.elsewhere_end = std::max(last.elsewhere_end, item.elsewhere_end);
         last.unanswered_latest_end = std::max(last.unanswered_latest_end, item.unanswered_latest_end);
+        last.ended_at = std::min(last.ended_at, item.ended_at);
     }
     ranges_ = std::move(merged);
 }
@@ -330,6 +331,8 @@
         {
             item.latest_end = now;
             item.prior_end = now;
+            item.ended_at = now;
+            item.has_process_ended = false;
             item.handover = handover;
         }
         item.is_granted = false;
@@ -371,6 +374,8 @@
         item.valid_until = now;
         item.latest_end = std::min(item.latest_end, now);
         item.unanswered_latest_end = {};
+        item.ended_at = now;
+        item.has_process_ended = true;
         item.handover.clear();
     }
 }
@@ -414,6 +419,39 @@
     return std::max({item.latest_end, item.prior_end, item.elsewhere_end, item.unanswered_latest_end});
 }
 
+free_proof server_grants::find_proof(const range_state& item)
+{
+    const auto from = free_from(item);
+    if (item.ended_at != core::time_point() && from <= item.ended_at)
+    {
+        return item.has_process_ended ? free_proof::process_end : free_proof::release;
+    }
+    return from == item.latest_end              ? free_proof::grant_end
+           : from == item.unanswered_latest_end ? free_proof::unanswered_grant_end
+           : from == item.prior_end             ? free_proof::earlier_front_end
+                                                : free_proof::earlier_address_end;
+}
+
+const char* to_text(free_proof proof)
+{
+    switch (proof)
+    {
+    case free_proof::release:
+        return "release answered";
+    case free_proof::process_end:
+        return "process ended";
+    case free_proof::grant_end:
+        return "grant ended";
+    case free_proof::unanswered_grant_end:
+        return "unanswered grant ended";
+    case free_proof::earlier_front_end:
+        return "grants of earlier fronts ended";
+    case free_proof::earlier_address_end:
+        return "grants at an earlier address ended";
+    }
+    return "";
+}
+
 std::vector<freed_keys> server_grants::freed(core::time_point now) const
 {
     std::vector<freed_keys> result;
@@ -421,7 +459,8 @@
     {
         if (item.release != release_state::none && !item.is_in_flight && free_from(item) <= now)
         {
-            result.push_back({item.range, item.release == release_state::done ? item.handover : ""});
+            result.push_back(
+                {item.range, item.release == release_state::done ? item.handover : "", find_proof(item)});
         }
     }
     return result;
--- a/src/grants/server_grants.hpp
+++ b/src/grants/server_grants.hpp
@@ -33,12 +33,32 @@
     bool operator==(const grant_call&) const = default;
 };
 
+/// What shows that keys are free.
+enum class free_proof
+{
+    /// The backend server answered their release.
+    release,
+    /// Another process answered at its address.
+    process_end,
+    /// The last grant of this front has ended.
+    grant_end,
+    /// The last grant of this front that may have been applied although it was not answered has ended.
+    unanswered_grant_end,
+    /// The last grant that an earlier front may have made has ended.
+    earlier_front_end,
+    /// The last grant at an earlier address of the backend server has ended.
+    earlier_address_end
+};
+
+const char* to_text(free_proof proof);
+
 /// Keys that no backend server can hold any more, so that they may be granted to another one.
 struct freed_keys
 {
     keyspace::key_range range;
     /// Token that keeps the keys warm at their next holder; empty if the backend server gave none.
     std::string handover;
+    free_proof proof = free_proof::grant_end;
 
     bool operator==(const freed_keys&) const = default;
 };
@@ -120,6 +140,9 @@
         core::time_point elsewhere_end;
         /// Latest end of the grants whose answer was lost and that no accepted higher token has made void.
         core::time_point unanswered_latest_end;
+        /// When a release or the end of the process ended all grants that were known then.
+        core::time_point ended_at;
+        bool has_process_ended = false;
         std::string handover;
         release_state release = release_state::none;
         /// Sequence of the release that is or was in flight. Only its answer shows that the keys are free: an
@@ -137,6 +160,7 @@
     void on_restarted(core::time_point now);
     range_state* find(const keyspace::key_range& range);
     static core::time_point free_from(const range_state& item);
+    static free_proof find_proof(const range_state& item);
     /// Whether a grant should be made so that the backend server rejects those of earlier fronts, also of
     /// keys that are to be released: otherwise they are free only when the earlier grants have ended.
     static bool may_fence(const range_state& item, core::time_point now);
--- a/src/grants/tests/server_grants_tests.cpp
+++ b/src/grants/tests/server_grants_tests.cpp
@@ -670,4 +670,26 @@
     BOOST_CHECK(!grants.next_call(now, true, grant_duration).has_value());
 }
 
+// Guards against a log that cannot tell why keys were given on.
+BOOST_AUTO_TEST_CASE(free_keys_say_what_shows_it)
+{
+    auto entry = make_entry({{0, 99}, {200, 299}});
+    server_grants grants(entry, now);
+    grant_all(grants);
+    entry.withdrawn = entry.keys;
+    ++entry.revision;
+    grants.update(entry, now);
+    grants.on_released(next(grants), "", now);
+    grants.on_lost(next(grants), now);
+    auto freed = grants.freed(now);
+    BOOST_REQUIRE_EQUAL(freed.size(), 1U);
+    BOOST_CHECK(freed.front().proof == free_proof::release);
+    now = latest_grant_end(now, grant_duration);
+    freed = grants.freed(now);
+    BOOST_REQUIRE_EQUAL(freed.size(), 2U);
+    BOOST_CHECK(freed.back().proof == free_proof::grant_end);
+    grants.on_ended(now);
+    BOOST_CHECK(grants.freed(now).back().proof == free_proof::process_end);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
