Replace a leader that answers no reports in time

A slow leader was kept for what it sent late: pushes counted like answers to reports. Its assignments, drains and confirmations came seconds late. Routers that it answered before and whose reports it leaves unanswered for 1.5 s or four reports take it for lost now, once no witness is answered either. A new leader that has yet to answer is exempt, since it gets the reports of all routers at once. a_leader_that_answers_no_reports_is_lost_whatever_it_sends, a_new_leader_may_answer_its_first_reports_late.

--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -283,8 +283,9 @@
 asio::awaitable<void> member::state::replace_lost_leader()
 {
     co_await core::pause_for(election_delay());
-    const bool is_found =
-        contact.is_heard_of_since(clock::now(), contact.report_interval()) && !leader.name.empty();
+    const auto now = clock::now();
+    const bool is_found = contact.is_heard_of_since(now, contact.report_interval()) &&
+                          !contact.is_unresponsive(now, {}) && !leader.name.empty();
     if (is_found || leadership)
     {
         co_return;
@@ -380,7 +381,7 @@
     }
     catch (const core::timeout_error& failure)
     {
-        contact.on_timeout();
+        contact.on_timeout(clock::now());
         log.write("report unanswered", {{"leader", recipient.name}, {"reason", failure.what()}});
     }
     catch (const std::exception& failure)
@@ -482,7 +483,7 @@
         apply_update(message);
         if (message.at("term").get<directory::generation>() == snapshot.term)
         {
-            contact.on_contact(clock::now());
+            contact.on_push(clock::now());
         }
         co_return json{{"kind", "known"}, {"term", snapshot.term}, {"revision", snapshot.revision}}.dump();
     }
