Have deputies announce backend servers that leave to their fronts

Requests reached backend servers more than 2 s after the store had acknowledged that they leave, since a front learned it from the leader alone, and the leader was slow. Deputies read the registry too. They tell the front of a backend server that it leaves, or that its registration is gone, half a second after they read it. A front sends nothing to it any more one second later, although its keys have not moved yet; callers are refused with the time after which to come back. A registration that is gone may come back, so that word lasts for 4 s.

--- a/src/edge/front.hpp
+++ b/src/edge/front.hpp
@@ -55,6 +55,9 @@
     /// probably last longer are refused with the `not_run_reason` "stopping", so that another front can serve
     /// them.
     void cap_deadlines(core::time_point latest);
+    /// Records that a process of a backend server leaves, or that its registration is gone, ahead of the
+    /// directory.
+    void note_leaving(const leader::server_process& process, bool is_gone);
     /// Adds the observations of this front since the last report.
     void fill_report(leader::router_report& report);
     /// Refuses requests that cannot be served in time and sends due grants. Call it a few times per 100 ms.
--- a/src/edge/front_types.hpp
+++ b/src/edge/front_types.hpp
@@ -87,8 +87,11 @@
     keyspace::key_set reported_free;
     /// When it last answered a call or request.
     core::time_point last_answer;
-    /// Whether it said in an answer that it leaves, which the registry may show seconds later.
-    bool is_leaving = false;
+    /// Since when this front knows that it leaves, from its answers or a deputy. The leader may know seconds
+    /// later.
+    std::optional<core::time_point> leaving_since;
+    /// When a deputy told that its registration is gone. It may register again.
+    std::optional<core::time_point> gone_at;
     bool is_removed = false;
 
     bool is_keyed() const { return grants.has_value(); }
--- a/src/edge/internal/front.cpp
+++ b/src/edge/internal/front.cpp
@@ -61,6 +61,25 @@
     state_->tick();
 }
 
+void front::note_leaving(const leader::server_process& process, bool is_gone)
+{
+    const auto position = state_->servers.find(process.backend_server);
+    if (position == state_->servers.end() ||
+        position->second->entry.server.start_time_ms != process.start_time_ms)
+    {
+        return;
+    }
+    auto& server = *position->second;
+    if (is_gone)
+    {
+        server.gone_at = clock::now();
+    }
+    else
+    {
+        state_->record_leaving(server);
+    }
+}
+
 std::size_t front::in_flight() const
 {
     return state_->running;
@@ -94,7 +113,7 @@
         {
             report.ended.push_back({id, server->entry.server.start_time_ms});
         }
-        if (server->is_leaving && !server->entry.server.is_draining)
+        if (server->leaving_since && !server->entry.server.is_draining)
         {
             report.leaving.push_back({id, server->entry.server.start_time_ms});
         }
@@ -266,7 +285,8 @@
         server.unanswered_grant.reset();
         server.has_accepted_grant = false;
         server.has_ended = false;
-        server.is_leaving = false;
+        server.leaving_since.reset();
+        server.gone_at.reset();
         estimate.forget(entry.server.id);
         callbacks.request_report();
     }
--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -32,6 +32,7 @@
     for (const auto& [name, pool] : all)
     {
         refuse_unfinishable(*pool, now);
+        refuse_spared(*pool, now);
         auto expired = pool->queue.expire(now);
         std::erase_if(pool->awaiting_grant, [&](const auto& waiting) {
             const bool is_late = static_cast<double>((waiting.deadline - now).ms) < waiting.work_ms / 2;
@@ -78,6 +79,18 @@
     }
 }
 
+void front::state::refuse_spared(request_pool& pool, core::time_point now)
+{
+    if (pool.servers.empty() || !must_spare(*pool.servers.front(), now))
+    {
+        return;
+    }
+    for (const auto& waiting : extract_waiting(pool, [](const auto&) { return true; }))
+    {
+        end_waiting(pool, waiting, make_leaving_refusal());
+    }
+}
+
 void front::state::run_grants(const std::shared_ptr<fronted_server>& server)
 {
     const auto now = clock::now();
@@ -182,9 +195,9 @@
         result.answer.status == status_ok || result.answer.status == status_superseded;
     const bool is_answered = result.outcome == exchange_outcome::answered && is_expected_status;
     server->is_replaced = is_replaced || (server->is_replaced && !is_answered);
-    if (is_answered)
+    if (is_answered && result.head.is_leaving)
     {
-        record_leaving(*server, result.head);
+        record_leaving(*server);
     }
     const char* outcome = "lost";
     if (is_answered && result.answer.status == status_ok)
@@ -349,10 +362,11 @@
     }
 }
 
-void front::state::record_leaving(fronted_server& server, const response_head& head)
+void front::state::record_leaving(fronted_server& server)
 {
-    if (head.is_leaving && !std::exchange(server.is_leaving, true))
+    if (!server.leaving_since)
     {
+        server.leaving_since = clock::now();
         log.write("backend server leaves", {{"backend_server", server.entry.server.id}});
         callbacks.request_report();
     }
--- a/src/edge/internal/front_outcomes.cpp
+++ b/src/edge/internal/front_outcomes.cpp
@@ -31,9 +31,9 @@
 {
     auto& server = *pending.server;
     const bool is_answer = outcome.outcome == exchange_outcome::answered;
-    if (is_answer && !outcome.head.is_misdirected)
+    if (is_answer && !outcome.head.is_misdirected && outcome.head.is_leaving)
     {
-        record_leaving(server, outcome.head);
+        record_leaving(server);
     }
     if (is_answer && outcome.head.is_not_run)
     {
--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -10,6 +10,13 @@
 using core::clock;
 
 constexpr unsigned status_unavailable = 503;
+/// Time for which a backend server with keys that leaves still gets requests. Its keys move meanwhile, unless
+/// the leader is slow or lost.
+constexpr core::duration max_leaving_time{1000};
+constexpr core::duration leaving_retry_after{600};
+/// Time for which the word of a deputy that a registration is gone goes before the directory: within it
+/// another router leads and has read the registry.
+constexpr core::duration max_gone_time{4000};
 /// Time after the deadline of a request in which the backend server's own answer may still arrive.
 constexpr core::duration answer_grace{120};
 
@@ -137,6 +144,10 @@
         return make_unreachable_refusal(*first,
                                         {std::max<std::int64_t>(pending->request.deadline.ms / 3, 0)});
     }
+    if (must_spare(*first, now))
+    {
+        return make_leaving_refusal();
+    }
     if (ends_before_answer(pending->waiting, now))
     {
         return make_stopping_refusal(now);
@@ -213,6 +224,27 @@
     return refusal;
 }
 
+std::optional<core::time_point> front::state::find_leaving_time(const fronted_server& server,
+                                                                core::time_point now)
+{
+    const bool is_gone = server.gone_at && now - *server.gone_at < max_gone_time;
+    return server.leaving_since ? server.leaving_since : is_gone ? server.gone_at : std::nullopt;
+}
+
+bool front::state::must_spare(const fronted_server& server, core::time_point now)
+{
+    const auto since = find_leaving_time(server, now);
+    return server.is_keyed() && since && now - *since > max_leaving_time;
+}
+
+wire::forward_result front::state::make_leaving_refusal()
+{
+    auto refusal = make_result(wire::outcome::refused_not_run, status_unavailable,
+                               "the backend server leaves", "leaving");
+    refusal.retry_after = leaving_retry_after;
+    return refusal;
+}
+
 std::shared_ptr<fronted_server>
 front::state::choose_server(const request_pool& pool, const pending_request* pending, core::time_point now)
 {
@@ -222,8 +254,9 @@
     {
         const int slots = server->limit.slots(now);
         const bool is_usable =
-            server->entry.is_listed && !server->entry.server.is_draining && !server->is_leaving;
-        if (static_cast<int>(server->running.size()) >= slots || (!server->is_keyed() && !is_usable))
+            server->entry.is_listed && !server->entry.server.is_draining && !find_leaving_time(*server, now);
+        const bool takes_requests = server->is_keyed() ? !must_spare(*server, now) : is_usable;
+        if (static_cast<int>(server->running.size()) >= slots || !takes_requests)
         {
             continue;
         }
--- a/src/edge/internal/front_state.hpp
+++ b/src/edge/internal/front_state.hpp
@@ -62,6 +62,8 @@
     /// Refuses the waiting requests that could not be answered before the end of this router or of their
     /// entry.
     void refuse_unfinishable(request_pool& pool, core::time_point now);
+    /// Refuses the waiting requests whose backend server must get no more.
+    void refuse_spared(request_pool& pool, core::time_point now);
     wire::forward_result make_stopping_refusal(core::time_point now) const;
     void end_waiting(request_pool& pool, const dispatch::waiting_request& waiting,
                      wire::forward_result result);
@@ -70,8 +72,14 @@
                                                          core::duration retry_after);
     /// Refuses the requests that wait for the keys of an unreachable backend server.
     void refuse_waiting(fronted_server& server);
-    /// Handles an answer in which the backend server says that it leaves.
-    void record_leaving(fronted_server& server, const response_head& head);
+    /// Records that the backend server says that it leaves.
+    void record_leaving(fronted_server& server);
+    /// Whether the backend server has been leaving for so long that it must get no more requests, although it
+    /// still has its keys.
+    static std::optional<core::time_point> find_leaving_time(const fronted_server& server,
+                                                             core::time_point now);
+    static bool must_spare(const fronted_server& server, core::time_point now);
+    static wire::forward_result make_leaving_refusal();
     /// Handles an answer of another backend server to a call for this one that was sent at `sent`. The
     /// platform gives an address to another backend server only after the former one has ended.
     void record_replaced(fronted_server& server, core::time_point sent);
--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -493,6 +493,12 @@
         const bool is_seen = is_same && (leadership || contact.can_vouch(clock::now()));
         co_return json{{"kind", "leader seen"}, {"seen", is_seen}}.dump();
     }
+    if (kind == "backend server leaves" && !is_ended)
+    {
+        callbacks.on_leaving({message.at("backend_server").get<std::string>(),
+                              message.at("start_time_ms").get<std::int64_t>()},
+                             message.at("gone").get<bool>());
+    }
     if (kind == "configuration")
     {
         co_return co_await answer_config_question(message);
--- a/src/edge/internal/member_deputy.cpp
+++ b/src/edge/internal/member_deputy.cpp
@@ -15,6 +15,11 @@
 constexpr core::duration registry_read_pause{300};
 /// Time for which a deputy leaves the leader to read a row itself.
 constexpr core::duration deputy_report_delay{150};
+/// Time in which a leader that works has told the front of a backend server that it leaves.
+constexpr core::duration leader_drain_time{500};
+constexpr core::duration announcement_timeout{400};
+/// Registrations may lapse while the store fails, and are back within this time of its return.
+constexpr core::duration min_healthy_time{2200};
 
 } // namespace
 
@@ -75,6 +80,60 @@
 void member::state::record_deputy_row(const std::string& table, const store::row& row)
 {
     deputy_rows[{table, row.key}] = {row, clock::now()};
+    if (table != "registry")
+    {
+        return;
+    }
+    const auto read = row.value.is_null() ? std::nullopt : adapter.read_registration(row.key, row.value);
+    const bool is_gone = row.value.is_null() && !health.was_failing(min_healthy_time, clock::now());
+    const auto entry = snapshot.entries.find(row.key);
+    if (entry != snapshot.entries.end() && (is_gone || (read && read->server.is_draining)))
+    {
+        const auto start_time_ms = read ? read->server.start_time_ms : entry->second.server.start_time_ms;
+        asio::co_spawn(
+            executor,
+            [self = shared_from_this(), process = leader::server_process{row.key, start_time_ms}, is_gone] {
+                return self->announce_leaving(process, is_gone);
+            },
+            asio::detached);
+    }
+}
+
+asio::awaitable<void> member::state::announce_leaving(leader::server_process process, bool is_gone)
+{
+    const auto self_reference = shared_from_this();
+    co_await core::pause_for(leader_drain_time);
+    const auto entry = snapshot.entries.find(process.backend_server);
+    if (is_ended || entry == snapshot.entries.end())
+    {
+        co_return;
+    }
+    const auto front = entry->second.front;
+    log.write("leaving backend server announced",
+              {{"backend_server", process.backend_server}, {"front", front}, {"gone", is_gone}});
+    if (front == settings.name)
+    {
+        callbacks.on_leaving(process, is_gone);
+        co_return;
+    }
+    const auto router = snapshot.routers.find(front);
+    const auto link = network;
+    if (router == snapshot.routers.end() || !link)
+    {
+        co_return;
+    }
+    const json message = {{"kind", "backend server leaves"},
+                          {"backend_server", process.backend_server},
+                          {"start_time_ms", process.start_time_ms},
+                          {"gone", is_gone}};
+    try
+    {
+        co_await link->send_message(router->second.peer, message.dump(), announcement_timeout);
+    }
+    catch (const std::exception& failure)
+    {
+        log.write("announcement failed", {{"front", front}, {"reason", failure.what()}});
+    }
 }
 
 void member::state::add_deputy_rows(json& message)
--- a/src/edge/internal/member_state.hpp
+++ b/src/edge/internal/member_state.hpp
@@ -40,6 +40,9 @@
     /// Reads the changes of the table "config" or "registry" in case the leader cannot read them.
     core::asio::awaitable<void> watch_as_deputy(std::string table);
     void record_deputy_row(const std::string& table, const store::row& row);
+    /// Tells the front of a backend server that it leaves or that its registration is gone. The leader may
+    /// have read it and still be late.
+    core::asio::awaitable<void> announce_leaving(leader::server_process process, bool is_gone);
     void add_deputy_rows(nlohmann::json& message);
     void drop_confirmed_rows(const nlohmann::json& reply);
     /// Answers a new leader that collects the directories, and lets no earlier leader change this one any
--- a/src/edge/internal/router_node.cpp
+++ b/src/edge/internal/router_node.cpp
@@ -115,6 +115,9 @@
         front.apply(member.directory(), entry.routes().config());
         return true;
     };
+    result.on_leaving = [this](const leader::server_process& process, bool is_gone) {
+        front.note_leaving(process, is_gone);
+    };
     result.fill_report = [this](leader::router_report& report) { front.fill_report(report); };
     result.on_network = [this](std::shared_ptr<wire::peer_network> created) {
         network = std::move(created);
--- a/src/edge/member.hpp
+++ b/src/edge/member.hpp
@@ -34,6 +34,9 @@
     std::function<void(const directory::snapshot&, const directory::update&)> on_directory;
     /// Applies a configuration. Returns false when it is not newer than the one in force.
     std::function<bool(routes::routing_config)> on_config;
+    /// Called when a deputy tells that a backend server of this router leaves, or that its registration is
+    /// gone.
+    std::function<void(const leader::server_process&, bool is_gone)> on_leaving;
     /// Adds the observations of this router.
     std::function<void(leader::router_report&)> fill_report;
     /// Called with the network to other routers, which is created once the shared secret is known.
--- a/standins/edge/tests/slow_leader_tests.cpp
+++ b/standins/edge/tests/slow_leader_tests.cpp
@@ -37,6 +37,25 @@
         cluster.write_spans();
     }
 
+    int leaving_servers() const { return static_cast<int>(left_at_.size()); }
+    /// Returns the number of requests that reached backend servers long after they said that they leave.
+    std::size_t count_late_arrivals() const
+    {
+        std::size_t count = 0;
+        for (const auto& item : cluster.backends)
+        {
+            const auto left = left_at_.find(item->id());
+            if (left != left_at_.end())
+            {
+                count += static_cast<std::size_t>(
+                    std::ranges::count_if(item->arrivals(), [&](const arrival& request) {
+                        return request.at > left->second + max_delay;
+                    }));
+            }
+        }
+        return count;
+    }
+
     /// Longest time for which a router that was not disturbed missed a change.
     core::duration worst_delay;
     int slow_leaderships = 0;
@@ -66,6 +85,39 @@
         return static_cast<std::size_t>(found - cluster.names.begin());
     }
 
+    std::string find_stored_front(const std::string& backend_server) const
+    {
+        constexpr int parts = 32;
+        for (int part = 0; part < parts; ++part)
+        {
+            const auto row = cluster.store.get("briarfold", "assignment/keyed/" + std::to_string(part));
+            const auto servers = row ? row->at("servers") : nlohmann::json::array();
+            for (const auto& item : servers)
+            {
+                if (item.at(0) == backend_server)
+                {
+                    return item.at(3).get<std::string>();
+                }
+            }
+        }
+        return "";
+    }
+
+    /// Has a backend server leave whose front is not the slow leader. Two backend servers stay.
+    asio::awaitable<void> leave(std::size_t leader, core::duration pause)
+    {
+        co_await core::pause_for(pause);
+        const auto chosen = std::ranges::find_if(cluster.backends, [&](const auto& item) {
+            const auto front = find_stored_front(item->id());
+            return !left_at_.contains(item->id()) && !front.empty() && front != cluster.names[leader];
+        });
+        if (chosen != cluster.backends.end() && left_at_.size() + 2 < cluster.backends.size())
+        {
+            cluster.register_backend(**chosen, true);
+            left_at_[(*chosen)->id()] = core::clock::now();
+        }
+    }
+
     /// Lets the leader run for some milliseconds at a time, so that it answers, but late.
     asio::awaitable<void> slow_leaders(choices random)
     {
@@ -82,6 +134,7 @@
             ++slow_leaderships;
             const auto end = core::clock::now() + slow_time;
             slow_until_[leader] = end + contact_time;
+            start(leave(leader, random.span(200, 1000)));
             auto& process = *cluster.processes[leader];
             while (core::clock::now() < end && !is_over())
             {
@@ -134,13 +187,14 @@
     /// When each version was acknowledged, from the second one on.
     std::vector<core::time_point> changed_at_;
     std::vector<core::time_point> slow_until_;
+    std::map<std::string, core::time_point> left_at_;
 };
 
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(slow_leaders)
 
-// Guards against a change that waits for a leader that answers late, but answers.
+// Guards against changes, and backend servers that leave, that wait for a leader that answers late.
 BOOST_AUTO_TEST_CASE(changes_are_in_force_in_time_while_the_leader_is_slow)
 {
     play_seeds(1, [](unsigned seed, const std::filesystem::path& folder) {
@@ -148,11 +202,15 @@
         BOOST_REQUIRE(play.cluster.await_ready());
         play.run();
         BOOST_TEST_MESSAGE("seed " << seed << ": " << play.slow_leaderships << " slow leaders, "
-                                   << play.versions() << " versions, worst delay " << play.worst_delay.ms
-                                   << " ms in " << play.answers << " answers");
+                                   << play.leaving_servers() << " leaving servers, "
+                                   << play.count_late_arrivals() << " late arrivals, " << play.versions()
+                                   << " versions, worst delay " << play.worst_delay.ms << " ms in "
+                                   << play.answers << " answers");
         BOOST_CHECK_GE(play.slow_leaderships, 2);
         BOOST_CHECK_GT(play.answers, 1000U);
         BOOST_CHECK_LE(play.worst_delay.ms, max_delay.ms);
+        BOOST_CHECK_GT(play.leaving_servers(), 0);
+        BOOST_CHECK_EQUAL(play.count_late_arrivals(), 0U);
         check_invariants(play.cluster);
         check_exclusive_ownership(play.cluster);
     });
