--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -283,9 +283,8 @@
 asio::awaitable<void> member::state::replace_lost_leader()
 {
     co_await core::pause_for(election_delay());
-    const auto now = clock::now();
-    const bool is_found = contact.is_heard_of_since(now, contact.report_interval()) &&
-                          !contact.is_unresponsive(now, {}) && !leader.name.empty();
+    const bool is_found =
+        contact.is_heard_of_since(clock::now(), contact.report_interval()) && !leader.name.empty();
     if (is_found || leadership)
     {
         co_return;
@@ -381,7 +380,7 @@
     }
     catch (const core::timeout_error& failure)
     {
-        contact.on_timeout(clock::now());
+        contact.on_timeout();
         log.write("report unanswered", {{"leader", recipient.name}, {"reason", failure.what()}});
     }
     catch (const std::exception& failure)
@@ -483,7 +482,7 @@
         apply_update(message);
         if (message.at("term").get<directory::generation>() == snapshot.term)
         {
-            contact.on_push(clock::now());
+            contact.on_contact(clock::now());
         }
         co_return json{{"kind", "known"}, {"term", snapshot.term}, {"revision", snapshot.revision}}.dump();
     }
--- a/src/leader/internal/leader_contact.cpp
+++ b/src/leader/internal/leader_contact.cpp
@@ -8,8 +8,6 @@
 
 constexpr core::duration min_leader_timeout{1100};
 constexpr core::duration min_connected_timeout{2200};
-constexpr core::duration min_unresponsive_time{1500};
-constexpr std::int64_t reports_until_unresponsive = 4;
 constexpr std::int64_t reports_until_disconnected = 4;
 constexpr core::duration min_outage_threshold{800};
 constexpr std::int64_t reports_until_outage = 2;
@@ -22,31 +20,16 @@
 }
 
 void leader_contact::on_contact(core::time_point now)
-{
-    on_push(now);
-    has_answered_ = true;
-    unanswered_since_.reset();
-}
-
-void leader_contact::on_push(core::time_point now)
 {
     last_answer_ = now;
     failures_ = 0;
     is_last_report_answered_ = true;
 }
 
-void leader_contact::on_timeout(core::time_point now)
-{
-    is_last_report_answered_ = false;
-    unanswered_since_ = unanswered_since_.value_or(now);
-}
-
 void leader_contact::on_leader_named(core::time_point now)
 {
-    on_push(now);
+    on_contact(now);
     is_last_report_answered_ = false;
-    has_answered_ = false;
-    unanswered_since_.reset();
 }
 
 void leader_contact::on_failure()
@@ -58,15 +41,7 @@
 bool leader_contact::is_lost(core::time_point now, core::duration patience) const
 {
     const auto timeout = std::max(min_leader_timeout, report_interval_ * max_failures);
-    return failures_ >= max_failures || now - last_answer_ > timeout + patience ||
-           is_unresponsive(now, patience);
-}
-
-bool leader_contact::is_unresponsive(core::time_point now, core::duration patience) const
-{
-    // One that has yet to answer may be busy because all routers have just started to follow it.
-    const auto limit = std::max(min_unresponsive_time, report_interval_ * reports_until_unresponsive);
-    return has_answered_ && unanswered_since_ && now - *unanswered_since_ > limit + patience;
+    return failures_ >= max_failures || now - last_answer_ > timeout + patience;
 }
 
 bool leader_contact::can_vouch(core::time_point now) const
--- a/src/leader/leader_contact.hpp
+++ b/src/leader/leader_contact.hpp
@@ -3,8 +3,6 @@
 
 #include "core/clock.hpp"
 
-#include <optional>
-
 namespace briarfold::leader {
 
 /// Tells a lost leader from a busy one. Load pattern: hundreds of routers start at once, or one leader
@@ -24,14 +22,12 @@
     void set_report_interval(core::duration interval);
     core::duration report_interval() const { return report_interval_; }
 
-    /// Records an answer of the leader to a report.
+    /// Records an answer or a push of the leader.
     void on_contact(core::time_point now);
-    /// Records that the leader sent something by itself. It lives, but may not answer any more.
-    void on_push(core::time_point now);
     /// Records that the store or others name a leader, which has yet to answer this router.
     void on_leader_named(core::time_point now);
     /// Records a report that was not answered in time; the leader may be busy.
-    void on_timeout(core::time_point now);
+    void on_timeout() { is_last_report_answered_ = false; }
     /// Records a report that could not be delivered, or that its recipient did not accept.
     void on_failure();
     /// Records that no leader is known.
@@ -40,9 +36,6 @@
     int failures() const { return failures_; }
     /// Whether it is time to look for another leader; `patience` differs between routers.
     bool is_lost(core::time_point now, core::duration patience) const;
-    /// Whether the leader answered before and has left all reports unanswered for some time. What it sends by
-    /// itself is late then.
-    bool is_unresponsive(core::time_point now, core::duration patience) const;
     /// Whether this router can assure another one that the leader lives.
     bool can_vouch(core::time_point now) const;
     bool is_heard_of_since(core::time_point now, core::duration span) const
@@ -59,9 +52,6 @@
     core::duration report_interval_ = min_report_interval;
     int failures_ = 0;
     bool is_last_report_answered_ = false;
-    bool has_answered_ = false;
-    /// Since when no report was answered in time.
-    std::optional<core::time_point> unanswered_since_;
 };
 
 } // namespace briarfold::leader
--- a/src/leader/tests/leader_contact_tests.cpp
+++ b/src/leader/tests/leader_contact_tests.cpp
@@ -18,7 +18,7 @@
     for (int report = 0; report < 20; ++report)
     {
         now = now + duration{450};
-        report % 2 == 0 ? contact.on_timeout(now) : contact.on_contact(now);
+        report % 2 == 0 ? contact.on_timeout() : contact.on_contact(now);
         BOOST_CHECK(!contact.is_lost(now, {}));
     }
 }
@@ -51,51 +51,13 @@
     BOOST_CHECK(!contact.can_vouch(now));
     contact.on_contact(now);
     BOOST_CHECK(contact.can_vouch(now + leader_contact::min_report_interval));
-    contact.on_timeout(now);
+    contact.on_timeout();
     BOOST_CHECK(!contact.can_vouch(now + leader_contact::min_report_interval));
     contact.on_contact(now);
     contact.on_leader_named(now);
     BOOST_CHECK(!contact.can_vouch(now));
 }
 
-// Guards against a leader that is kept for what it sends late, while it answers nobody.
-BOOST_AUTO_TEST_CASE(a_leader_that_answers_no_reports_is_lost_whatever_it_sends)
-{
-    time_point now{1000000};
-    leader_contact contact(now);
-    contact.on_contact(now);
-    for (int report = 0; report < 4; ++report)
-    {
-        now = now + duration{400};
-        contact.on_timeout(now);
-        contact.on_push(now);
-        BOOST_CHECK(!contact.is_lost(now, {}));
-    }
-    now = now + duration{400};
-    BOOST_CHECK(contact.is_lost(now, {}));
-    BOOST_CHECK(!contact.can_vouch(now));
-    BOOST_CHECK(!contact.is_lost(now, duration{600}));
-    contact.on_contact(now);
-    BOOST_CHECK(!contact.is_lost(now, {}));
-}
-
-// Guards against one change of leader after the other in a large group: a new leader gets the reports of all
-// at once and answers the first ones late.
-BOOST_AUTO_TEST_CASE(a_new_leader_may_answer_its_first_reports_late)
-{
-    time_point now{1000000};
-    leader_contact contact(now);
-    contact.on_contact(now);
-    contact.on_leader_named(now);
-    for (int report = 0; report < 10; ++report)
-    {
-        now = now + duration{400};
-        contact.on_timeout(now);
-        contact.on_push(now);
-        BOOST_CHECK(!contact.is_lost(now, {}));
-    }
-}
-
 // Guards against a large group that takes the longer interval between its reports for a loss or an outage.
 BOOST_AUTO_TEST_CASE(timeouts_grow_with_the_report_interval)
 {
--- a/src/leader/tests/ownership_model.cpp
+++ b/src/leader/tests/ownership_model.cpp
@@ -529,7 +529,7 @@
             self.is_reporting = false;
             if (!answer)
             {
-                self.contact.on_timeout(now_);
+                self.contact.on_timeout();
                 return;
             }
             if (!answer->is_update)
@@ -633,9 +633,7 @@
 void ownership_model::survey(int index)
 {
     auto& router = routers_[index];
-    const bool is_unresponsive = router.contact.is_unresponsive(now_, {});
-    if (router.contact.is_heard_of_since(now_, router.contact.report_interval()) && !is_unresponsive &&
-        router.leader >= 0)
+    if (router.contact.is_heard_of_since(now_, router.contact.report_interval()) && router.leader >= 0)
     {
         router.is_electing = false;
         return;
@@ -1037,7 +1035,7 @@
             auto& router = routers_[to];
             if (term == router.snapshot.term)
             {
-                router.contact.on_push(now_);
+                router.contact.on_contact(now_);
             }
             return std::optional(answer(router.snapshot.term, router.snapshot.revision));
         },
