Let readers of the configuration depend on the store alone

By review: a reader without the store, or one that is frozen, made the other routers of its zone believe that the store fails for all, so that none read it for 4 s. The two readers of a zone read the store themselves now and ask nobody; the others take the store for lost only when both say so. Questions are spread over 0.1 s, and a failure of a check does not end later ones. An empty answer of the store counts from the end of its wait only if that has passed. The play freezes routers besides.

--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -14,8 +14,8 @@
 /// the leader is slow or lost.
 constexpr core::duration max_leaving_time{1000};
 constexpr core::duration leaving_retry_after{600};
-/// Time for which the word of a deputy that a registration is gone goes before the directory: within it
-/// another router leads and has read the registry.
+/// Time for which the word of a deputy that a registration is gone goes before the directory. It is repeated
+/// until the leader has read the registry.
 constexpr core::duration max_gone_time{4000};
 /// Time after the deadline of a request in which the backend server's own answer may still arrive.
 constexpr core::duration answer_grace{120};
--- a/src/edge/internal/leader_store.cpp
+++ b/src/edge/internal/leader_store.cpp
@@ -222,8 +222,9 @@
                 position = batch.position();
                 config_position_ = std::max(config_position_, position);
                 // An answer without changes was given when the wait had ended.
-                on_config_confirmed(batch.rows.empty() ? std::min(clock::now(), sent + config_feed_wait)
-                                                       : sent);
+                const auto waited_until = sent + config_feed_wait;
+                const bool has_waited = batch.rows.empty() && clock::now() >= waited_until;
+                on_config_confirmed(has_waited ? waited_until : sent);
                 for (const auto& row : batch.rows)
                 {
                     if (row.key == tables_.config_key && !row.value.is_null())
--- a/src/edge/internal/member_config.cpp
+++ b/src/edge/internal/member_config.cpp
@@ -1,4 +1,5 @@
 #include "core/error.hpp"
+#include "core/key_hash.hpp"
 #include "core/pause.hpp"
 #include "edge/internal/member_state.hpp"
 #include "edge/internal/peer_message.hpp"
@@ -10,16 +11,20 @@
 namespace {
 
 /// Routers of each availability zone that read the store for the others of their zone.
-constexpr std::size_t readers_per_zone = 3;
+constexpr std::size_t readers_per_zone = 2;
 /// Timeout of a question to another router. It may read the store for the answer.
-constexpr core::duration question_timeout{200};
+constexpr core::duration question_timeout{150};
 /// Maximum time that a router takes for such a read, and age up to which it answers without one.
-constexpr core::duration max_answer_wait{150};
+constexpr core::duration max_answer_wait{120};
 constexpr core::duration max_answer_age{600};
 constexpr core::duration read_timeout{400};
 /// Maximum wait of a request without a route for the check of the configuration.
 constexpr core::duration max_request_wait{450};
 constexpr core::duration min_check_pause{20};
+/// Pause of a router that has no configuration yet; it gets one with its first directory.
+constexpr core::duration start_pause{200};
+/// Span over which the questions of a zone to its readers are spread.
+constexpr std::uint64_t question_spread_ms = 100;
 
 } // namespace
 
@@ -94,13 +99,15 @@
 asio::awaitable<void> member::state::watch_config()
 {
     const auto self_reference = shared_from_this();
+    const core::duration spread{
+        static_cast<std::int64_t>(core::text_hash(settings.name) % question_spread_ms)};
     while (!is_ended)
     {
         config_age();
-        const auto wait = currency.next_check() - clock::now();
+        const auto wait = currency.next_check() + spread - clock::now();
         if (wait.ms > 0 || config_version == 0)
         {
-            co_await core::pause_for(std::max(wait, min_check_pause));
+            co_await core::pause_for(std::max(wait, config_version == 0 ? start_pause : min_check_pause));
             continue;
         }
         co_await await_config_check(question_timeout * readers_per_zone + read_timeout);
@@ -141,23 +148,14 @@
     const auto self_reference = shared_from_this();
     const auto start = clock::now();
     const auto former_age = config_age();
-    bool does_store_fail = false;
     std::string source;
-    for (const auto& reader : choose_config_readers())
+    try
     {
-        const auto answer = co_await ask_for_config(reader);
-        does_store_fail = does_store_fail || answer == config_answer::outdated;
-        if (answer == config_answer::current)
-        {
-            source = reader.name;
-            break;
-        }
+        source = co_await find_current_config();
     }
-    // While the store fails for its readers, only a long outage is worth the calls of all others.
-    const bool is_read_due = !does_store_fail || currency.is_long_unconfirmed(clock::now());
-    if (source.empty() && is_read_due && co_await read_config_changes())
+    catch (const std::exception& failure)
     {
-        source = "store";
+        log.write("check of the configuration failed", {{"reason", failure.what()}});
     }
     if (source.empty())
     {
@@ -172,6 +170,29 @@
     std::ranges::for_each(config_waits, [](asio::steady_timer* timer) { timer->cancel(); });
 }
 
+asio::awaitable<std::string> member::state::find_current_config()
+{
+    const auto self_reference = shared_from_this();
+    const auto readers = choose_config_readers();
+    // Readers ask nobody, so that none waits for another that waits for it.
+    const bool is_reader =
+        std::ranges::find(readers, settings.name, &directory::router::name) != readers.end();
+    bool does_store_fail = !is_reader && !readers.empty();
+    for (const auto& reader : readers)
+    {
+        const auto answer = is_reader ? config_answer::none : co_await ask_for_config(reader);
+        does_store_fail = does_store_fail && answer == config_answer::store_fails;
+        if (answer == config_answer::current)
+        {
+            co_return reader.name;
+        }
+    }
+    // While the store fails for all readers, only a long outage is worth the calls of all others.
+    const bool is_read_due = !does_store_fail || currency.is_long_unconfirmed(clock::now());
+    const bool is_read = is_read_due && co_await read_config_changes();
+    co_return is_read ? "store" : "";
+}
+
 std::vector<directory::router> member::state::choose_config_readers() const
 {
     std::vector<directory::router> readers;
@@ -186,9 +207,6 @@
     const auto has_more_cpu = [](const auto& a, const auto& b) { return a.cpu > b.cpu; };
     std::ranges::stable_sort(readers, has_more_cpu);
     readers.resize(std::min(readers.size(), readers_per_zone));
-    // Readers ask only those before them, so that none waits for another that waits for it.
-    const auto own = std::ranges::find(readers, settings.name, &directory::router::name);
-    readers.erase(own, readers.end());
     return readers;
 }
 
@@ -200,6 +218,7 @@
     {
         co_return config_answer::none;
     }
+    bool does_store_fail = false;
     try
     {
         const json question = {{"kind", "configuration"}, {"version", config_version}};
@@ -215,13 +234,18 @@
             adopt_packed_config(reply.at("config").get<std::string>(), reader.name);
         }
         confirm_config(reply, asked);
+        does_store_fail = reply.value("store_fails", false);
     }
     catch (const std::exception& failure)
     {
         log.write("configuration not told", {{"router", reader.name}, {"reason", failure.what()}});
         co_return config_answer::none;
     }
-    co_return currency.next_check() > clock::now() ? config_answer::current : config_answer::outdated;
+    if (currency.next_check() > clock::now())
+    {
+        co_return config_answer::current;
+    }
+    co_return does_store_fail ? config_answer::store_fails : config_answer::outdated;
 }
 
 asio::awaitable<bool> member::state::read_config_changes()
@@ -274,6 +298,7 @@
     json reply = {{"kind", "configuration"},
                   {"config_version", config_version},
                   {"config_age", config_age().ms},
+                  {"store_fails", health.is_failing()},
                   {"config_position", internal::position_to_json(config_position)}};
     if (question.at("version").get<std::int64_t>() < config_version)
     {
--- a/src/edge/internal/member_deputy.cpp
+++ b/src/edge/internal/member_deputy.cpp
@@ -18,6 +18,7 @@
 /// Time in which a leader that works has told the front of a backend server that it leaves.
 constexpr core::duration leader_drain_time{500};
 constexpr core::duration announcement_timeout{400};
+constexpr core::duration announcement_interval{2500};
 /// Registrations may lapse while the store fails, and are back within this time of its return.
 constexpr core::duration min_healthy_time{2200};
 
@@ -103,6 +104,25 @@
 {
     const auto self_reference = shared_from_this();
     co_await core::pause_for(leader_drain_time);
+    co_await tell_front(process, is_gone);
+    // The word that a registration is gone does not last, so it is repeated until the leader has read it.
+    const auto is_unread = [&] {
+        const auto known = deputy_rows.find({"registry", process.backend_server});
+        return known != deputy_rows.end() && known->second.row.value.is_null() && is_deputy() && !is_ended;
+    };
+    while (is_gone && is_unread())
+    {
+        co_await core::pause_for(announcement_interval);
+        if (is_unread())
+        {
+            co_await tell_front(process, is_gone);
+        }
+    }
+}
+
+asio::awaitable<void> member::state::tell_front(leader::server_process process, bool is_gone)
+{
+    const auto self_reference = shared_from_this();
     const auto entry = snapshot.entries.find(process.backend_server);
     if (is_ended || entry == snapshot.entries.end())
     {
--- a/src/edge/internal/member_state.hpp
+++ b/src/edge/internal/member_state.hpp
@@ -43,6 +43,7 @@
     /// Tells the front of a backend server that it leaves or that its registration is gone. The leader may
     /// have read it and still be late.
     core::asio::awaitable<void> announce_leaving(leader::server_process process, bool is_gone);
+    core::asio::awaitable<void> tell_front(leader::server_process process, bool is_gone);
     void add_deputy_rows(nlohmann::json& message);
     void drop_confirmed_rows(const nlohmann::json& reply);
     /// Answers a new leader that collects the directories, and lets no earlier leader change this one any
@@ -65,6 +66,8 @@
         none,
         /// The other router could not confirm its configuration either.
         outdated,
+        /// The same, since the store does not answer it.
+        store_fails,
         current
     };
     /// Puts a configuration in force if it is newer; `packed` is the document as encoded by `internal::pack`,
@@ -80,6 +83,9 @@
     /// Starts a check unless one is running, and waits at most `limit` for its end.
     core::asio::awaitable<void> await_config_check(core::duration limit);
     core::asio::awaitable<void> check_config();
+    /// Returns who confirmed the configuration in force, or gave a newer one; empty when nobody could.
+    core::asio::awaitable<std::string> find_current_config();
+    /// Returns the routers of this zone that read the store for the others.
     std::vector<directory::router> choose_config_readers() const;
     core::asio::awaitable<config_answer> ask_for_config(directory::router reader);
     /// Returns whether the store answered.
--- a/standins/edge/tests/slow_leader_tests.cpp
+++ b/standins/edge/tests/slow_leader_tests.cpp
@@ -28,6 +28,7 @@
         end_after(play_length);
         start(change_configuration(choices(seed_, 0)));
         start(slow_leaders(choices(seed_, 1)));
+        start(freeze_routers(choices(seed_, 2)));
         for (std::size_t i = 0; i < cluster.processes.size(); ++i)
         {
             start(watch(i));
@@ -59,6 +60,7 @@
     /// Longest time for which a router that was not disturbed missed a change.
     core::duration worst_delay;
     int slow_leaderships = 0;
+    int freezes = 0;
     std::size_t answers = 0;
     std::size_t versions() const { return changed_at_.size(); }
 
@@ -147,6 +149,26 @@
         }
     }
 
+    /// Freezes routers that others ask for the configuration.
+    asio::awaitable<void> freeze_routers(choices random)
+    {
+        while (!is_over())
+        {
+            co_await core::pause_for(random.span(1000, 3000));
+            const auto router = random.index(cluster.processes.size());
+            if (router == find_stored_leader() || core::clock::now() < slow_until_[router])
+            {
+                continue;
+            }
+            const auto frozen_for = random.span(500, 2000);
+            slow_until_[router] = core::clock::now() + frozen_for + contact_time;
+            cluster.processes[router]->pause();
+            ++freezes;
+            co_await core::pause_for(frozen_for);
+            cluster.processes[router]->resume();
+        }
+    }
+
     /// Asks one router for its version, as a monitoring system does.
     asio::awaitable<void> watch(std::size_t router)
     {
@@ -202,11 +224,12 @@
         BOOST_REQUIRE(play.cluster.await_ready());
         play.run();
         BOOST_TEST_MESSAGE("seed " << seed << ": " << play.slow_leaderships << " slow leaders, "
-                                   << play.leaving_servers() << " leaving servers, "
-                                   << play.count_late_arrivals() << " late arrivals, " << play.versions()
-                                   << " versions, worst delay " << play.worst_delay.ms << " ms in "
-                                   << play.answers << " answers");
+                                   << play.freezes << " freezes, " << play.leaving_servers()
+                                   << " leaving servers, " << play.count_late_arrivals() << " late arrivals, "
+                                   << play.versions() << " versions, worst delay " << play.worst_delay.ms
+                                   << " ms in " << play.answers << " answers");
         BOOST_CHECK_GE(play.slow_leaderships, 2);
+        BOOST_CHECK_GE(play.freezes, 2);
         BOOST_CHECK_GT(play.answers, 1000U);
         BOOST_CHECK_LE(play.worst_delay.ms, max_delay.ms);
         BOOST_CHECK_GT(play.leaving_servers(), 0);
