--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -293,6 +293,56 @@
     BOOST_CHECK(entry("s0").keys.empty());
 }
 
+// Guards against two owners: a report that reached the leader late freed keys that were granted again since and
+// withdrawn once more. The rest of their first withdrawal was still in progress, so that it counted for them too.
+BOOST_AUTO_TEST_CASE(a_late_report_frees_no_keys_that_were_granted_again_beside_a_withdrawal)
+{
+    start(2);
+    const auto keys = entry("s0").keys;
+    const auto front = entry("s0").front;
+    BOOST_REQUIRE_EQUAL(keys.size(), 1U);
+    const auto middle = keys.front().first + keyspace::size(keys) / 2;
+    const keyspace::key_range lower{keys.front().first, middle};
+    const keyspace::key_range upper{middle + 1, keys.front().last};
+    drain("s0");
+    BOOST_REQUIRE(entry("s0").withdrawn == keys);
+    // The front has freed the lower keys; the release of the upper ones waits for their work.
+    router_report late;
+    late.router = make_router(front, front == "r2" ? "b" : "a");
+    late.freed = {{"s0", lower, ""}};
+    late.term = state->current().term;
+    late.revision = state->current().revision;
+    report(front, late.freed);
+    BOOST_REQUIRE_GT(write(), 0U);
+    BOOST_REQUIRE(entry("s0").keys == keyspace::key_set{upper});
+    // s0 starts again and the other backend server leaves, so that the lower keys come back.
+    auto back = make_server("s0");
+    back.start_time_ms = 2;
+    state->on_registered(back, now);
+    auto leaving = make_server("s1", "b");
+    leaving.is_draining = true;
+    state->on_registered(leaving, now);
+    state->tick(now);
+    const auto withdrawn = entry("s1").withdrawn;
+    for (const auto& range : withdrawn)
+    {
+        report(entry("s1").front, {{"s1", range, ""}});
+    }
+    BOOST_REQUIRE_GT(write(), 0U);
+    BOOST_REQUIRE(keyspace::covers(entry("s0").keys, {lower}));
+    BOOST_REQUIRE(keyspace::set_intersection(entry("s0").withdrawn, {lower}).empty());
+    leaving.is_draining = false;
+    leaving.start_time_ms = 2;
+    state->on_registered(leaving, now);
+    back.is_draining = true;
+    state->on_registered(back, now);
+    state->tick(now);
+    BOOST_REQUIRE(keyspace::covers(entry("s0").withdrawn, {lower}));
+    state->on_report(late, now);
+    write();
+    BOOST_CHECK(keyspace::covers(entry("s0").keys, {lower}));
+}
+
 // Guards against a bound that a restart of the stored front shortens: another router may have been the last
 // front, since fronts change without a write.
 BOOST_AUTO_TEST_CASE(a_restarted_front_does_not_shorten_the_bound_of_earlier_grants)
