--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -465,6 +465,16 @@
     on_decision_("keys withdrawn", id, {{"keys", directory::to_json(added)}, {"reason", reason}});
     bump_revision(id);
     auto& withdrawals = entry_states_[id].withdrawals;
+    // An earlier withdrawal of these keys, the rest of which may still be in progress, does not count for them.
+    std::vector<withdrawal> earlier;
+    for (const auto& item : withdrawals)
+    {
+        const auto rest = keyspace::set_difference({item.range}, added);
+        std::ranges::transform(rest, std::back_inserter(earlier), [&](const auto& range) {
+            return withdrawal{range, item.revision};
+        });
+    }
+    withdrawals = std::move(earlier);
     std::ranges::transform(added, std::back_inserter(withdrawals), [&](const auto& range) {
         return withdrawal{range, entry.revision};
     });
