--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -343,6 +343,60 @@
     BOOST_CHECK(keyspace::covers(entry("s0").keys, {lower}));
 }
 
+// Guards against two owners: as above, with keys that were hidden from a new front and came back to their backend
+// server, while the rest stayed withdrawn.
+BOOST_AUTO_TEST_CASE(a_late_report_frees_no_keys_that_came_back_after_a_change_of_front)
+{
+    start(2);
+    const auto keys = entry("s0").keys;
+    const auto front = entry("s0").front;
+    BOOST_REQUIRE_EQUAL(keys.size(), 1U);
+    const auto middle = keys.front().first + keyspace::size(keys) / 2;
+    const keyspace::key_range lower{keys.front().first, middle};
+    const keyspace::key_range upper{middle + 1, keys.front().last};
+    drain("s0");
+    report(front, {{"s0", lower, ""}});
+    // The front restarts before the write; its new process makes the report that arrives late.
+    report(front, {}, {}, "2");
+    BOOST_REQUIRE(entry("s0").keys == keyspace::key_set{upper});
+    router_report late;
+    late.router = make_router(front, front == "r2" ? "b" : "a", "2");
+    late.freed = {{"s0", lower, ""}};
+    late.term = state->current().term;
+    late.revision = state->current().revision;
+    BOOST_REQUIRE_GT(write(), 0U);
+    auto back = make_server("s0");
+    back.start_time_ms = 2;
+    state->on_registered(back, now);
+    auto leaving = make_server("s1", "b");
+    leaving.is_draining = true;
+    state->on_registered(leaving, now);
+    state->tick(now);
+    const auto withdrawn = entry("s1").withdrawn;
+    for (const auto& range : withdrawn)
+    {
+        const auto other = entry("s1").front;
+        report(other, {{"s1", range, ""}}, {}, other == front ? "2" : "1");
+    }
+    BOOST_REQUIRE_GT(write(), 0U);
+    BOOST_REQUIRE(keyspace::covers(entry("s0").keys, {lower}));
+    leaving.is_draining = false;
+    leaving.start_time_ms = 2;
+    state->on_registered(leaving, now);
+    back.is_draining = true;
+    state->on_registered(back, now);
+    state->tick(now);
+    BOOST_REQUIRE(keyspace::covers(entry("s0").withdrawn, {lower}));
+    state->on_report(late, now);
+    write();
+    BOOST_CHECK(keyspace::covers(entry("s0").keys, {lower}));
+    // The report of the present withdrawal frees them.
+    late.revision = state->current().revision;
+    state->on_report(late, now);
+    BOOST_CHECK_GT(write(), 0U);
+    BOOST_CHECK(keyspace::set_intersection(entry("s0").keys, {lower}).empty());
+}
+
 // Guards against a bound that a restart of the stored front shortens: another router may have been the last
 // front, since fronts change without a write.
 BOOST_AUTO_TEST_CASE(a_restarted_front_does_not_shorten_the_bound_of_earlier_grants)
