--- a/src/grants/tests/server_grants_tests.cpp
+++ b/src/grants/tests/server_grants_tests.cpp
@@ -424,6 +424,31 @@
     BOOST_CHECK_EQUAL(grants.freed(now + duration{4300}).size(), 1U);
 }
 
+// Guards against two owners: a grant that was in flight when the backend server was registered at another address
+// counted as one at the new address, whose release freed the keys.
+BOOST_AUTO_TEST_CASE(a_release_ends_no_grant_that_was_in_flight_to_an_earlier_address)
+{
+    auto entry = make_entry({{0, 99}});
+    server_grants grants(entry, now);
+    const auto former = next(grants);
+    now = now + duration{10};
+    entry.server.address = {"10.0.0.9", 8000};
+    grants.update(entry, now);
+    now = now + duration{490};
+    grants.on_lost(former, now);
+    const auto lost = now;
+    now = now + duration{150};
+    grant_all(grants);
+    entry.withdrawn = {{0, 99}};
+    grants.update(entry, now);
+    const auto release = next(grants);
+    BOOST_REQUIRE(release.kind == call_kind::release);
+    grants.on_released(release, "", now);
+    BOOST_CHECK(grants.freed(now).empty());
+    BOOST_CHECK(grants.freed(former.sent + grant_duration).empty());
+    BOOST_CHECK_EQUAL(grants.freed(latest_grant_end(lost, grant_duration)).size(), 1U);
+}
+
 // Guards against two owners: a former front that another leader still confirms may hold the keys at a later
 // process of the backend server.
 BOOST_AUTO_TEST_CASE(the_end_of_a_process_ends_no_grants_of_earlier_fronts)
