--- a/src/grants/internal/server_grants.cpp
+++ b/src/grants/internal/server_grants.cpp
@@ -97,6 +97,7 @@
     if (entry.server.address != address_)
     {
         address_ = entry.server.address;
+        address_since_ = now;
         // The end of a process at this address does not end what was granted at another one.
         for (auto& item : ranges_)
         {
@@ -393,8 +394,9 @@
     {
         if (keyspace::covers({call.range}, {item.range}))
         {
-            item.unanswered_latest_end =
-                std::max(item.unanswered_latest_end, latest_grant_end(now, call.valid_for));
+            // No call at the present address ends a grant that was sent to an earlier one.
+            auto& latest_end = call.sent <= address_since_ ? item.elsewhere_end : item.unanswered_latest_end;
+            latest_end = std::max(latest_end, latest_grant_end(now, call.valid_for));
         }
     }
 }
--- a/src/grants/server_grants.hpp
+++ b/src/grants/server_grants.hpp
@@ -170,6 +170,8 @@
 
     std::int64_t start_time_ms_ = 0;
     http::endpoint address_;
+    /// When the backend server was registered at the address; none for the first one.
+    core::time_point address_since_;
     std::int64_t token_base_ = 0;
     std::int64_t front_token_ = 0;
     std::int64_t token_step_ = 0;
--- a/src/grants/tests/server_grants_tests.cpp
+++ b/src/grants/tests/server_grants_tests.cpp
@@ -424,8 +424,8 @@
     BOOST_CHECK_EQUAL(grants.freed(now + duration{4300}).size(), 1U);
 }
 
-// Guards against two owners: a grant that was in flight when the backend server was registered at another address
-// counted as one at the new address, whose release freed the keys.
+// Guards against two owners: a grant that was in flight when the backend server was registered at another
+// address counted as one at the new address, whose release freed the keys.
 BOOST_AUTO_TEST_CASE(a_release_ends_no_grant_that_was_in_flight_to_an_earlier_address)
 {
     auto entry = make_entry({{0, 99}});
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -465,7 +465,7 @@
     on_decision_("keys withdrawn", id, {{"keys", directory::to_json(added)}, {"reason", reason}});
     bump_revision(id);
     auto& withdrawals = entry_states_[id].withdrawals;
-    // An earlier withdrawal of these keys, the rest of which may still be in progress, does not count for them.
+    // An earlier withdrawal of these keys, the rest of which may be in progress, does not count for them.
     std::vector<withdrawal> earlier;
     for (const auto& item : withdrawals)
     {
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -293,8 +293,9 @@
     BOOST_CHECK(entry("s0").keys.empty());
 }
 
-// Guards against two owners: a report that reached the leader late freed keys that were granted again since and
-// withdrawn once more. The rest of their first withdrawal was still in progress, so that it counted for them too.
+// Guards against two owners: a report that reached the leader late freed keys that were granted again since
+// and withdrawn once more. The rest of their first withdrawal was still in progress, so that it counted for
+// them too.
 BOOST_AUTO_TEST_CASE(a_late_report_frees_no_keys_that_were_granted_again_beside_a_withdrawal)
 {
     start(2);
@@ -343,8 +344,8 @@
     BOOST_CHECK(keyspace::covers(entry("s0").keys, {lower}));
 }
 
-// Guards against two owners: as above, with keys that were hidden from a new front and came back to their backend
-// server, while the rest stayed withdrawn.
+// Guards against two owners: as above, with keys that were hidden from a new front and came back to their
+// backend server, while the rest stayed withdrawn.
 BOOST_AUTO_TEST_CASE(a_late_report_frees_no_keys_that_came_back_after_a_change_of_front)
 {
     start(2);
