--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -398,6 +398,30 @@
     BOOST_CHECK(keyspace::set_intersection(entry("s0").keys, {lower}).empty());
 }
 
+// Guards against two owners: a whole directory that reached a router after later updates of the same leader
+// replaced them, and the front granted keys again that had moved to another backend server.
+BOOST_AUTO_TEST_CASE(a_late_whole_directory_brings_no_keys_back)
+{
+    start(3);
+    const auto keys = entry("s0").keys;
+    const auto front = entry("s0").front;
+    BOOST_REQUIRE_EQUAL(keys.size(), 1U);
+    // Its sender got no answer in time, and sends it once more.
+    const auto late = state->update_for({}, 0, now);
+    BOOST_REQUIRE(late.is_full_snapshot);
+    directory::snapshot known;
+    BOOST_REQUIRE(directory::apply(known, state->update_for({}, 0, now)));
+    drain("s0");
+    report(front, {{"s0", keys.front(), ""}});
+    BOOST_REQUIRE_GT(write(), 0U);
+    BOOST_REQUIRE(directory::apply(known, state->update_for(known.term, known.revision, now)));
+    BOOST_REQUIRE(known.entries.at("s0").keys.empty());
+    const auto revision = known.revision;
+    directory::apply(known, late);
+    BOOST_CHECK(known.entries.at("s0").keys.empty());
+    BOOST_CHECK_EQUAL(known.revision, revision);
+}
+
 // Guards against a bound that a restart of the stored front shortens: another router may have been the last
 // front, since fronts change without a write.
 BOOST_AUTO_TEST_CASE(a_restarted_front_does_not_shorten_the_bound_of_earlier_grants)
