--- a/src/directory/internal/update.cpp
+++ b/src/directory/internal/update.cpp
@@ -57,6 +57,13 @@
     }
     if (change.is_full_snapshot)
     {
+        const bool is_late =
+            change.changed.term == current.term && change.changed.revision < current.revision;
+        if (is_late)
+        {
+            // It would restore former states, in which keys may belong to another backend server.
+            return false;
+        }
         current = change.changed;
         return true;
     }
