--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -422,6 +422,31 @@
     BOOST_CHECK_EQUAL(known.revision, revision);
 }
 
+// Guards against two owners: an update that arrived late brought a backend server back that had left, and the
+// front granted it keys that had moved; it may still run for many seconds.
+BOOST_AUTO_TEST_CASE(a_late_update_brings_no_backend_server_back)
+{
+    start(3);
+    const auto keys = entry("s0").keys;
+    const auto front = entry("s0").front;
+    BOOST_REQUIRE_EQUAL(keys.size(), 1U);
+    directory::snapshot known;
+    BOOST_REQUIRE(directory::apply(known, state->update_for({}, 0, now)));
+    const auto late = state->update_for(known.term, entry("s0").revision - 1, now);
+    BOOST_REQUIRE(!late.is_full_snapshot);
+    BOOST_REQUIRE(late.changed.entries.contains("s0"));
+    state->on_unregistered("s0", true, now);
+    advance(200);
+    report(front, {{"s0", keys.front(), ""}});
+    BOOST_REQUIRE_GT(write(), 0U);
+    state->tick(now);
+    BOOST_REQUIRE(!state->current().entries.contains("s0"));
+    BOOST_REQUIRE(directory::apply(known, state->update_for(known.term, known.revision, now)));
+    BOOST_REQUIRE(!known.entries.contains("s0"));
+    directory::apply(known, late);
+    BOOST_CHECK(!known.entries.contains("s0"));
+}
+
 // Guards against a bound that a restart of the stored front shortens: another router may have been the last
 // front, since fronts change without a write.
 BOOST_AUTO_TEST_CASE(a_restarted_front_does_not_shorten_the_bound_of_earlier_grants)
