--- a/src/directory/internal/update.cpp
+++ b/src/directory/internal/update.cpp
@@ -71,6 +71,7 @@
     {
         return false;
     }
+    const bool is_late = change.changed.revision < current.revision;
     current.revision = std::max(current.revision, change.changed.revision);
     current.leader = change.changed.leader;
     current.deputies = change.changed.deputies;
@@ -88,6 +89,11 @@
     }
     for (const auto& [id, item] : change.changed.entries)
     {
+        if (is_late && !current.entries.contains(id))
+        {
+            // It was removed since: a later update includes all that this one adds.
+            continue;
+        }
         auto& known = current.entries[id];
         if (item.revision >= known.revision)
         {
