--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -293,6 +293,160 @@
     BOOST_CHECK(entry("s0").keys.empty());
 }
 
+// Guards against two owners: a report that reached the leader late freed keys that were granted again since
+// and withdrawn once more. The rest of their first withdrawal was still in progress, so that it counted for
+// them too.
+BOOST_AUTO_TEST_CASE(a_late_report_frees_no_keys_that_were_granted_again_beside_a_withdrawal)
+{
+    start(2);
+    const auto keys = entry("s0").keys;
+    const auto front = entry("s0").front;
+    BOOST_REQUIRE_EQUAL(keys.size(), 1U);
+    const auto middle = keys.front().first + keyspace::size(keys) / 2;
+    const keyspace::key_range lower{keys.front().first, middle};
+    const keyspace::key_range upper{middle + 1, keys.front().last};
+    drain("s0");
+    BOOST_REQUIRE(entry("s0").withdrawn == keys);
+    // The front has freed the lower keys; the release of the upper ones waits for their work.
+    router_report late;
+    late.router = make_router(front, front == "r2" ? "b" : "a");
+    late.freed = {{"s0", lower, ""}};
+    late.term = state->current().term;
+    late.revision = state->current().revision;
+    report(front, late.freed);
+    BOOST_REQUIRE_GT(write(), 0U);
+    BOOST_REQUIRE(entry("s0").keys == keyspace::key_set{upper});
+    // s0 starts again and the other backend server leaves, so that the lower keys come back.
+    auto back = make_server("s0");
+    back.start_time_ms = 2;
+    state->on_registered(back, now);
+    auto leaving = make_server("s1", "b");
+    leaving.is_draining = true;
+    state->on_registered(leaving, now);
+    state->tick(now);
+    const auto withdrawn = entry("s1").withdrawn;
+    for (const auto& range : withdrawn)
+    {
+        report(entry("s1").front, {{"s1", range, ""}});
+    }
+    BOOST_REQUIRE_GT(write(), 0U);
+    BOOST_REQUIRE(keyspace::covers(entry("s0").keys, {lower}));
+    BOOST_REQUIRE(keyspace::set_intersection(entry("s0").withdrawn, {lower}).empty());
+    leaving.is_draining = false;
+    leaving.start_time_ms = 2;
+    state->on_registered(leaving, now);
+    back.is_draining = true;
+    state->on_registered(back, now);
+    state->tick(now);
+    BOOST_REQUIRE(keyspace::covers(entry("s0").withdrawn, {lower}));
+    state->on_report(late, now);
+    write();
+    BOOST_CHECK(keyspace::covers(entry("s0").keys, {lower}));
+}
+
+// Guards against two owners: as above, with keys that were hidden from a new front and came back to their
+// backend server, while the rest stayed withdrawn.
+BOOST_AUTO_TEST_CASE(a_late_report_frees_no_keys_that_came_back_after_a_change_of_front)
+{
+    start(2);
+    const auto keys = entry("s0").keys;
+    const auto front = entry("s0").front;
+    BOOST_REQUIRE_EQUAL(keys.size(), 1U);
+    const auto middle = keys.front().first + keyspace::size(keys) / 2;
+    const keyspace::key_range lower{keys.front().first, middle};
+    const keyspace::key_range upper{middle + 1, keys.front().last};
+    drain("s0");
+    report(front, {{"s0", lower, ""}});
+    // The front restarts before the write; its new process makes the report that arrives late.
+    report(front, {}, {}, "2");
+    BOOST_REQUIRE(entry("s0").keys == keyspace::key_set{upper});
+    router_report late;
+    late.router = make_router(front, front == "r2" ? "b" : "a", "2");
+    late.freed = {{"s0", lower, ""}};
+    late.term = state->current().term;
+    late.revision = state->current().revision;
+    BOOST_REQUIRE_GT(write(), 0U);
+    auto back = make_server("s0");
+    back.start_time_ms = 2;
+    state->on_registered(back, now);
+    auto leaving = make_server("s1", "b");
+    leaving.is_draining = true;
+    state->on_registered(leaving, now);
+    state->tick(now);
+    const auto withdrawn = entry("s1").withdrawn;
+    for (const auto& range : withdrawn)
+    {
+        const auto other = entry("s1").front;
+        report(other, {{"s1", range, ""}}, {}, other == front ? "2" : "1");
+    }
+    BOOST_REQUIRE_GT(write(), 0U);
+    BOOST_REQUIRE(keyspace::covers(entry("s0").keys, {lower}));
+    leaving.is_draining = false;
+    leaving.start_time_ms = 2;
+    state->on_registered(leaving, now);
+    back.is_draining = true;
+    state->on_registered(back, now);
+    state->tick(now);
+    BOOST_REQUIRE(keyspace::covers(entry("s0").withdrawn, {lower}));
+    state->on_report(late, now);
+    write();
+    BOOST_CHECK(keyspace::covers(entry("s0").keys, {lower}));
+    // The report of the present withdrawal frees them.
+    late.revision = state->current().revision;
+    state->on_report(late, now);
+    BOOST_CHECK_GT(write(), 0U);
+    BOOST_CHECK(keyspace::set_intersection(entry("s0").keys, {lower}).empty());
+}
+
+// Guards against two owners: a whole directory that reached a router after later updates of the same leader
+// replaced them, and the front granted keys again that had moved to another backend server.
+BOOST_AUTO_TEST_CASE(a_late_whole_directory_brings_no_keys_back)
+{
+    start(3);
+    const auto keys = entry("s0").keys;
+    const auto front = entry("s0").front;
+    BOOST_REQUIRE_EQUAL(keys.size(), 1U);
+    // Its sender got no answer in time, and sends it once more.
+    const auto late = state->update_for({}, 0, now);
+    BOOST_REQUIRE(late.is_full_snapshot);
+    directory::snapshot known;
+    BOOST_REQUIRE(directory::apply(known, state->update_for({}, 0, now)));
+    drain("s0");
+    report(front, {{"s0", keys.front(), ""}});
+    BOOST_REQUIRE_GT(write(), 0U);
+    BOOST_REQUIRE(directory::apply(known, state->update_for(known.term, known.revision, now)));
+    BOOST_REQUIRE(known.entries.at("s0").keys.empty());
+    const auto revision = known.revision;
+    directory::apply(known, late);
+    BOOST_CHECK(known.entries.at("s0").keys.empty());
+    BOOST_CHECK_EQUAL(known.revision, revision);
+}
+
+// Guards against two owners: an update that arrived late brought a backend server back that had left, and the
+// front granted it keys that had moved; it may still run for many seconds.
+BOOST_AUTO_TEST_CASE(a_late_update_brings_no_backend_server_back)
+{
+    start(3);
+    const auto keys = entry("s0").keys;
+    const auto front = entry("s0").front;
+    BOOST_REQUIRE_EQUAL(keys.size(), 1U);
+    directory::snapshot known;
+    BOOST_REQUIRE(directory::apply(known, state->update_for({}, 0, now)));
+    const auto late = state->update_for(known.term, entry("s0").revision - 1, now);
+    BOOST_REQUIRE(!late.is_full_snapshot);
+    BOOST_REQUIRE(late.changed.entries.contains("s0"));
+    state->on_unregistered("s0", true, now);
+    advance(200);
+    report(front, {{"s0", keys.front(), ""}});
+    BOOST_REQUIRE_GT(write(), 0U);
+    state->tick(now);
+    BOOST_REQUIRE(!state->current().entries.contains("s0"));
+    BOOST_REQUIRE(directory::apply(known, state->update_for(known.term, known.revision, now)));
+    BOOST_REQUIRE(!known.entries.contains("s0"));
+    directory::apply(known, late);
+    BOOST_CHECK(!known.entries.contains("s0"));
+}
+
 // Guards against a bound that a restart of the stored front shortens: another router may have been the last
 // front, since fronts change without a write.
 BOOST_AUTO_TEST_CASE(a_restarted_front_does_not_shorten_the_bound_of_earlier_grants)
