Model work on keys in the ownership simulation

Backend servers of the model work on keys that are released, also when the release is repeated, and no other may be given these keys meanwhile. A variant that answers a repeated release early shows that the check finds it.

--- a/src/leader/tests/ownership_model.cpp
+++ b/src/leader/tests/ownership_model.cpp
@@ -1215,7 +1215,9 @@
              }
              const bool is_late = backends_[recipient.backend].late_until > now_ && draw_chance(40);
              const bool has_work = !is_grant && draw_chance(50);
-             const duration delay{(is_late ? draw(200, 6000) : 0) + (has_work ? draw(20, 2000) : 0)};
+             const duration late{is_late ? draw(200, 6000) : 0};
+             const duration work{has_work ? draw(20, 2000) : 0};
+             const auto delay = late + (is_grant ? work : stop_work(recipient.backend, item, work));
              schedule(delay, -1, true, [this, index, recipient, item, arrival = now_, finish] {
                  if (!is_running(recipient))
                  {
@@ -1316,6 +1318,23 @@
         });
 }
 
+duration ownership_model::stop_work(int index, const grants::grant_call& item, duration work)
+{
+    auto& keys = backends_[index].keys;
+    const auto range = std::views::iota(item.range.first, item.range.last + 1);
+    const bool is_repeated =
+        std::ranges::any_of(range, [&](auto key) { return keys[key].works_until > now_; });
+    const auto end = is_repeated ? now_ : now_ + work;
+    auto latest = now_;
+    for (const auto key : range)
+    {
+        auto& known = keys[key];
+        known.works_until = std::max(known.works_until, std::min(end, known.held_until));
+        latest = std::max(latest, known.works_until);
+    }
+    return options_.is_repeated_release_answered_early && is_repeated ? duration{0} : latest - now_;
+}
+
 bool ownership_model::apply_grant(int index, const grants::grant_call& item, time_point arrival)
 {
     auto& backend = backends_[index];
@@ -1349,7 +1368,8 @@
         {
             check_owner(index, key, item.token);
         }
-        backend.keys[key] = {item.token, std::max(backend.keys[key].held_until, end)};
+        auto& known = backend.keys[key];
+        known = {item.token, std::max(known.held_until, end), known.works_until};
     }
     return true;
 }
@@ -1373,6 +1393,11 @@
                  " ms more, with token " + std::to_string(held.token) + ", while " + backends_[index].id +
                  " gets it with " + std::to_string(token));
         }
+        if (static_cast<int>(other) != index && held.works_until > now_)
+        {
+            fail(backends_[other].id + " works on it for " + std::to_string((held.works_until - now_).ms) +
+                 " ms more while " + backends_[index].id + " gets it with " + std::to_string(token));
+        }
     }
     const auto recipient = running(index);
     const bool is_move = known.holder.backend != index;
--- a/src/leader/tests/ownership_model.hpp
+++ b/src/leader/tests/ownership_model.hpp
@@ -25,6 +25,8 @@
     bool is_any_id_accepted = false;
     /// Whether fronts go on with their tokens on a connection that was opened anew.
     bool is_reconnection_ignored = false;
+    /// Whether a backend server answers a repeated release although the work on its keys goes on.
+    bool is_repeated_release_answered_early = false;
     leader_settings leader;
 };
 
@@ -146,6 +148,8 @@
 {
     std::int64_t token = 0;
     time_point held_until;
+    /// End of the work that ran on it when it was released, at most the end of the hold at that moment.
+    time_point works_until;
 };
 
 struct backend_model
@@ -264,6 +268,9 @@
     bool is_running(const process& item) const { return item == running(item.backend); }
     void record_contact(int router, fronted_model& server, bool is_reached);
     void probe(int router, const std::shared_ptr<fronted_model>& server);
+    /// Stops new work on the keys, on which some may run that lasts for the given time. Returns the time
+    /// until a backend server answers, which is until all work on them has ended.
+    duration stop_work(int backend, const grants::grant_call& item, duration work);
     bool apply_grant(int backend, const grants::grant_call& item, time_point arrival);
     void check_owner(int backend, std::uint32_t key, std::int64_t token);
 
--- a/src/leader/tests/ownership_simulation_tests.cpp
+++ b/src/leader/tests/ownership_simulation_tests.cpp
@@ -78,6 +78,17 @@
     check(simulate(options));
 }
 
+// Guards against a simulation that misses keys that are given on while their holder works on them: with a
+// repeated release that is answered before the work has ended they are.
+BOOST_AUTO_TEST_CASE(work_that_outlasts_the_answer_to_a_repeated_release_is_found)
+{
+    model_options options;
+    options.is_repeated_release_answered_early = true;
+    const auto result = simulate(options);
+    BOOST_TEST_MESSAGE(result.violations.size() << " of " << result.seeds << " seeds");
+    BOOST_CHECK(!result.violations.empty());
+}
+
 // Guards against a simulation that misses a backend server that accepts calls for the former one at its
 // address: without a later token it gets keys with the token of the former one.
 BOOST_AUTO_TEST_CASE(a_successor_that_accepts_calls_for_the_former_backend_server_is_found)
