--- a/src/directory/internal/update.cpp
+++ b/src/directory/internal/update.cpp
@@ -57,6 +57,13 @@
     }
     if (change.is_full_snapshot)
     {
+        const bool is_late =
+            change.changed.term == current.term && change.changed.revision < current.revision;
+        if (is_late)
+        {
+            // It would restore former states, in which keys may belong to another backend server.
+            return false;
+        }
         current = change.changed;
         return true;
     }
@@ -64,6 +71,7 @@
     {
         return false;
     }
+    const bool is_late = change.changed.revision < current.revision;
     current.revision = std::max(current.revision, change.changed.revision);
     current.leader = change.changed.leader;
     current.deputies = change.changed.deputies;
@@ -81,6 +89,11 @@
     }
     for (const auto& [id, item] : change.changed.entries)
     {
+        if (is_late && !current.entries.contains(id))
+        {
+            // It was removed since: a later update includes all that this one adds.
+            continue;
+        }
         auto& known = current.entries[id];
         if (item.revision >= known.revision)
         {
--- a/src/edge/front_types.hpp
+++ b/src/edge/front_types.hpp
@@ -83,8 +83,15 @@
     core::time_point last_grant_end;
     /// Whether its process has ended, as another backend server answers at the address.
     bool has_ended = false;
-    /// Whether it said in an answer that it leaves, which the registry may show seconds later.
-    bool is_leaving = false;
+    /// Keys that were reported as free.
+    keyspace::key_set reported_free;
+    /// When it last answered a call or request.
+    core::time_point last_answer;
+    /// Since when this front knows that it leaves, from its answers or a deputy. The leader may know seconds
+    /// later.
+    std::optional<core::time_point> leaving_since;
+    /// When a deputy told that its registration is gone. It may register again.
+    std::optional<core::time_point> gone_at;
     bool is_removed = false;
 
     bool is_keyed() const { return grants.has_value(); }
--- a/src/edge/internal/front.cpp
+++ b/src/edge/internal/front.cpp
@@ -61,6 +61,25 @@
     state_->tick();
 }
 
+void front::note_leaving(const leader::server_process& process, bool is_gone)
+{
+    const auto position = state_->servers.find(process.backend_server);
+    if (position == state_->servers.end() ||
+        position->second->entry.server.start_time_ms != process.start_time_ms)
+    {
+        return;
+    }
+    auto& server = *position->second;
+    if (is_gone)
+    {
+        server.gone_at = clock::now();
+    }
+    else
+    {
+        state_->record_leaving(server);
+    }
+}
+
 std::size_t front::in_flight() const
 {
     return state_->running;
@@ -94,7 +113,7 @@
         {
             report.ended.push_back({id, server->entry.server.start_time_ms});
         }
-        if (server->is_leaving && !server->entry.server.is_draining)
+        if (server->leaving_since && !server->entry.server.is_draining)
         {
             report.leaving.push_back({id, server->entry.server.start_time_ms});
         }
@@ -107,7 +126,9 @@
             {
                 report.short_of_tokens.push_back(id);
             }
-            for (const auto& item : server->grants->freed(now))
+            const auto freed = server->grants->freed(now);
+            state_->log_free_keys(*server, freed, now);
+            for (const auto& item : freed)
             {
                 report.freed.push_back({id, item.range, item.handover});
             }
@@ -264,7 +285,8 @@
         server.unanswered_grant.reset();
         server.has_accepted_grant = false;
         server.has_ended = false;
-        server.is_leaving = false;
+        server.leaving_since.reset();
+        server.gone_at.reset();
         estimate.forget(entry.server.id);
         callbacks.request_report();
     }
@@ -292,6 +314,29 @@
     log.write("front given up", {{"backend_server", id}, {"running", server->running.size()}});
 }
 
+void front::state::log_free_keys(fronted_server& server, const std::vector<grants::freed_keys>& freed,
+                                 core::time_point now)
+{
+    keyspace::key_set all;
+    for (const auto& item : freed)
+    {
+        all.push_back(item.range);
+        for (const auto& range : keyspace::set_difference({item.range}, server.reported_free))
+        {
+            const auto unanswered = std::ranges::count_if(
+                server.running, [&](const auto& pending) { return range.contains(pending->waiting.key); });
+            log.write("keys free", {{"backend_server", server.entry.server.id},
+                                    {"first", range.first},
+                                    {"last", range.last},
+                                    {"proof", grants::to_text(item.proof)},
+                                    {"unanswered_requests", unanswered},
+                                    {"last_answer_age_ms", (now - server.last_answer).ms},
+                                    {"token", server.accepted_token}});
+        }
+    }
+    server.reported_free = keyspace::normalized(std::move(all));
+}
+
 void front::state::refuse_moved(const std::shared_ptr<request_pool>& pool)
 {
     const auto is_moved = [&](const dispatch::waiting_request& waiting) {
--- a/src/edge/internal/member_state.hpp
+++ b/src/edge/internal/member_state.hpp
@@ -4,6 +4,9 @@
 #include "edge/internal/store_health.hpp"
 #include "edge/member.hpp"
 #include "leader/leader_contact.hpp"
+#include "routes/config_currency.hpp"
+
+#include <list>
 
 namespace briarfold::edge {
 
@@ -37,6 +40,10 @@
     /// Reads the changes of the table "config" or "registry" in case the leader cannot read them.
     core::asio::awaitable<void> watch_as_deputy(std::string table);
     void record_deputy_row(const std::string& table, const store::row& row);
+    /// Tells the front of a backend server that it leaves or that its registration is gone. The leader may
+    /// have read it and still be late.
+    core::asio::awaitable<void> announce_leaving(leader::server_process process, bool is_gone);
+    core::asio::awaitable<void> tell_front(leader::server_process process, bool is_gone);
     void add_deputy_rows(nlohmann::json& message);
     void drop_confirmed_rows(const nlohmann::json& reply);
     /// Answers a new leader that collects the directories, and lets no earlier leader change this one any
@@ -51,6 +58,40 @@
     void become_leader(internal::leadership_start start);
     void step_down(const char* reason);
     void apply_update(const nlohmann::json& message);
+
+    // Configuration. The leader hands changes on and confirms with each answer that there is none; a router
+    // that is not confirmed asks others of its zone or the store.
+    enum class config_answer
+    {
+        none,
+        /// The other router could not confirm its configuration either.
+        outdated,
+        /// The same, since the store does not answer it.
+        store_fails,
+        current
+    };
+    /// Puts a configuration in force if it is newer; `packed` is the document as encoded by `internal::pack`,
+    /// or empty when it is not encoded yet.
+    void adopt_config(const nlohmann::json& document, std::string packed, const std::string& source);
+    void adopt_packed_config(std::string packed, const std::string& source);
+    /// Handles what an answer to a question or report that was sent at `asked` tells of the newest version.
+    void confirm_config(const nlohmann::json& reply, core::time_point asked);
+    void on_config_confirmed(core::time_point at);
+    core::duration config_age();
+    core::asio::awaitable<void> watch_config();
+    core::asio::awaitable<bool> await_current_config();
+    /// Starts a check unless one is running, and waits at most `limit` for its end.
+    core::asio::awaitable<void> await_config_check(core::duration limit);
+    core::asio::awaitable<void> check_config();
+    /// Returns who confirmed the configuration in force, or gave a newer one; empty when nobody could.
+    core::asio::awaitable<std::string> find_current_config();
+    /// Returns the routers of this zone that read the store for the others.
+    std::vector<directory::router> choose_config_readers() const;
+    core::asio::awaitable<config_answer> ask_for_config(directory::router reader);
+    /// Returns whether the store answered.
+    core::asio::awaitable<bool> read_config_changes();
+    core::asio::awaitable<std::string> answer_config_question(nlohmann::json question);
+
     leader::router_report make_report();
     core::duration election_delay() const;
 
@@ -78,6 +119,11 @@
     /// Document of the configuration in force, as encoded by `internal::pack`.
     std::string packed_config;
     std::int64_t config_version = 0;
+    routes::config_currency currency;
+    /// Position in the store up to which the configuration in force contains all changes.
+    store::position config_position;
+    bool is_checking_config = false;
+    std::list<core::asio::steady_timer*> config_waits;
     core::time_point confirmed_at;
     core::time_point proved_at;
     leader::leader_contact contact{clock::now()};
--- a/src/edge/internal/router_node.cpp
+++ b/src/edge/internal/router_node.cpp
@@ -115,6 +115,9 @@
         front.apply(member.directory(), entry.routes().config());
         return true;
     };
+    result.on_leaving = [this](const leader::server_process& process, bool is_gone) {
+        front.note_leaving(process, is_gone);
+    };
     result.fill_report = [this](leader::router_report& report) { front.fill_report(report); };
     result.on_network = [this](std::shared_ptr<wire::peer_network> created) {
         network = std::move(created);
@@ -160,6 +163,7 @@
         }
         co_return co_await link->forward(std::move(peer), std::move(request), std::move(cancellation));
     };
+    result.await_current_config = [this] { return member.await_current_config(); };
     return result;
 }
 
@@ -256,6 +260,9 @@
                            [this] { return static_cast<double>(budget->given_up()); });
     metrics.computed_gauge("briarfold_edge_configuration_version", "Configuration in force.", {},
                            [this] { return static_cast<double>(entry.routes().config().version); });
+    metrics.computed_gauge("briarfold_edge_configuration_age_milliseconds",
+                           "Time since the configuration in force was known to be the newest one.", {},
+                           [this] { return static_cast<double>(member.config_age().ms); });
     metrics.computed_gauge("briarfold_edge_leader", "1 while this router is the leader.", {},
                            [this] { return member.is_leader() ? 1.0 : 0.0; });
     metrics.computed_gauge("briarfold_edge_store_era",
--- a/src/edge/member.hpp
+++ b/src/edge/member.hpp
@@ -34,6 +34,9 @@
     std::function<void(const directory::snapshot&, const directory::update&)> on_directory;
     /// Applies a configuration. Returns false when it is not newer than the one in force.
     std::function<bool(routes::routing_config)> on_config;
+    /// Called when a deputy tells that a backend server of this router leaves, or that its registration is
+    /// gone.
+    std::function<void(const leader::server_process&, bool is_gone)> on_leaving;
     /// Adds the observations of this router.
     std::function<void(leader::router_report&)> fill_report;
     /// Called with the network to other routers, which is created once the shared secret is known.
@@ -60,6 +63,11 @@
     /// Requests a report at once; the answer confirms the assignments of this router.
     void request_report();
 
+    /// Returns whether the configuration in force is recent enough to say that a route does not exist. If it
+    /// is not known to be, looks for a newer one first, for at most 450 ms.
+    core::asio::awaitable<bool> await_current_config();
+    /// Returns the time since the configuration in force was known to be the newest one.
+    core::duration config_age() const;
     /// Returns the start of the last exchange in which the leader confirmed this router's directory.
     core::time_point last_confirmation() const;
     /// Returns when the leader last proved to this router that no other one had taken the leadership.
--- a/src/grants/tests/server_grants_tests.cpp
+++ b/src/grants/tests/server_grants_tests.cpp
@@ -424,6 +424,31 @@
     BOOST_CHECK_EQUAL(grants.freed(now + duration{4300}).size(), 1U);
 }
 
+// Guards against two owners: a grant that was in flight when the backend server was registered at another
+// address counted as one at the new address, whose release freed the keys.
+BOOST_AUTO_TEST_CASE(a_release_ends_no_grant_that_was_in_flight_to_an_earlier_address)
+{
+    auto entry = make_entry({{0, 99}});
+    server_grants grants(entry, now);
+    const auto former = next(grants);
+    now = now + duration{10};
+    entry.server.address = {"10.0.0.9", 8000};
+    grants.update(entry, now);
+    now = now + duration{490};
+    grants.on_lost(former, now);
+    const auto lost = now;
+    now = now + duration{150};
+    grant_all(grants);
+    entry.withdrawn = {{0, 99}};
+    grants.update(entry, now);
+    const auto release = next(grants);
+    BOOST_REQUIRE(release.kind == call_kind::release);
+    grants.on_released(release, "", now);
+    BOOST_CHECK(grants.freed(now).empty());
+    BOOST_CHECK(grants.freed(former.sent + grant_duration).empty());
+    BOOST_CHECK_EQUAL(grants.freed(latest_grant_end(lost, grant_duration)).size(), 1U);
+}
+
 // Guards against two owners: a former front that another leader still confirms may hold the keys at a later
 // process of the backend server.
 BOOST_AUTO_TEST_CASE(the_end_of_a_process_ends_no_grants_of_earlier_fronts)
@@ -670,4 +695,26 @@
     BOOST_CHECK(!grants.next_call(now, true, grant_duration).has_value());
 }
 
+// Guards against a log that cannot tell why keys were given on.
+BOOST_AUTO_TEST_CASE(free_keys_say_what_shows_it)
+{
+    auto entry = make_entry({{0, 99}, {200, 299}});
+    server_grants grants(entry, now);
+    grant_all(grants);
+    entry.withdrawn = entry.keys;
+    ++entry.revision;
+    grants.update(entry, now);
+    grants.on_released(next(grants), "", now);
+    grants.on_lost(next(grants), now);
+    auto freed = grants.freed(now);
+    BOOST_REQUIRE_EQUAL(freed.size(), 1U);
+    BOOST_CHECK(freed.front().proof == free_proof::release);
+    now = latest_grant_end(now, grant_duration);
+    freed = grants.freed(now);
+    BOOST_REQUIRE_EQUAL(freed.size(), 2U);
+    BOOST_CHECK(freed.back().proof == free_proof::grant_end);
+    grants.on_ended(now);
+    BOOST_CHECK(grants.freed(now).back().proof == free_proof::process_end);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
