Ask another front when one has no room for a request without key

Cause: each entry chose a front by its own requests in flight alone and passed on the first rejection, although other fronts of the service had free slots. Change: results carry the load of the queue; dispatch::front_choice prefers the entry's zone until its fronts are almost full, and a rejection for lack of room asks up to two other fronts first.

--- a/src/edge/entry.hpp
+++ b/src/edge/entry.hpp
@@ -4,6 +4,7 @@
 #include "core/asio.hpp"
 #include "core/cancellation.hpp"
 #include "directory/owner_index.hpp"
+#include "dispatch/front_choice.hpp"
 #include "dispatch/retry_budget.hpp"
 #include "edge/event_log.hpp"
 #include "edge/protocol.hpp"
@@ -84,9 +85,14 @@
     /// Whether the front refused a request within the last second because it ends before it could answer.
     bool is_stopping(const std::string& front, core::time_point now) const;
     /// Returns where to send the request, or nothing while no front can serve it.
-    std::optional<destination> find_destination(const request_context& context) const;
+    std::optional<destination> find_destination(const request_context& context);
     std::optional<destination> find_owner(const std::string& service, std::uint32_t key) const;
-    std::optional<destination> find_group(const request_context& context) const;
+    std::optional<destination> find_group(const request_context& context);
+    /// Returns the fronts of a service without key ownership.
+    std::vector<dispatch::front_option> list_fronts(const std::string& service, core::time_point now) const;
+    /// Whether another front may have room for a request that one front has no room for.
+    bool may_ask_another_front(const request_context& context, const std::string& front,
+                               core::time_point now) const;
     /// Waits at most `limit` for a change of the directory.
     core::asio::awaitable<void> await_change(core::duration limit);
     /// Returns a refusal, or nothing when the request can be routed or has no route.
@@ -114,6 +120,8 @@
     /// Returns when the request must have its answer: at its deadline, or when this process ends.
     core::time_point answer_limit(const request_context& context) const;
     wire::forward_request make_forward(const request_context& context) const;
+    void record_result(const request_context& context, const destination& to,
+                       const wire::forward_result& result);
 
     core::asio::any_io_executor executor_;
     entry_settings settings_;
@@ -131,7 +139,8 @@
     std::map<std::string, http::endpoint> router_peers_;
     std::map<std::string, std::string> router_zones_;
     directory::owner_index owners_;
-    std::map<std::string, int> in_flight_by_group_;
+    /// By service without key ownership.
+    std::map<std::string, dispatch::front_choice> front_choices_;
     /// Longest deadline of all requests so far, by route: that of first attempts.
     std::map<std::string, core::duration> max_deadline_;
     /// Time at which a front last refused a request because it ends before it could answer.
--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -98,6 +98,7 @@
     }
     if (auto refusal = admit(pending, *pool))
     {
+        refusal->queue_load = measure_load(*pool);
         log_result(*pending, *refusal);
         co_return std::move(*refusal);
     }
@@ -130,10 +131,17 @@
     {
         cancellation->set_hook({});
     }
+    result.queue_load = measure_load(*pool);
     log_result(*pending, result);
     co_return result;
 }
 
+double front::state::measure_load(const request_pool& pool) const
+{
+    const auto slots = count_slots(pool, clock::now());
+    return (slots.running + static_cast<double>(pool.queue.size())) / std::max(slots.slots, 1);
+}
+
 std::optional<wire::forward_result> front::state::admit(const std::shared_ptr<pending_request>& pending,
                                                         request_pool& pool)
 {
--- a/src/edge/internal/front_state.hpp
+++ b/src/edge/internal/front_state.hpp
@@ -47,6 +47,8 @@
     void finish(const std::shared_ptr<pending_request>& pending);
     std::shared_ptr<fronted_server> choose_server(const request_pool& pool, const pending_request* pending,
                                                   core::time_point now);
+    /// Returns the requests that run and wait for each slot.
+    double measure_load(const request_pool& pool) const;
     dispatch::slot_state count_slots(const request_pool& pool, core::time_point now) const;
     /// Returns the result, or nothing when the request did not reach the backend server and is sent again.
     std::optional<wire::forward_result> handle_outcome(pending_request& pending, exchange_result& outcome);
@@ -109,6 +111,8 @@
     std::map<std::string, std::shared_ptr<fronted_server>> servers;
     std::map<std::string, std::shared_ptr<request_pool>> pools;
     std::map<std::string, std::map<std::uint32_t, double>> offered_work;
+    /// Bytes of answers since the last report, by service.
+    std::map<std::string, std::int64_t> answer_bytes;
     dispatch::work_estimate estimate;
     std::size_t running = 0;
     std::uint64_t next_id = 0;
--- a/src/edge/tests/entry_tests.cpp
+++ b/src/edge/tests/entry_tests.cpp
@@ -235,6 +235,28 @@
     BOOST_CHECK_EQUAL(served.by_front.at("f1"), 2);
 }
 
+// Guards against a request that is rejected because one front has no room, although another one has.
+BOOST_AUTO_TEST_CASE(a_request_goes_to_another_front_when_one_has_no_room)
+{
+    const auto respond = [](const std::string& front) {
+        auto result = make_result(wire::outcome::answered, status_ok);
+        if (front != "f3")
+        {
+            result = make_result(wire::outcome::refused_not_run, status_unavailable);
+            result.not_run_reason = "overload";
+            result.retry_after = 100_ms;
+        }
+        return result;
+    };
+    const auto served = send_requests(2, {"f1", "f2", "f3"}, respond);
+    BOOST_CHECK_EQUAL(served.answers.at(0).status, status_ok);
+    BOOST_CHECK_EQUAL(served.answers.at(1).status, status_ok);
+    BOOST_CHECK_EQUAL(served.sends(), 4);
+    const auto rejected = send_requests(1, {"f1", "f2"}, respond);
+    BOOST_CHECK_EQUAL(rejected.answers.at(0).status, status_unavailable);
+    BOOST_CHECK_EQUAL(http::find_header(rejected.answers.at(0).headers, "X-Retry-Ms"), "100");
+}
+
 // Guards against lost links to a front that repeat the requests on them without a budget.
 BOOST_AUTO_TEST_CASE(requests_on_lost_links_are_repeated_within_the_budget_only)
 {
--- a/src/wire/frame_types.hpp
+++ b/src/wire/frame_types.hpp
@@ -50,6 +50,9 @@
     int max_attempts = 1;
     /// Backend servers that received the request before, or may have.
     std::vector<std::string> tried_servers;
+    /// Time that the client itself still waits, which may exceed `deadline`. Zero when a rejection is not
+    /// passed on to the client, because the entry asks another front then.
+    core::duration client_time_left;
 
     bool operator==(const forward_request&) const = default;
 };
@@ -71,6 +74,8 @@
     /// Whether the backend server `peer` received the request and another send may succeed. The front leaves
     /// it to the entry, which limits them.
     bool may_send_again = false;
+    /// Requests that run and wait at the front for each slot of the service; negative when not known.
+    double queue_load = -1;
 
     bool operator==(const forward_result&) const = default;
 };
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -126,6 +126,10 @@
     {
         fields.read(request.tried_servers);
     }
+    if (fields.has_next())
+    {
+        fields.read(request.client_time_left.ms);
+    }
 }
 
 void read_result(field_cursor& fields, forward_result& result)
@@ -149,6 +153,10 @@
     {
         fields.read(result.may_send_again);
     }
+    if (fields.has_next())
+    {
+        fields.read(result.queue_load);
+    }
 }
 
 frame decode(const char* data, std::size_t size)
@@ -202,7 +210,7 @@
 
 void append_forward(std::string& out, std::uint64_t id, const forward_request& request)
 {
-    constexpr std::uint32_t fields = 18;
+    constexpr std::uint32_t fields = 19;
     append_frame(out, frame_type::forward, id, fields, [&](packer& pack) {
         pack.pack(request.customer);
         pack.pack(request.service);
@@ -222,12 +230,13 @@
         pack.pack(request.max_attempts);
         pack.pack(request.is_entry_stopping);
         pack.pack(request.tried_servers);
+        pack.pack(request.client_time_left.ms);
     });
 }
 
 void append_result(std::string& out, std::uint64_t id, const forward_result& result)
 {
-    constexpr std::uint32_t fields = 10;
+    constexpr std::uint32_t fields = 11;
     append_frame(out, frame_type::result, id, fields, [&](packer& pack) {
         pack.pack(static_cast<std::uint8_t>(result.outcome));
         pack.pack(result.status);
@@ -239,6 +248,7 @@
         pack.pack(result.not_run_reason);
         pack.pack(result.retry_after.ms);
         pack.pack(result.may_send_again);
+        pack.pack(result.queue_load);
     });
 }
 
