Use bandwidth and zones when fronts are assigned

Cause: fronts were given out by processor share alone, so that a queue of eight backend servers with large answers could get a router with a tenth of the bandwidth that they need, and queues mixed zones. Change: routers state bandwidth_mbps, fronts report the bytes of answers, and the leader adds the share of the link to the load of a front. Queues of a zone with four or more backend servers stay within it, and move as one.

--- a/src/directory/directory_types.hpp
+++ b/src/directory/directory_types.hpp
@@ -90,6 +90,8 @@
     http::endpoint peer;
     /// Processor share, in cores.
     double cpu = 1;
+    /// Bandwidth of its network link in Mbit/s; 0 when it is not known.
+    double bandwidth_mbps = 0;
     bool is_stopping = false;
 
     bool operator==(const router&) const = default;
--- a/src/directory/internal/directory_json.cpp
+++ b/src/directory/internal/directory_json.cpp
@@ -93,7 +93,7 @@
 json to_json(const router& value)
 {
     return json::array({value.name, value.incarnation, value.zone, endpoint_to_text(value.peer), value.cpu,
-                        value.is_stopping});
+                        value.is_stopping, value.bandwidth_mbps});
 }
 
 router router_from_json(const json& value)
@@ -105,6 +105,12 @@
     result.peer = endpoint_from_json(value.at(3));
     result.cpu = value.at(4).get<double>();
     result.is_stopping = value.at(5).get<bool>();
+    // Routers of earlier releases do not send it.
+    constexpr std::size_t bandwidth_position = 6;
+    if (value.size() > bandwidth_position)
+    {
+        result.bandwidth_mbps = value.at(bandwidth_position).get<double>();
+    }
     return result;
 }
 
--- a/src/edge/internal/front.cpp
+++ b/src/edge/internal/front.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <utility>
 
 namespace briarfold::edge {
 
@@ -143,6 +144,7 @@
         }
     }
     state_->offered_work.clear();
+    report.answer_bytes = std::exchange(state_->answer_bytes, {});
 }
 
 front::state::state(asio::any_io_executor io_executor, settings::edge_settings initial_settings,
--- a/src/edge/internal/front_outcomes.cpp
+++ b/src/edge/internal/front_outcomes.cpp
@@ -44,6 +44,7 @@
     {
         server.limit.on_answer();
         record_contact(server, true, "answer");
+        answer_bytes[server.entry.server.service] += static_cast<std::int64_t>(outcome.answer.body.size());
         if (http::is_success(outcome.answer.status))
         {
             estimate.record(pending.request.route, server.entry.server.id,
--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -152,6 +152,7 @@
     self.zone = settings.zone;
     self.peer = settings.advertised_peer.port != 0 ? settings.advertised_peer : settings.peer;
     self.cpu = settings.cpu;
+    self.bandwidth_mbps = settings.bandwidth_mbps;
 }
 
 asio::awaitable<std::string> member::state::load_or_create_secret()
--- a/src/leader/internal/front_assignment.cpp
+++ b/src/leader/internal/front_assignment.cpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <iterator>
 #include <ranges>
+#include <tuple>
 #include <utility>
 
 namespace briarfold::leader {
@@ -21,6 +22,13 @@
 constexpr std::size_t servers_per_balance_move = 12;
 /// Avoids a division by zero for a router that reports no share of a processor.
 constexpr double min_cpu = 0.01;
+/// Number of backend servers of a service without key ownership in one zone from which they are grouped
+/// without those of other zones: fewer share slots badly, and a mixed group sends answers between zones.
+constexpr std::size_t min_zone_group_size = 4;
+/// Slots that the processor of a router serves per core when it is full. A full link counts as much.
+constexpr double slots_per_core = 250;
+/// Answers reach the front and leave it.
+constexpr double transfers_per_answer = 2;
 /// The store may reject a third of the routers, among them the leader and some deputies.
 constexpr std::size_t deputy_count = 3;
 /// Weight of a router in a zone without leader or deputy: outweighs a processor of twice the size.
@@ -71,15 +79,72 @@
     }
 }
 
+double leader_state::slot_load(const std::string& service, double slots,
+                               const directory::router& router) const
+{
+    const double processor_load = slots / std::max(router.cpu, min_cpu);
+    const auto mbps = mbps_per_slot_.find(service);
+    if (mbps == mbps_per_slot_.end() || router.bandwidth_mbps <= 0)
+    {
+        return processor_load;
+    }
+    return processor_load + slots_per_core * mbps->second * slots / router.bandwidth_mbps;
+}
+
+void leader_state::update_slot_bandwidth(core::time_point now)
+{
+    constexpr double bits_per_byte = 8;
+    constexpr double bits_per_megabit = 1e6;
+    std::map<std::string, double> slots;
+    for (const auto& [id, entry] : published_.entries)
+    {
+        slots[entry.server.service] += entry.server.slots;
+    }
+    mbps_per_slot_.clear();
+    for (const auto& [service, rate] : answer_rates_)
+    {
+        if (slots[service] > 0)
+        {
+            mbps_per_slot_[service] = rate.bytes_per_s(now) * bits_per_byte / bits_per_megabit *
+                                      transfers_per_answer / slots[service];
+        }
+    }
+}
+
+std::set<std::pair<std::string, std::string>> leader_state::find_zone_groups() const
+{
+    std::map<std::pair<std::string, std::string>, std::size_t> counts;
+    for (const auto& [id, entry] : published_.entries)
+    {
+        if (!is_keyed(entry) && entry.is_listed)
+        {
+            ++counts[{entry.server.service, entry.server.zone}];
+        }
+    }
+    std::set<std::pair<std::string, std::string>> result;
+    for (const auto& [group, count] : counts)
+    {
+        if (count >= min_zone_group_size)
+        {
+            result.insert(group);
+        }
+    }
+    return result;
+}
+
 leader_state::front_tally leader_state::tally_fronts() const
 {
     front_tally tally;
+    tally.zone_groups = find_zone_groups();
     for (const auto& [front, ids] : servers_by_front_)
     {
         for (const auto& id : ids)
         {
             const auto& server = published_.entries.at(id).server;
-            tally.slots[front] += server.slots;
+            if (const auto router = published_.routers.find(front); router != published_.routers.end())
+            {
+                tally.loads[front] += slot_load(server.service, server.slots, router->second);
+            }
             ++tally.groups[{front, server.service}];
         }
     }
@@ -141,8 +206,10 @@
         constexpr double join_group_bonus = 10000;
         const auto group = tally.groups.find({name, server.service});
         const auto grouped = group == tally.groups.end() ? 0 : group->second;
-        const bool joins_group = !is_keyed && grouped > 0 && grouped < max_group_size;
-        const double cost = (tally.slots[name] + server.slots) / std::max(item.cpu, min_cpu) +
+        const bool is_zone_group = tally.zone_groups.contains({server.service, server.zone});
+        const bool joins_group = !is_keyed && grouped > 0 && grouped < max_group_size &&
+                                 (item.zone == server.zone || !is_zone_group);
+        const double cost = tally.loads[name] + slot_load(server.service, server.slots, item) +
                             (item.zone == server.zone ? 0 : other_zone_cost) -
                             (joins_group ? join_group_bonus : 0);
         if (best.empty() || cost < best_cost)
@@ -153,7 +220,7 @@
     }
     if (!best.empty())
     {
-        tally.slots[best] += server.slots;
+        tally.loads[best] += slot_load(server.service, server.slots, published_.routers.at(best));
         ++tally.groups[{best, server.service}];
     }
     return best;
@@ -265,34 +332,59 @@
         }
         for (const auto& id : ids->second)
         {
-            loads[name] +=
-                published_.entries.at(id).server.slots / std::max(published_.routers.at(name).cpu, min_cpu);
+            const auto& server = published_.entries.at(id).server;
+            loads[name] += slot_load(server.service, server.slots, published_.routers.at(name));
         }
     }
     return loads;
 }
 
+std::vector<leader_state::front_unit> leader_state::front_units() const
+{
+    std::map<std::tuple<std::string, std::string, std::string, std::string>, front_unit> units;
+    for (const auto& [id, entry] : published_.entries)
+    {
+        const auto& server = entry.server;
+        // A group of a few backend servers may stand in several zones, and is evened out one by one.
+        auto& unit = units[{entry.front, server.service, server.zone, is_keyed(entry) ? id : ""}];
+        unit.service = server.service;
+        unit.zone = server.zone;
+        unit.front = entry.front;
+        unit.slots += server.slots;
+        unit.has_withdrawn_keys = unit.has_withdrawn_keys || !entry.withdrawn.empty();
+        unit.backend_servers.push_back(id);
+    }
+    std::vector<front_unit> list;
+    std::ranges::copy(std::views::values(units), std::back_inserter(list));
+    return list;
+}
+
 void leader_state::balance_fronts(core::time_point now)
 {
+    update_slot_bandwidth(now);
     auto loads = front_loads(now);
     const auto max_moves = std::max<std::size_t>(1, published_.entries.size() / servers_per_balance_move);
-    for (std::size_t moves = 0; moves < max_moves && loads.size() > 1; ++moves)
+    for (std::size_t moves = 0; moves < max_moves && loads.size() > 1;)
     {
         const auto best = find_balance_move(loads);
         if (!best)
         {
             return;
         }
-        const double slots = find_entry(best->backend_server).server.slots;
+        const auto& unit = best->unit;
         const auto change_load = [&](const std::string& name, double factor) {
             if (const auto known = loads.find(name); known != loads.end())
             {
-                known->second += factor * slots / std::max(published_.routers.at(name).cpu, min_cpu);
+                known->second += factor * slot_load(unit.service, unit.slots, published_.routers.at(name));
             }
         };
-        change_load(find_entry(best->backend_server).front, -1);
+        change_load(unit.front, -1);
         change_load(best->front, 1);
-        set_front(best->backend_server, best->front, "balance", now);
+        for (const auto& id : unit.backend_servers)
+        {
+            set_front(id, best->front, "balance", now);
+            ++moves;
+        }
     }
 }
 
@@ -307,12 +399,12 @@
     {
         std::string name;
         std::string zone;
-        double load = 0;
-        double cpu = 1;
+        double cost = 0;
     };
-    std::map<std::pair<std::string, int>, std::vector<candidate>> best_by_zone;
-    const auto candidates = [&](double factor, int slots) -> const std::vector<candidate>& {
-        auto& list = best_by_zone[{std::to_string(factor), slots}];
+    std::map<std::tuple<double, std::string, double>, std::vector<candidate>> best_by_zone;
+    const auto candidates = [&](double factor, const std::string& service,
+                                double slots) -> const std::vector<candidate>& {
+        auto& list = best_by_zone[{factor, service, slots}];
         if (!list.empty())
         {
             return list;
@@ -321,12 +413,11 @@
         for (const auto& [name, load] : loads)
         {
             const auto& router = published_.routers.at(name);
-            const auto cost = [&](double base, double cpu) { return base + factor * 2 * slots / cpu; };
-            const auto cpu = std::max(router.cpu, min_cpu);
+            const double cost = load + factor * 2 * slot_load(service, slots, router);
             auto& known = best[router.zone];
-            if (known.name.empty() || cost(load, cpu) < cost(known.load, known.cpu))
+            if (known.name.empty() || cost < known.cost)
             {
-                known = {name, router.zone, load, cpu};
+                known = {name, router.zone, cost};
             }
         }
         std::ranges::copy(std::views::values(best), std::back_inserter(list));
@@ -334,20 +425,20 @@
     };
     std::optional<front_move> result;
     double best_gain = 0;
-    for (const auto& [id, entry] : published_.entries)
+    for (const auto& unit : front_units())
     {
-        const auto from = published_.routers.find(entry.front);
-        if (from == published_.routers.end() || !entry.withdrawn.empty())
+        const auto from = published_.routers.find(unit.front);
+        if (from == published_.routers.end() || unit.has_withdrawn_keys)
         {
             continue;
         }
-        const bool is_spared = !loads.contains(entry.front);
-        const bool is_outside_zone = from->second.zone != entry.server.zone;
-        if (!is_outside_zone && !is_spared && entry.front != busiest)
+        const bool is_spared = !loads.contains(unit.front);
+        const bool is_outside_zone = from->second.zone != unit.zone;
+        if (!is_outside_zone && !is_spared && unit.front != busiest)
         {
             continue;
         }
-        const double from_load = is_spared ? spared_load : loads.at(entry.front);
+        const double from_load = is_spared ? spared_load : loads.at(unit.front);
         constexpr double return_factor = 0.5;
         constexpr double same_zone_factor = 1;
         // A move to another zone is worthwhile only when the routers of the zone have far more load than the
@@ -355,17 +446,17 @@
         constexpr double other_zone_factor = 3;
         for (const double factor : {return_factor, same_zone_factor, other_zone_factor})
         {
-            for (const auto& to : candidates(factor, entry.server.slots))
+            for (const auto& to : candidates(factor, unit.service, unit.slots))
             {
-                const bool is_return_to_zone = is_outside_zone && to.zone == entry.server.zone;
+                const bool is_return_to_zone = is_outside_zone && to.zone == unit.zone;
                 const double due_factor = is_return_to_zone              ? return_factor
                                           : to.zone == from->second.zone ? same_zone_factor
                                                                          : other_zone_factor;
-                const double gain = from_load - to.load - factor * 2 * entry.server.slots / to.cpu;
-                if (due_factor == factor && to.name != entry.front && gain > best_gain)
+                const double gain = from_load - to.cost;
+                if (due_factor == factor && to.name != unit.front && gain > best_gain)
                 {
                     best_gain = gain;
-                    result = front_move{id, to.name};
+                    result = front_move{unit, to.name};
                 }
             }
         }
--- a/src/leader/internal/leader_json.cpp
+++ b/src/leader/internal/leader_json.cpp
@@ -54,6 +54,7 @@
             {"leaving", to_json(value.leaving)},
             {"needs_proof", value.needs_proof},
             {"work", std::move(work)},
+            {"answer_bytes", value.answer_bytes},
             {"slowness", value.slowness}};
 }
 
@@ -73,6 +74,7 @@
     result.ended = processes_from_json(value.value("ended", json::array()));
     result.leaving = processes_from_json(value.value("leaving", json::array()));
     result.needs_proof = value.value("needs_proof", false);
+    result.answer_bytes = value.value("answer_bytes", std::map<std::string, std::int64_t>());
     for (const auto& [service, list] : value.at("work").items())
     {
         auto& keys = result.work[service];
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -365,6 +365,10 @@
             }
         }
     }
+    for (const auto& [service, bytes] : report.answer_bytes)
+    {
+        answer_rates_[service].record(bytes, now);
+    }
     if (report.term == published_.term)
     {
         renew_tokens(report);
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -6,6 +6,7 @@
 #include "keyspace/move_planner.hpp"
 #include "leader/leader_types.hpp"
 #include "leader/leadership_confirmation.hpp"
+#include "leader/transfer_rate.hpp"
 
 #include <functional>
 #include <optional>
@@ -194,28 +195,48 @@
     void remove_lost_routers(core::time_point now);
     void publish_lost_routers(core::time_point now);
     void assign_fronts(core::time_point now);
+    /// Backend servers that change their front together: one with keys, or those of one queue and zone. A
+    /// queue that is split loses the shared slots.
+    struct front_unit
+    {
+        std::string service;
+        std::string zone;
+        std::string front;
+        double slots = 0;
+        bool has_withdrawn_keys = false;
+        std::vector<std::string> backend_servers;
+    };
     struct front_move
     {
-        std::string backend_server;
+        front_unit unit;
         std::string front;
     };
+    std::vector<front_unit> front_units() const;
     /// Assigns some backend servers to less loaded fronts, or to fronts in their own zones.
     void balance_fronts(core::time_point now);
     /// Returns the change of front that evens out the loads most; nothing when none is worthwhile.
     std::optional<front_move> find_balance_move(const std::map<std::string, double>& loads) const;
+    /// Returns the load that slots of a service are for a front, by its shares of a processor and of
+    /// bandwidth.
+    double slot_load(const std::string& service, double slots, const directory::router& router) const;
+    void update_slot_bandwidth(core::time_point now);
+    /// Returns the services without key ownership, with the zones that have enough backend servers of them to
+    /// share slots among themselves.
+    std::set<std::pair<std::string, std::string>> find_zone_groups() const;
     bool can_be_front(const directory::router& router, core::time_point now) const;
     void set_front(const std::string& id, const std::string& front, const char* reason, core::time_point now);
     /// Gives the front tokens above those of all earlier ones, its own former process included, and hides
     /// keys from it that an earlier one has freed.
     void begin_term_of_office(const std::string& id);
-    /// Returns the load of each possible front: slots of its backend servers divided by its share of a
-    /// processor.
+    /// Returns the load of each possible front.
     std::map<std::string, double> front_loads(core::time_point now) const;
-    /// Slots by front, and numbers of backend servers by front and service.
+    /// Numbers of backend servers by front and service.
     struct front_tally
     {
-        std::map<std::string, double> slots;
         std::map<std::pair<std::string, std::string>, std::size_t> groups;
+        /// Load of fronts, and the services and zones whose backend servers are grouped within the zone.
+        std::map<std::string, double> loads;
+        std::set<std::pair<std::string, std::string>> zone_groups;
     };
     front_tally tally_fronts() const;
     std::string choose_front(const directory::backend_server& server, front_tally& tally,
@@ -261,6 +282,10 @@
     /// Services whose keys have been assigned before.
     std::set<std::string> initialized_services_;
     std::map<std::string, keyspace::key_loads> loads_;
+    /// Bytes of answers by service, and the bandwidth in Mbit/s that one slot of a service takes from a
+    /// front.
+    std::map<std::string, transfer_rate> answer_rates_;
+    std::map<std::string, double> mbps_per_slot_;
     /// Planned moves whose keys are not freed yet, by service.
     std::map<std::string, std::vector<keyspace::key_move>> planned_moves_;
     std::map<std::string, staged_entry> in_flight_entries_;
--- a/src/leader/leader_types.hpp
+++ b/src/leader/leader_types.hpp
@@ -60,6 +60,8 @@
     bool needs_proof = false;
     /// Load of keys by service.
     std::map<std::string, std::vector<key_work>> work;
+    /// Bytes of the answers of backend servers since the last report, by service.
+    std::map<std::string, std::int64_t> answer_bytes;
     /// Processing time of a backend server relative to the average, by id.
     std::map<std::string, double> slowness;
 
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -788,6 +788,61 @@
     BOOST_CHECK_LE(busiest->second, 3 * static_cast<int>(servers) / routers);
 }
 
+// Load pattern: large answers, of which a few backend servers fill the link of a router with a strong
+// processor. Guards against fronts that are chosen by their processors alone.
+BOOST_AUTO_TEST_CASE(a_service_with_large_answers_gets_fronts_with_bandwidth)
+{
+    const auto join = [this](const std::string& name, double cpu, double mbps, std::int64_t bytes) {
+        router_report message;
+        message.router = make_router(name);
+        message.router.cpu = cpu;
+        message.router.bandwidth_mbps = mbps;
+        message.term = state->current().term;
+        message.revision = state->current().revision;
+        message.answer_bytes["images"] = bytes;
+        state->on_report(message, now);
+    };
+    constexpr int servers = 16;
+    for (int i = 0; i < servers; ++i)
+    {
+        state->on_registered(make_server("i" + std::to_string(i), "a", "images"), now);
+    }
+    constexpr std::int64_t bytes_per_report = 150000;
+    constexpr int steps = 100;
+    for (int step = 0; step < steps; ++step)
+    {
+        now = now + duration{100};
+        for (const auto* const name : {"0", "1", "2", "3"})
+        {
+            join("narrow" + std::string(name), 0.5, 10, bytes_per_report);
+            join("wide" + std::string(name), 0.2, 200, 0);
+        }
+        join("r1", 0.1, 10, 0);
+        state->tick(now);
+        write();
+    }
+    for (const auto& [id, item] : state->current().entries)
+    {
+        BOOST_CHECK_MESSAGE(item.front.starts_with("wide"), id << " has the front " << item.front);
+    }
+}
+
+// Guards against queues that mix the backend servers of several zones, so that answers cross between zones on
+// their way to the front.
+BOOST_AUTO_TEST_CASE(a_zone_with_enough_backend_servers_has_queues_of_its_own)
+{
+    constexpr int servers = 12;
+    for (int i = 0; i < servers; ++i)
+    {
+        state->on_registered(make_server("i" + std::to_string(i), i % 2 == 0 ? "a" : "b", "images"), now);
+    }
+    advance(5000);
+    for (const auto& [id, item] : state->current().entries)
+    {
+        BOOST_CHECK_EQUAL(item.front == "r2", item.server.zone == "b");
+    }
+}
+
 // Guards against a front that is confirmed although it does not know that another router is the front now: it
 // would go on renewing grants for longer than its successor reckons with.
 BOOST_AUTO_TEST_CASE(a_former_front_is_confirmed_only_when_it_knows_of_the_change)
--- a/src/settings/edge_settings.hpp
+++ b/src/settings/edge_settings.hpp
@@ -28,6 +28,8 @@
     http::endpoint store;
     /// Share of a processor core, by which fronts are distributed.
     double cpu = 1;
+    /// Bandwidth of the network link in Mbit/s; 0 when it is not known.
+    double bandwidth_mbps = 0;
     /// Memory that the process may use, in MB.
     double memory_mb = 256;
     /// Arrivals beyond the first of each request: share of the requests, window, and number on top.
--- a/src/settings/internal/edge_settings.cpp
+++ b/src/settings/internal/edge_settings.cpp
@@ -65,6 +65,8 @@
     constexpr double least_cpu = 0.001;
     constexpr double most_cpu = 1024;
     result.cpu = reader.number("cpu", least_cpu, most_cpu, 1);
+    constexpr double most_bandwidth_mbps = 1e6;
+    result.bandwidth_mbps = reader.number("bandwidth_mbps", 0, most_bandwidth_mbps, result.bandwidth_mbps);
     constexpr double least_memory_mb = 16;
     constexpr double most_memory_mb = 1e6;
     result.memory_mb = reader.number("memory_mb", least_memory_mb, most_memory_mb, result.memory_mb);
@@ -100,6 +102,7 @@
             {"metrics", http::to_string(value.metrics)},
             {"store", http::to_string(value.store)},
             {"cpu", value.cpu},
+            {"bandwidth_mbps", value.bandwidth_mbps},
             {"memory_mb", value.memory_mb},
             {"start", {{"is_first", value.is_first_start}}},
             {"bounds",
--- a/src/settings/tests/edge_settings_tests.cpp
+++ b/src/settings/tests/edge_settings_tests.cpp
@@ -38,6 +38,8 @@
     BOOST_CHECK_EQUAL(settings.max_config_delay.ms, 12);
     BOOST_CHECK_EQUAL(settings.name, "edge-a-1");
     BOOST_CHECK_EQUAL(settings.cpu, 0.2);
+    BOOST_CHECK_EQUAL(settings.bandwidth_mbps, 0);
+    BOOST_CHECK_EQUAL(parse_edge_settings("bandwidth_mbps = 10.5\n" + text, "test").bandwidth_mbps, 10.5);
 }
 
 // Guards against a router that takes every start for the first one of the system, and makes a second secret.
