Test that an answer without a valid status is no answer

Guards against the bytes of a faulty backend server that reach a client as an answer. Fails on this code: status lines with 000, 001, 099, 600 and 999 count as answers, and a 204 or 304 with a body as one without.

--- a/src/http/tests/http_tests.cpp
+++ b/src/http/tests/http_tests.cpp
@@ -309,6 +309,42 @@
     BOOST_CHECK_EQUAL(answer->body, "whole");
 }
 
+// Guards against a faulty server whose bytes are handed on as an answer although their status is none, or
+// belongs to another protocol.
+BOOST_AUTO_TEST_CASE(answer_without_a_final_status_is_no_answer)
+{
+    for (const auto* const status : {"000 Nothing", "001 Low", "099 Low", "101 Switching Protocols",
+                                     "600 High", "999 High", "0 Short", "20 Short"})
+    {
+        const auto text =
+            "HTTP/1.1 " + std::string(status) + "\r\nX-Attempt: a1\r\nContent-Length: 0\r\n\r\n";
+        const auto answer = read_answer("GET", {}, text, ending::closed);
+        BOOST_CHECK_MESSAGE(!answer, status << " got " << (answer ? answer->status : 0));
+    }
+    for (const auto* const status : {"200 OK", "299 Last", "404 Not Found", "599 Last"})
+    {
+        const auto text = "HTTP/1.1 " + std::string(status) + "\r\nContent-Length: 0\r\n\r\n";
+        BOOST_CHECK(read_answer("GET", {}, text, ending::closed).has_value());
+    }
+}
+
+// Guards against an answer that is handed on without its body, and whose body is read as the next answer.
+BOOST_AUTO_TEST_CASE(answer_with_a_body_that_its_status_forbids_is_no_answer)
+{
+    const std::string body = "Content-Length: 5\r\n\r\nwhole";
+    const std::string chunks = "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+    for (const auto& rest : {body, chunks})
+    {
+        BOOST_CHECK(!read_answer("GET", {}, "HTTP/1.1 204 No Content\r\n" + rest, ending::closed));
+        BOOST_CHECK(!read_answer("GET", {}, "HTTP/1.1 304 Not Modified\r\n" + rest, ending::closed));
+    }
+    const std::string empty = "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n";
+    BOOST_CHECK(read_answer("GET", {}, empty, ending::closed).has_value());
+    // Here the length is that of the answer that is not sent again.
+    const std::string unchanged = "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n";
+    BOOST_CHECK(read_answer("GET", {}, unchanged, ending::closed).has_value());
+}
+
 // Guards against a request that was read and handled, and whose connection was closed as idle before its
 // coroutine went on. Closes at every step of an exchange.
 BOOST_AUTO_TEST_CASE(closing_idle_connections_answers_requests_already_read)
