Treat an answer without a valid status as a broken exchange

Cause: any three digits of a status line were taken for a final status, so a client got 000 as its answer; and the body of a 204 was dropped. Change: a status outside 200 to 599, a change of protocol, and a body that the status forbids break the exchange off.

--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -19,6 +19,27 @@
     return code == error::body_limit || code == error::header_limit || code == error::buffer_overflow;
 }
 
+/// Whether the status can be that of a final answer. A faulty server may send any three digits, and a change
+/// of protocol was not asked for.
+bool is_final_status(unsigned status)
+{
+    constexpr unsigned first_final = 200;
+    constexpr unsigned last_final = 599;
+    return first_final <= status && status <= last_final;
+}
+
+/// Whether the head announces a body that the parser skips because of the status. Its bytes would be taken
+/// for the next answer.
+bool announces_forbidden_body(const beast::http::response<beast::http::string_body>& answer)
+{
+    using beast::http::field;
+    const auto status = answer.result();
+    const bool has_length = answer.count(field::content_length) > 0 && answer[field::content_length] != "0";
+    return answer.count(field::transfer_encoding) > 0
+               ? status == beast::http::status::no_content || status == beast::http::status::not_modified
+               : status == beast::http::status::no_content && has_length;
+}
+
 [[noreturn]] void rethrow(const boost::system::system_error& failure, const char* step, const endpoint& peer)
 {
     if (failure.code() == beast::error::timeout)
@@ -134,7 +155,8 @@
         const bool has_body = message.method != "HEAD";
         auto incoming = co_await s.read(has_body, deadline);
         for (int interim = 0;
-             beast::http::to_status_class(incoming.result()) == beast::http::status_class::informational;
+             beast::http::to_status_class(incoming.result()) == beast::http::status_class::informational &&
+             incoming.result() != beast::http::status::switching_protocols;
              ++interim)
         {
             if (interim == s.limits.interim_answers)
@@ -144,6 +166,13 @@
             }
             incoming = co_await s.read(has_body, deadline);
         }
+        const bool is_proper =
+            is_final_status(incoming.result_int()) && (!has_body || !announces_forbidden_body(incoming)) &&
+            (incoming.result() != beast::http::status::not_modified || s.buffer.size() == 0);
+        if (!is_proper)
+        {
+            throw boost::system::system_error(beast::http::make_error_code(beast::http::error::bad_status));
+        }
         if (!incoming.keep_alive())
         {
             close();
