Pause a backend server that rejects requests, for as long as it asks

Cause: a rejection only lowered the limit of requests in flight, and the Retry-After of a rejection was not read. Each request was sent up to four times within milliseconds to a server whose slots were taken by work that the front does not know of. Change: slot_limit pauses the server with exponential backoff from 15 to 120 ms, or for the time that the server asks for; a request that could not start before the end of that pause is refused at once.

--- a/src/dispatch/slot_limit.hpp
+++ b/src/dispatch/slot_limit.hpp
@@ -9,8 +9,13 @@
 
 /// Adaptive concurrency limit of one backend server. Each rejection lowers the limit and each answer raises
 /// it again. Repeated connection failures pause the backend server with exponential backoff. If another
-/// backend server has taken over its address, it is paused until its registration expires. A backend server
-/// that has just started gets its slots one by one.
+/// backend server has taken over its address, it is paused until its registration expires. A rejection pauses
+/// it until the time that it asks for, or else shortly, with exponential backoff. A backend server that has
+/// just started gets its slots one by one.
+///
+/// Load pattern: a backend server whose slots are taken by work that the router does not know of, so that it
+/// rejects each request although slots look free. Sent at once, one request was rejected four times within
+/// some milliseconds.
 class slot_limit
 {
 public:
@@ -25,10 +30,19 @@
     {
         failures_ = 0;
         is_on_trial_ = false;
+        rejections_ = 0;
+        backoff_until_ = {};
         limit_ = std::min<double>(slots_, limit_ + recovery_per_answer);
     }
-    /// Records that the backend server rejected a request because it was full.
-    void on_rejection() { limit_ = std::max(1.0, limit_ * rejection_factor); }
+    /// Records that the backend server rejected a request because it was full. `requested` is the pause that
+    /// it asked for, or zero.
+    void on_rejection(core::time_point now, core::duration requested = {})
+    {
+        limit_ = std::max(1.0, limit_ * rejection_factor);
+        const auto doublings = std::min(rejections_++, max_rejection_doublings);
+        backoff_until_ = now + rejection_pause * (std::int64_t{1} << doublings);
+        requested_until_ = std::max(requested_until_, now + std::min(requested, max_requested_pause));
+    }
     /// Records that no connection could be opened or that an exchange broke off.
     void on_failure(core::time_point now)
     {
@@ -55,7 +69,13 @@
 
     bool is_paused(core::time_point now) const
     {
-        return failures_ >= failures_before_pause && now < paused_until_;
+        return (failures_ >= failures_before_pause && now < paused_until_) ||
+               rejection_pause_left(now).ms > 0;
+    }
+    /// Returns for how long a rejection keeps the backend server paused; zero when it does not.
+    core::duration rejection_pause_left(core::time_point now) const
+    {
+        return std::max(std::max(backoff_until_, requested_until_) - now, core::duration{0});
     }
     /// Returns how many requests may run at the same time; 0 during a pause.
     int slots(core::time_point now) const
@@ -76,6 +96,12 @@
     /// random.
     static constexpr int failures_before_pause = 3;
     static constexpr core::duration initial_pause{50};
+    /// Work takes 50 to 300 ms, so that a slot of a full backend server is free after some tens of
+    /// milliseconds.
+    static constexpr core::duration rejection_pause{15};
+    static constexpr int max_rejection_doublings = 3;
+    /// A backend server that asks for more is asked again, in case the value is wrong.
+    static constexpr core::duration max_requested_pause{30000};
     static constexpr core::duration max_pause{800};
     static constexpr int max_doublings = 4;
     /// The registration of a backend server that has ended expires after three heartbeats, currently 2.6 s.
@@ -84,8 +110,11 @@
     int slots_;
     double limit_;
     int failures_ = 0;
+    int rejections_ = 0;
     bool is_on_trial_ = false;
     core::time_point paused_until_;
+    core::time_point backoff_until_;
+    core::time_point requested_until_;
 };
 
 } // namespace briarfold::dispatch
--- a/src/edge/internal/front_outcomes.cpp
+++ b/src/edge/internal/front_outcomes.cpp
@@ -42,7 +42,14 @@
     // A success without the signature of a backend server does not count as its answer.
     if (is_answer && (outcome.head.is_signed || !http::is_success(outcome.answer.status)))
     {
-        server.limit.on_answer();
+        if (outcome.head.retry_after.ms > 0)
+        {
+            server.limit.on_rejection(clock::now(), outcome.head.retry_after);
+        }
+        else
+        {
+            server.limit.on_answer();
+        }
         record_contact(server, true, "answer");
         answer_bytes[server.entry.server.service] += static_cast<std::int64_t>(outcome.answer.body.size());
         if (http::is_success(outcome.answer.status))
@@ -76,7 +83,7 @@
                           {"key", pending.request.key}});
     if (!outcome.head.is_misdirected)
     {
-        server.limit.on_rejection();
+        server.limit.on_rejection(now, outcome.head.retry_after);
     }
     else if (!server.is_keyed())
     {
--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -1,6 +1,7 @@
 #include "edge/internal/front_state.hpp"
 
 #include <algorithm>
+#include <ranges>
 
 namespace briarfold::edge {
 
@@ -160,6 +161,10 @@
     {
         return make_stopping_refusal(now);
     }
+    if (auto refusal = refuse_during_pause(*pending, pool, now))
+    {
+        return refusal;
+    }
     if (!pending->request.tried_servers.empty())
     {
         // A queue accepted it before.
@@ -183,6 +188,24 @@
     return refusal;
 }
 
+std::optional<wire::forward_result> front::state::refuse_during_pause(const pending_request& pending,
+                                                                      const request_pool& pool,
+                                                                      core::time_point now)
+{
+    const auto pause_left = [now](const auto& server) { return server->limit.rejection_pause_left(now); };
+    const auto pause = std::ranges::min(pool.servers | std::views::transform(pause_left));
+    const auto last_start =
+        pending.waiting.deadline - core::duration{static_cast<std::int64_t>(pending.waiting.work_ms)};
+    if (now + pause <= last_start || pause.ms == 0)
+    {
+        return std::nullopt;
+    }
+    auto refusal = make_result(wire::outcome::refused_not_run, status_unavailable,
+                               "the backend server asked for a pause", "overload");
+    refusal.retry_after = pause;
+    return refusal;
+}
+
 void front::state::cap_deadlines(core::time_point latest)
 {
     process_end = latest;
--- a/src/edge/internal/front_state.hpp
+++ b/src/edge/internal/front_state.hpp
@@ -41,6 +41,10 @@
     std::shared_ptr<request_pool> find_pool(const wire::forward_request& request);
     std::optional<wire::forward_result> admit(const std::shared_ptr<pending_request>& pending,
                                               request_pool& pool);
+    /// Refuses a request that could not start before the pause ends that all backend servers of the pool
+    /// asked for.
+    static std::optional<wire::forward_result>
+    refuse_during_pause(const pending_request& pending, const request_pool& pool, core::time_point now);
     void start_waiting(const std::shared_ptr<request_pool>& pool);
     void start(const std::shared_ptr<pending_request>& pending,
                const std::shared_ptr<fronted_server>& server);
--- a/src/edge/protocol.hpp
+++ b/src/edge/protocol.hpp
@@ -41,6 +41,9 @@
     std::optional<core::duration> keep_alive;
     /// The backend server closes the connection after this answer.
     bool closes_connection = false;
+    /// Time for which a backend server that rejected the request wants none from this router; zero when not
+    /// stated.
+    core::duration retry_after;
     /// The backend server is about to end.
     bool is_leaving = false;
 
