Test that cancelling an ended exchange leaves its connection open

Guards against a client that leaves when its request has just been answered and so breaks off the next request on the connection.

--- a/src/edge/tests/backend_link_tests.cpp
+++ b/src/edge/tests/backend_link_tests.cpp
@@ -206,6 +206,42 @@
     BOOST_CHECK(results.at(1).outcome == edge::exchange_outcome::mismatched);
 }
 
+// Guards against a client that leaves when its request has just been answered, and so breaks off the next
+// request on the connection.
+BOOST_AUTO_TEST_CASE(cancelling_an_ended_exchange_leaves_the_connection_open)
+{
+    asio::io_context context;
+    repeating_backend backend(context);
+    const auto adapter = make_protocol();
+    const auto handle = std::make_shared<edge::exchange_handle>();
+    edge::exchange_result second;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            auto socket = co_await backend.acceptor.async_accept(asio::use_awaitable);
+            co_await repeating_backend::read_request(socket);
+            co_await asio::async_write(socket, asio::buffer(make_answer("a1")), asio::use_awaitable);
+            co_await repeating_backend::read_request(socket);
+            handle->cancel();
+            co_await asio::async_write(socket, asio::buffer(make_answer("a2")), asio::use_awaitable);
+        },
+        asio::detached);
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            const auto link = std::make_shared<edge::backend_link>(
+                context.get_executor(), http::endpoint{"127.0.0.1", backend.acceptor.local_endpoint().port()},
+                adapter);
+            co_await link->exchange({"GET", "/1", {}, ""}, "a1", 1000_ms, handle);
+            second = co_await link->exchange({"GET", "/2", {}, ""}, "a2", 1000_ms, nullptr);
+            context.stop();
+        },
+        asio::detached);
+    context.run();
+    BOOST_CHECK(!second.is_new_connection);
+    BOOST_CHECK(second.outcome == edge::exchange_outcome::answered);
+}
+
 // Guards against a grant that counts as superseded because of a late copy of an earlier rejection: its keys
 // would go to another backend server while this one holds them.
 BOOST_AUTO_TEST_CASE(rejected_call_without_an_id_ends_its_connection)
