Detach the handle of an exchange from its connection when it ends

Cause: the handle kept the connection, which then carried the exchange of another request, and a late cancellation closed it. Change: the handle lets go of the connection after the answer. Result: edge_tests pass, with the test that failed before.

--- a/src/edge/internal/backend_link.cpp
+++ b/src/edge/internal/backend_link.cpp
@@ -167,6 +167,11 @@
         const auto remaining = std::max(timeout - (clock::now() - start), core::duration{1});
         result.answer = co_await pooled.connection->exchange(message, remaining);
         result.elapsed = clock::now() - start;
+        if (handle)
+        {
+            // The connection carries other exchanges from here on.
+            handle->connection_.reset();
+        }
     }
     catch (const core::error& failure)
     {
