Process several requests of a connection concurrently, answered in order

Cause: a client that sends further requests before the first response waited for each in turn, so that one slow request delayed all behind it. Change: the server reads on while each unanswered request may run concurrently, as decided by server_hooks::may_run_concurrently; the entry allows it for idempotent routes. response_order holds the order of responses and the rule for reading, starting and closing. The end of the stream is found with POLLRDHUP while nothing is read, also behind unread bytes.

--- a/src/edge/entry.hpp
+++ b/src/edge/entry.hpp
@@ -61,6 +61,9 @@
     /// Handles one request of a caller and returns its answer.
     core::asio::awaitable<http::response> handle(http::request message,
                                                  std::shared_ptr<core::cancellation> cancellation);
+    /// Whether a request may be processed concurrently with others of its connection: its route is
+    /// idempotent. False while no route is known for it.
+    bool may_run_concurrently(const http::request& message) const;
     /// Refuses all later requests at once, since their answers would come after the end of this process.
     void refuse_new() { is_refusing_ = true; }
     /// Has all requests answered by `latest`, before this process ends. Those that have been passed on keep
--- a/src/edge/internal/entry.cpp
+++ b/src/edge/internal/entry.cpp
@@ -246,6 +246,16 @@
     return adapter_.make_refusal(status, context.head.attempt_id, retry_after, reason);
 }
 
+bool entry::may_run_concurrently(const http::request& message) const
+{
+    if (!routes_.is_known())
+    {
+        return false;
+    }
+    const auto* const route = routes_.match(http::find_header(message.headers, "Host"), message.target);
+    return route != nullptr && route->is_idempotent;
+}
+
 std::optional<http::response> entry::prepare(request_context& context, http::request& message)
 {
     if (is_refusing_)
--- a/src/edge/internal/router_node.cpp
+++ b/src/edge/internal/router_node.cpp
@@ -210,6 +210,10 @@
             self->record_loss(request, reason);
         }
     };
+    hooks.may_run_concurrently = [weak](const http::request& message) {
+        const auto self = weak.lock();
+        return self && self->entry.may_run_concurrently(message);
+    };
     frontend.emplace(
         executor, settings.frontend,
         http::watched_handler(
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -3,15 +3,17 @@
 #include "core/error.hpp"
 #include "core/pause.hpp"
 #include "http/internal/message_reader.hpp"
+#include "http/internal/response_order.hpp"
 
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <atomic>
 #include <cerrno>
+#include <map>
 #include <mutex>
+#include <poll.h>
 #include <set>
-#include <sstream>
 #include <sys/socket.h>
 
 namespace briarfold::http {
@@ -62,6 +64,14 @@
     return message;
 }
 
+/// Whether the next read finds the end of the stream.
+bool is_at_end(asio::ip::tcp::socket& socket)
+{
+    char byte = 0;
+    const auto received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 /// The answer to a request for which this process has no memory; it was not read to its end.
 response make_memory_refusal()
 {
@@ -72,18 +82,52 @@
 
 struct server::state : std::enable_shared_from_this<server::state>
 {
+    /// A request that was started and whose response is not written yet.
+    struct exchange
+    {
+        unanswered_request request;
+        /// False for input that could not be read as a request; its loss is not reported.
+        bool is_request = true;
+        std::shared_ptr<core::cancellation> departure;
+        unsigned version = http_1_1;
+        bool is_head = false;
+        response answer;
+        /// Count the request and the response until the response is written.
+        std::unique_ptr<held_message> held_request;
+        std::unique_ptr<held_message> held_answer;
+    };
+
+    /// All members are used on the strand of the connection only.
     struct session : std::enable_shared_from_this<session>
     {
-        session(asio::ip::tcp::socket socket) : stream(std::move(socket)) {}
+        session(asio::ip::tcp::socket socket)
+            : stream(std::move(socket)), change(stream.get_executor()), departure_timer(stream.get_executor())
+        {}
+
+        bool is_busy() const { return is_lingering || !order.is_empty(); }
 
         beast::tcp_stream stream;
         beast::flat_buffer buffer;
         endpoint caller;
-        bool is_busy = false;
+        bool is_lingering = false;
         /// Since when the session waits for the caller; 0 while a request is being answered.
         std::int64_t waiting_since_ms = 0;
-        /// The request that is being answered.
-        std::optional<unanswered_request> current;
+        internal::response_order order;
+        std::map<internal::response_order::request_id, exchange> exchanges;
+        /// Cancelled whenever `order` changes, to resume the reader.
+        asio::steady_timer change;
+        asio::steady_timer departure_timer;
+        /// The reader waits for a change of `order` and does not notice the end of the stream itself.
+        bool is_reader_waiting = false;
+        bool is_departure_watched = false;
+        /// Only the read was to be cancelled; a write that ends with it goes on.
+        bool is_read_given_up = false;
+        /// The caller closed its side.
+        bool is_departed = false;
+        /// A response could not be written.
+        bool is_broken = false;
+        /// The process ends after the answers that are due now.
+        bool is_ending = false;
     };
 
     state(const asio::any_io_executor& base, watched_handler request_handler, server_limits sizes,
@@ -96,24 +140,40 @@
     /// Closes sessions that wait for their caller for too long.
     asio::awaitable<void> sweep();
     asio::awaitable<void> serve(std::shared_ptr<session> connection);
-    /// Returns false when the connection must close.
-    asio::awaitable<bool> serve_one(session& connection);
-    /// Answers a request that was read.
-    asio::awaitable<bool> serve_request(session& connection, internal::beast_request incoming);
-    /// Answers input that is no request, or none that is served.
+    /// Reads a request and starts it. Returns false when nothing more is read.
+    asio::awaitable<bool> read_next(session& connection);
+    /// Waits until the request may start behind those before it. Returns false when it never may.
+    asio::awaitable<bool> wait_to_start(session& connection, bool is_concurrent);
+    void start_request(session& connection, internal::beast_request incoming, request message,
+                       bool is_concurrent, std::unique_ptr<held_message> held);
+    /// Answers input that is no request, or none that is served, after the requests before it.
     asio::awaitable<void> refuse_input(session& connection, const error_code& code, bool has_no_memory);
-    asio::awaitable<void> write(session& connection, response answer, unsigned version, bool keep_alive,
-                                bool is_head);
+    asio::awaitable<void> run_request(std::shared_ptr<session> connection,
+                                      internal::response_order::request_id id, request message);
+    /// Takes the response to a request that was started.
+    void finish(session& connection, internal::response_order::request_id id, response reply);
+    /// Writes the responses that are ready, in the order of their requests.
+    asio::awaitable<void> write_ready(session& connection);
+    static asio::awaitable<void> write(session& connection, exchange& item, bool keep_alive);
+    /// Ends a connection whose responses can no longer be written.
+    void fail(session& connection, const std::string& reason);
+    void drop(session& connection, internal::response_order::request_id id, const std::string& reason);
+    /// Whether a further request may neither be read nor started.
+    bool is_over(const session& connection) const;
+    /// Whether the connection closes after the requests that were started.
+    bool is_ending(const session& connection) const;
+    /// Waits until the order of responses changes, and notices the departure of the caller meanwhile.
+    static asio::awaitable<void> wait_for_change(session& connection);
     /// Waits after the last answer until the caller has closed its side. A connection that is closed with
     /// unread bytes is reset, and the caller may lose the answer.
     static asio::awaitable<void> linger(session& connection);
-    asio::awaitable<response> answer(session& connection, internal::beast_request& incoming);
     void answer_unfinished(const response& answer);
-    void report_loss(const session& connection, const char* reason);
+    /// Whether the caller closed its side, read to its end or not.
     static bool has_departed(session& connection);
-    /// Raises `departure` when the caller closes the connection while its request is being answered.
-    static void watch_departure(const std::shared_ptr<session>& connection,
-                                const std::shared_ptr<core::cancellation>& departure);
+    static void cancel_requests(session& connection);
+    /// Cancels the requests when the caller closes the connection while nothing is read from it.
+    static void watch_departure(const std::shared_ptr<session>& connection);
+    static void poll_departure(const std::shared_ptr<session>& connection);
     /// Ends the session's read or write when `is_due` holds on its strand. A request that was already read is
     /// still answered, whether or not its coroutine has resumed.
     static void end_wait(const std::shared_ptr<session>& connection,
@@ -246,28 +306,34 @@
     const std::scoped_lock lock(mutex);
     for (const auto& connection : sessions)
     {
-        end_wait(connection, [](const session& item) { return !item.is_busy; });
+        end_wait(connection, [](const session& item) { return !item.is_busy(); });
     }
 }
 
 void server::state::answer_unfinished(const response& answer)
 {
-    std::ostringstream text;
-    text << make_message(answer, http_1_1, false);
     const std::scoped_lock lock(mutex);
     for (const auto& connection : sessions)
     {
-        asio::post(connection->stream.get_executor(), [connection, text = text.str()] {
-            if (connection->current && !connection->current->answer)
-            {
-                // Nothing else is being written, so that a short answer fits into the socket's buffer.
-                auto& socket = connection->stream.socket();
-                error_code ignored;
-                socket.non_blocking(true, ignored);
-                socket.write_some(asio::buffer(text), ignored);
-                socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-            }
-        });
+        asio::co_spawn(
+            connection->stream.get_executor(),
+            [self = shared_from_this(), connection, answer]() -> asio::awaitable<void> {
+                connection->is_ending = true;
+                std::vector<internal::response_order::request_id> unfinished;
+                for (const auto& [id, item] : connection->exchanges)
+                {
+                    if (!item.request.answer)
+                    {
+                        unfinished.push_back(id);
+                    }
+                }
+                for (const auto id : unfinished)
+                {
+                    self->finish(*connection, id, answer);
+                }
+                co_await self->write_ready(*connection);
+            },
+            asio::detached);
     }
 }
 
@@ -345,34 +411,34 @@
 {
     try
     {
-        while (co_await serve_one(*connection))
+        while (co_await read_next(*connection))
         {
         }
+        while (!connection->order.is_empty())
+        {
+            co_await wait_for_change(*connection);
+        }
+        if (connection->order.is_closing() && !connection->is_broken)
+        {
+            co_await linger(*connection);
+        }
     }
     catch (const std::exception& failure)
     {
-        // Mostly a caller that closed the connection or fell silent.
-        report_loss(*connection, failure.what());
+        fail(*connection, failure.what());
     }
     error_code ignored;
+    connection->departure_timer.cancel();
     connection->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     connection->stream.socket().close(ignored);
     const std::scoped_lock lock(mutex);
     sessions.erase(connection);
 }
 
-void server::state::report_loss(const session& connection, const char* reason)
-{
-    if (connection.current && hooks.on_loss)
-    {
-        hooks.on_loss(*connection.current, reason);
-    }
-}
-
 asio::awaitable<void> server::state::linger(session& connection)
 {
     constexpr std::chrono::milliseconds linger_time(1000);
-    connection.is_busy = true;
+    connection.is_lingering = true;
     connection.waiting_since_ms = 0;
     auto& socket = connection.stream.socket();
     error_code ignored;
@@ -380,8 +446,8 @@
     const auto timer = std::make_shared<asio::steady_timer>(socket.get_executor(), linger_time);
     socket.async_wait(asio::ip::tcp::socket::wait_read,
                       [timer, owner = connection.shared_from_this()](const error_code& code) {
-                          // Unread bytes hide the end, so they get the whole time.
-                          if (code || has_departed(*owner))
+                          // Closing with unread bytes resets the connection, so they get the whole time.
+                          if (code || is_at_end(owner->stream.socket()))
                           {
                               timer->cancel();
                           }
@@ -389,33 +455,106 @@
     co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-asio::awaitable<bool> server::state::serve_one(session& connection)
+asio::awaitable<bool> server::state::read_next(session& connection)
 {
-    beast::http::request_parser<beast::http::string_body> parser;
     const auto current = [this] {
         const std::scoped_lock lock(mutex);
         return limits;
     }();
-    connection.is_busy = false;
-    if (is_stopping)
+    const internal::pipeline_limits bounds{current.pipelined_requests, current.pipelined_bytes};
+    while (!connection.order.may_read(bounds, is_ending(connection)))
+    {
+        if (is_over(connection) || connection.order.is_last_started())
+        {
+            co_return false;
+        }
+        co_await wait_for_change(connection);
+    }
+    if (is_over(connection) || (connection.order.is_empty() && is_stopping))
     {
         co_return false;
     }
-    connection.waiting_since_ms = core::clock::now().ms;
-    held_message held(hooks.budget, [&connection] {
+    if (connection.order.is_empty())
+    {
+        connection.waiting_since_ms = core::clock::now().ms;
+    }
+    beast::http::request_parser<beast::http::string_body> parser;
+    auto held = std::make_unique<held_message>(hooks.budget, [&connection] {
         error_code ignored;
+        connection.is_read_given_up = connection.order.is_writing();
         connection.stream.socket().cancel(ignored);
     });
     const internal::read_limits read_limits{current.head_bytes, current.body_bytes, std::nullopt};
     const auto code =
-        co_await internal::read_message(connection.stream, connection.buffer, parser, read_limits, held);
+        co_await internal::read_message(connection.stream, connection.buffer, parser, read_limits, *held);
+    if (is_over(connection))
+    {
+        co_return false;
+    }
     if (code)
     {
-        co_await refuse_input(connection, code, held.is_given_up());
+        co_await refuse_input(connection, code, held->is_given_up());
         co_return false;
     }
-    held.keep();
-    co_return co_await serve_request(connection, parser.release());
+    held->keep();
+    auto incoming = parser.release();
+    request message{std::string(incoming.method_string()), std::string(incoming.target()),
+                    internal::to_headers(incoming), std::move(incoming.body())};
+    const bool is_concurrent = hooks.may_run_concurrently && hooks.may_run_concurrently(message);
+    if (!co_await wait_to_start(connection, is_concurrent))
+    {
+        co_return false;
+    }
+    start_request(connection, std::move(incoming), std::move(message), is_concurrent, std::move(held));
+    co_return true;
+}
+
+asio::awaitable<bool> server::state::wait_to_start(session& connection, bool is_concurrent)
+{
+    while (!connection.order.may_start(is_concurrent, is_ending(connection)))
+    {
+        if (is_over(connection))
+        {
+            co_return false;
+        }
+        co_await wait_for_change(connection);
+    }
+    co_return !is_over(connection);
+}
+
+void server::state::start_request(session& connection, internal::beast_request incoming, request message,
+                                  bool is_concurrent, std::unique_ptr<held_message> held)
+{
+    exchange item;
+    item.request = {connection.caller, message.method, message.target, std::nullopt, core::clock::now()};
+    item.departure = std::make_shared<core::cancellation>();
+    item.version = incoming.version();
+    item.is_head = incoming.method() == beast::http::verb::head;
+    item.held_request = std::move(held);
+    auto bytes = message.method.size() + message.target.size() + message.body.size();
+    for (const auto& [name, value] : message.headers)
+    {
+        bytes += name.size() + value.size();
+    }
+    const auto id = connection.order.start(is_concurrent, !incoming.keep_alive(), bytes);
+    connection.exchanges.emplace(id, std::move(item));
+    ++in_flight;
+    if (!connection.order.is_writing())
+    {
+        connection.waiting_since_ms = 0;
+    }
+    // A server that was short of processor time may read a request and the close behind it at once.
+    if (has_departed(connection))
+    {
+        cancel_requests(connection);
+    }
+    asio::co_spawn(
+        connection.stream.get_executor(),
+        [self = shared_from_this(), owner = connection.shared_from_this(), id,
+         message = std::move(message)]() mutable {
+            return self->run_request(std::move(owner), id, std::move(message));
+        },
+        asio::detached);
 }
 
 asio::awaitable<void> server::state::refuse_input(session& connection, const error_code& code,
@@ -423,115 +562,243 @@
 {
     if (!has_no_memory && !is_bad_input(code))
     {
+        // The caller closed its side, or fell silent without an unanswered request.
+        cancel_requests(connection);
         co_return;
     }
     const auto status = status_of(code);
     auto refusal = has_no_memory        ? make_memory_refusal()
                    : hooks.on_bad_input ? hooks.on_bad_input(status, code.message())
                                         : response{status, {}, ""};
-    co_await write(connection, std::move(refusal), http_1_1, false, false);
-    co_await linger(connection);
+    exchange item;
+    item.is_request = false;
+    item.departure = std::make_shared<core::cancellation>();
+    const auto id = connection.order.start(false, true, 0);
+    connection.exchanges.emplace(id, std::move(item));
+    ++in_flight;
+    finish(connection, id, std::move(refusal));
+    co_await write_ready(connection);
 }
 
-asio::awaitable<bool> server::state::serve_request(session& connection, internal::beast_request incoming)
+asio::awaitable<void> server::state::run_request(std::shared_ptr<session> connection,
+                                                 internal::response_order::request_id id, request message)
 {
-    connection.is_busy = true;
-    connection.waiting_since_ms = 0;
-    connection.current = {connection.caller, std::string(incoming.method_string()),
-                          std::string(incoming.target()), std::nullopt, core::clock::now()};
-    bool keep_alive = false;
-    ++in_flight;
+    response reply;
     try
     {
-        auto reply = co_await answer(connection, incoming);
-        // A further request that was read with this one is answered too.
-        const bool is_ending = is_stopping || (is_draining && connection.buffer.size() == 0);
-        keep_alive = incoming.keep_alive() && !is_ending;
-        connection.current->answer = response(reply.status, reply.headers);
-        connection.waiting_since_ms = core::clock::now().ms;
-        co_await write(connection, std::move(reply), incoming.version(), keep_alive,
-                       incoming.method() == beast::http::verb::head);
-        connection.current.reset();
-        --in_flight;
+        const auto departure = connection->exchanges.at(id).departure;
+        reply = co_await on_request(std::move(message), connection->caller, departure);
     }
-    catch (...)
+    catch (const std::exception& failure)
     {
-        --in_flight;
-        throw;
+        reply = response(status_internal_error, {{"Content-Type", "text/plain"}}, failure.what());
+    }
+    finish(*connection, id, std::move(reply));
+    co_await write_ready(*connection);
+}
+
+void server::state::finish(session& connection, internal::response_order::request_id id, response reply)
+{
+    const auto found = connection.exchanges.find(id);
+    if (found == connection.exchanges.end() || found->second.request.answer)
+    {
+        // It was answered in place of its handler.
+        return;
+    }
+    auto& item = found->second;
+    item.request.answer = response(reply.status, reply.headers);
+    if (connection.is_broken)
+    {
+        drop(connection, id, "the connection ended");
+        return;
+    }
+    if (item.is_head)
+    {
+        reply.body.clear();
+    }
+    item.held_answer = std::make_unique<held_message>(hooks.budget, [&connection] {
+        error_code ignored;
+        connection.stream.socket().close(ignored);
+    });
+    const auto bytes = reply.body.size();
+    item.answer = std::move(reply);
+    connection.order.complete(id, bytes);
+    if (!item.held_answer->resize(bytes))
+    {
+        fail(connection, "no memory for the answer");
     }
-    if (!keep_alive)
+}
+
+asio::awaitable<void> server::state::write_ready(session& connection)
+{
+    while (!connection.is_broken)
     {
-        co_await linger(connection);
+        const auto step = connection.order.begin_write(is_ending(connection));
+        if (!step)
+        {
+            co_return;
+        }
+        connection.waiting_since_ms = core::clock::now().ms;
+        try
+        {
+            co_await write(connection, connection.exchanges.at(step->id), !step->closes);
+        }
+        catch (const std::exception& failure)
+        {
+            fail(connection, failure.what());
+            co_return;
+        }
+        connection.order.end_write();
+        connection.exchanges.erase(step->id);
+        --in_flight;
+        connection.waiting_since_ms = connection.order.is_empty() ? core::clock::now().ms : 0;
+        connection.change.cancel();
+        if (step->closes)
+        {
+            // Ends the read of a further request.
+            error_code ignored;
+            connection.stream.socket().cancel(ignored);
+        }
     }
-    co_return keep_alive;
 }
 
-bool server::state::has_departed(session& connection)
+asio::awaitable<void> server::state::write(session& connection, exchange& item, bool keep_alive)
 {
-    char byte = 0;
-    const auto received =
-        ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    // Bytes of a further request keep the socket readable, so a later close goes unnoticed.
-    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    const auto outgoing = make_message(std::move(item.answer), item.version, keep_alive);
+    beast::http::response_serializer<beast::http::string_body> serializer(outgoing);
+    error_code code;
+    connection.is_read_given_up = false;
+    do
+    {
+        co_await beast::http::async_write(connection.stream, serializer,
+                                          asio::redirect_error(asio::use_awaitable, code));
+    } while (code == asio::error::operation_aborted && std::exchange(connection.is_read_given_up, false));
+    if (code)
+    {
+        throw system_error(code);
+    }
 }
 
-void server::state::watch_departure(const std::shared_ptr<session>& connection,
-                                    const std::shared_ptr<core::cancellation>& departure)
+void server::state::fail(session& connection, const std::string& reason)
 {
-    // A server that was short of processor time may read a request and the close behind it at once.
-    if (has_departed(*connection))
+    if (connection.is_broken)
     {
-        departure->cancel();
         return;
     }
-    connection->stream.socket().async_wait(
-        asio::ip::tcp::socket::wait_read,
-        [connection, weak = std::weak_ptr(departure)](const error_code& code) {
-            const auto waiting = weak.lock();
-            if (!code && waiting && has_departed(*connection))
-            {
-                waiting->cancel();
-            }
-        });
+    connection.is_broken = true;
+    error_code ignored;
+    connection.stream.socket().close(ignored);
+    cancel_requests(connection);
+    std::vector<internal::response_order::request_id> answered;
+    for (const auto& [id, item] : connection.exchanges)
+    {
+        if (item.request.answer)
+        {
+            answered.push_back(id);
+        }
+    }
+    for (const auto id : answered)
+    {
+        drop(connection, id, reason);
+    }
+    connection.change.cancel();
 }
 
-asio::awaitable<response> server::state::answer(session& connection, internal::beast_request& incoming)
+void server::state::drop(session& connection, internal::response_order::request_id id,
+                         const std::string& reason)
 {
-    const auto departure = std::make_shared<core::cancellation>();
-    watch_departure(connection.shared_from_this(), departure);
-    try
+    const auto node = connection.exchanges.extract(id);
+    connection.order.remove(id);
+    connection.change.cancel();
+    --in_flight;
+    if (node.mapped().is_request && hooks.on_loss)
     {
-        request message{std::string(incoming.method_string()), std::string(incoming.target()),
-                        internal::to_headers(incoming), std::move(incoming.body())};
-        auto reply = co_await on_request(std::move(message), connection.caller, departure);
-        error_code ignored;
-        connection.stream.socket().cancel(ignored);
-        co_return reply;
+        hooks.on_loss(node.mapped().request, reason);
     }
-    catch (const std::exception& failure)
+}
+
+bool server::state::is_over(const session& connection) const
+{
+    // Without pipelining, requests that were read together with a half-close are still answered.
+    const bool is_left = connection.is_departed && hooks.may_run_concurrently;
+    return connection.is_broken || connection.order.is_closing() || is_left;
+}
+
+bool server::state::is_ending(const session& connection) const
+{
+    // With pipelining, a client repeats the requests behind the last response. Otherwise a further request
+    // that was read with this one is answered too.
+    const bool may_leave_input = hooks.may_run_concurrently || connection.buffer.size() == 0;
+    return is_stopping || connection.is_ending || (is_draining && may_leave_input);
+}
+
+asio::awaitable<void> server::state::wait_for_change(session& connection)
+{
+    error_code ignored;
+    connection.is_reader_waiting = true;
+    watch_departure(connection.shared_from_this());
+    connection.change.expires_at(asio::steady_timer::time_point::max());
+    co_await connection.change.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    connection.is_reader_waiting = false;
+    connection.departure_timer.cancel();
+}
+
+bool server::state::has_departed(session& connection)
+{
+    // Unlike a read, this finds the end behind unread bytes of further requests.
+    pollfd query{connection.stream.socket().native_handle(), POLLRDHUP, 0};
+    return ::poll(&query, 1, 0) > 0;
+}
+
+void server::state::cancel_requests(session& connection)
+{
+    connection.is_departed = true;
+    // The hooks of the cancellations may end requests at once.
+    std::vector<std::shared_ptr<core::cancellation>> departures;
+    for (const auto& [id, item] : connection.exchanges)
     {
-        response reply{status_internal_error, {{"Content-Type", "text/plain"}}, failure.what()};
-        co_return reply;
+        departures.push_back(item.departure);
     }
+    std::ranges::for_each(departures, [](const auto& departure) { departure->cancel(); });
 }
 
-asio::awaitable<void> server::state::write(session& connection, response answer, unsigned version,
-                                           bool keep_alive, bool is_head)
+void server::state::watch_departure(const std::shared_ptr<session>& connection)
 {
-    auto outgoing = make_message(std::move(answer), version, keep_alive);
-    if (is_head)
+    if (connection->is_departure_watched || !connection->stream.socket().is_open())
     {
-        outgoing.body().clear();
+        return;
     }
-    held_message held(hooks.budget, [&connection] {
-        error_code ignored;
-        connection.stream.socket().close(ignored);
-    });
-    if (!held.resize(outgoing.body().size()))
+    connection->is_departure_watched = true;
+    connection->stream.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                           [connection](const error_code& code) {
+                                               connection->is_departure_watched = false;
+                                               if (!code)
+                                               {
+                                                   poll_departure(connection);
+                                               }
+                                           });
+}
+
+void server::state::poll_departure(const std::shared_ptr<session>& connection)
+{
+    // Unread bytes keep the socket readable, so that a wait for readability would end at once.
+    constexpr std::chrono::milliseconds poll_interval(50);
+    if (!connection->is_reader_waiting || !connection->stream.socket().is_open())
     {
-        throw system_error(make_error_code(boost::system::errc::not_enough_memory));
+        return;
     }
-    co_await beast::http::async_write(connection.stream, outgoing, asio::use_awaitable);
+    if (has_departed(*connection))
+    {
+        cancel_requests(*connection);
+        return;
+    }
+    connection->departure_timer.expires_after(poll_interval);
+    connection->departure_timer.async_wait([connection](const error_code& code) {
+        if (!code)
+        {
+            poll_departure(connection);
+        }
+    });
 }
 
 } // namespace briarfold::http
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -19,6 +19,12 @@
     std::size_t head_bytes = 16384;
     std::size_t body_bytes = 1048576;
     core::duration idle{60000};
+    /// Requests of one connection that are processed concurrently. Each of their responses is held until
+    /// those before it are written.
+    std::size_t pipelined_requests = 8;
+    /// Bytes of the unanswered requests of one connection and of their responses at which no further request
+    /// is read. Responses to requests that already run come in addition.
+    std::size_t pipelined_bytes = 262144;
 };
 
 /// Answers one request. Runs on the strand of the connection. An exception becomes a 500 answer.
@@ -40,13 +46,19 @@
     core::time_point arrived;
 };
 
+/// Whether a request may be processed concurrently with other requests of its connection. Such a request may
+/// run more than once, because a client repeats it when its connection ends.
+using concurrency_handler = std::function<bool(const request& message)>;
+
 using loss_handler = std::function<void(const unanswered_request& request, const std::string& reason)>;
 
 struct server_hooks
 {
     bad_input_handler on_bad_input;
-    /// Called on the strand of the connection.
+    /// Called on the strand of the connection, once for each unanswered request.
     loss_handler on_loss;
+    /// Without it, the requests of a connection are processed one after the other.
+    concurrency_handler may_run_concurrently;
     /// Messages count in it while they are read, answered and written. Only for servers on one thread.
     std::shared_ptr<transfer_budget> budget;
 };
@@ -64,7 +76,8 @@
 
     /// In force for requests that begin later.
     void set_limits(server_limits limits);
-    /// Answers carry `Connection: close`; new connections and requests are still taken.
+    /// The last answer of each connection carries `Connection: close`; new connections and requests are
+    /// still taken. With pipelining, requests behind the last started one are left unanswered.
     void begin_drain();
     /// Closes connections that wait for a request.
     void close_idle();
