Spread the retry times of rejected requests and reserve them

Cause: every client that a queue rejects under overload is told the same retry time, a third of its time left, and is mostly rejected again.

Change: dispatch::retry_schedule gives each rejection a time of its own, at the rate at which the queue has capacity for late requests, or none if no capacity is free within a third of the client's time. A returning client is recognized by its shorter deadline (forward_request::is_retry, a field at the end of the frame) and is queued into its reservation.

--- a/src/dispatch/internal/slot_queue.cpp
+++ b/src/dispatch/internal/slot_queue.cpp
@@ -51,7 +51,8 @@
     return decayed(offered_load_, now - offered_at_);
 }
 
-core::duration slot_queue::forecast(const waiting_request& request, const slot_state& state) const
+core::duration slot_queue::forecast(const waiting_request& request, const slot_state& state,
+                                    core::time_point now) const
 {
     if (waiting_.empty() && state.has_free_slot())
     {
@@ -59,42 +60,96 @@
     }
     const double slots = std::max(state.slots, 1);
     const double running = std::max(state.running, 1);
+    const bool in_time = is_in_time(request, now);
     const double ahead =
         std::accumulate(waiting_.begin(), waiting_.end(), 0.0, [&](double sum, const waiting_request& item) {
+            if (in_time != is_in_time(item, now))
+            {
+                return sum + (in_time ? item.work_ms / starts_per_late_turn : item.work_ms);
+            }
             const bool goes_first = item.priority <= request.priority;
             return sum + (goes_first ? item.work_ms : item.work_ms / starts_per_least_urgent_turn);
         });
     // With n busy slots, the mean remaining work is about (n + 1) / 2 times the time until the first is free.
     const double first_free = state.has_free_slot() ? 0 : 2 * state.remaining_ms / running / (slots + 1);
-    return {static_cast<std::int64_t>(first_free + ahead / slots)};
+    const double late_wait = in_time ? 0 : late_work(now) / (slots * late_share(now));
+    return {static_cast<std::int64_t>(first_free + std::max(ahead / slots, late_wait))};
+}
+
+double slot_queue::late_work(core::time_point now) const
+{
+    return std::accumulate(waiting_.begin(), waiting_.end(), 0.0, [now](double sum, const auto& item) {
+        return is_in_time(item, now) ? sum : sum + item.work_ms;
+    });
+}
+
+double slot_queue::late_share(core::time_point now) const
+{
+    return std::max(1 - offered_load(now), 1.0 / starts_per_late_turn);
 }
 
 offer_result slot_queue::offer(const waiting_request& request, const slot_state& state, core::time_point now)
 {
-    record_offered_work(request.work_ms, state.slots, now);
+    const bool is_expected = request.is_retry && request.client_deadline &&
+                             retries_.claim(*request.client_deadline, request.priority, now);
+    if (!is_expected)
+    {
+        record_offered_work(request.work_ms, state.slots, now);
+    }
     offer_result result;
-    result.forecast = forecast(request, state);
+    result.forecast = forecast(request, state, now);
+    const bool is_immediate = result.forecast.ms == 0 && state.slots > 0;
+    // Reserved retries that return before this request would start. Most have missed their objective, so that
+    // they take only the turns of late requests.
+    const double retry_work = retries_.work_due(now + result.forecast, now) / starts_per_late_turn;
+    result.forecast.ms += static_cast<std::int64_t>(retry_work / std::max(state.slots, 1));
     const auto wait = static_cast<double>(result.forecast.ms);
     const auto objective_left = static_cast<double>((request.objective_deadline - now).ms);
     const auto time_left = static_cast<double>((request.deadline - now).ms);
-    const bool is_immediate = result.forecast.ms == 0 && state.slots > 0;
     const bool meets_objective = wait + work_margin * request.work_ms <= objective_left;
-    const bool is_late_but_useful =
-        offered_load(now) < overload_threshold && wait + work_margin * request.work_ms <= time_left;
+    const bool is_useful = wait + work_margin * request.work_ms <= time_left;
+    const bool may_be_late = is_expected || offered_load(now) < overload_threshold;
     const bool can_finish = min_work_fraction * request.work_ms <= time_left;
-    result.is_accepted = can_finish && (is_immediate || meets_objective || is_late_but_useful);
+    result.is_accepted = can_finish && (is_immediate || meets_objective || (may_be_late && is_useful));
     if (result.is_accepted)
     {
         waiting_.push_back(request);
         return result;
     }
-    const auto max_wait_ms = static_cast<std::int64_t>(time_left * max_retry_wait_fraction);
-    const bool is_overloaded = offered_load(now) >= overload_threshold;
-    const auto wait_ms = is_overloaded ? max_wait_ms : std::max(result.forecast.ms, min_retry_after.ms);
-    result.retry_after = {std::clamp<std::int64_t>(wait_ms, 0, std::max<std::int64_t>(max_wait_ms, 0))};
+    if (request.client_deadline)
+    {
+        result.retry_after = reserve_retry(request, state, now);
+        result.is_retry_reserved = result.retry_after.ms > 0;
+        return result;
+    }
+    result.retry_after = forecast_retry(result.forecast, request.deadline - now, now);
     return result;
 }
 
+core::duration slot_queue::reserve_retry(const waiting_request& request, const slot_state& state,
+                                         core::time_point now)
+{
+    const double slots = std::max(state.slots, 1);
+    const double backlog_ms =
+        std::accumulate(waiting_.begin(), waiting_.end(), state.remaining_ms,
+                        [](double sum, const waiting_request& item) { return sum + item.work_ms; });
+    const double capacity = slots * late_share(now);
+    const double free_ms = std::max(backlog_ms / slots, late_work(now) / capacity);
+    const auto free_at = now + core::duration{static_cast<std::int64_t>(free_ms)};
+    return retries_.reserve({{}, *request.client_deadline, request.priority, request.work_ms}, free_at,
+                            capacity, now);
+}
+
+core::duration slot_queue::forecast_retry(core::duration wait, core::duration time_left,
+                                          core::time_point now) const
+{
+    const auto max_wait_ms = std::max<std::int64_t>(
+        static_cast<std::int64_t>(static_cast<double>(time_left.ms) * max_retry_wait_fraction), 0);
+    const bool is_overloaded = offered_load(now) >= overload_threshold;
+    const auto wait_ms = is_overloaded ? max_wait_ms : std::max(wait.ms, min_retry_after.ms);
+    return {std::min(wait_ms, max_wait_ms)};
+}
+
 std::optional<waiting_request> slot_queue::take(core::time_point now)
 {
     if (waiting_.empty())
--- a/src/dispatch/slot_queue.hpp
+++ b/src/dispatch/slot_queue.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/clock.hpp"
+#include "dispatch/retry_schedule.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -26,6 +27,11 @@
     double work_ms = 0;
     /// Key of a service with key ownership, else 0.
     std::uint32_t key = 0;
+    /// Time until which the caller itself waits; nullopt if it does not see the rejection, so that no retry
+    /// is reserved for it.
+    std::optional<core::time_point> client_deadline = std::nullopt;
+    /// Whether the caller was rejected before and returns.
+    bool is_retry = false;
 
     bool operator==(const waiting_request&) const = default;
 };
@@ -49,6 +55,8 @@
     /// For a rejected request, the time after which the caller may retry. Zero means that no time can be
     /// promised.
     core::duration retry_after;
+    /// Whether capacity is reserved for the retry.
+    bool is_retry_reserved = false;
 };
 
 /// Priority queue with admission control. In a burst above capacity, or for a hot key at one backend server,
@@ -59,7 +67,8 @@
 public:
     /// Queues a request that can start at once or is expected to be answered within its objective. Without
     /// overload, also queues one that is expected to be answered later but before `deadline`. Rejects every
-    /// other request and one whose deadline is too close for its work.
+    /// other request and one whose deadline is too close for its work. A retry for which capacity is reserved
+    /// is queued if it can meet its deadline. A rejection reserves a retry if the caller can still use one.
     offer_result offer(const waiting_request& request, const slot_state& state, core::time_point now);
     /// Queues a request that was accepted before, without checking it again.
     void put_back(const waiting_request& request) { waiting_.push_back(request); }
@@ -76,15 +85,27 @@
     /// Returns the ratio of offered work to the capacity of the slots over about the last half second. Above
     /// 1, the slots are overloaded.
     double offered_load(core::time_point now) const;
+    std::size_t reserved_retries() const { return retries_.size(); }
 
 private:
-    core::duration forecast(const waiting_request& request, const slot_state& state) const;
+    core::duration forecast(const waiting_request& request, const slot_state& state,
+                            core::time_point now) const;
+    /// Returns the work of the waiting requests that have missed their objective.
+    double late_work(core::time_point now) const;
+    /// Returns the share of the slots that such requests get, at least their turns.
+    double late_share(core::time_point now) const;
+    /// Returns the time after which a rejected caller may retry, and reserves capacity for it if it does.
+    core::duration reserve_retry(const waiting_request& request, const slot_state& state,
+                                 core::time_point now);
+    /// Returns the time that an unreserved rejection states: the forecast, or the maximum under overload.
+    core::duration forecast_retry(core::duration wait, core::duration time_left, core::time_point now) const;
     void record_offered_work(double work_ms, int slots, core::time_point now);
 
     std::vector<waiting_request> waiting_;
     unsigned starts_ = 0;
     double offered_load_ = 0;
     core::time_point offered_at_;
+    retry_schedule retries_;
 };
 
 template <class Predicate>
--- a/src/edge/internal/entry.cpp
+++ b/src/edge/internal/entry.cpp
@@ -34,6 +34,9 @@
 /// A router that lost touch with the store and all others finds a newer configuration within this time of its
 /// return.
 constexpr core::duration unconfirmed_retry_after{500};
+/// A deadline that is shorter than the longest of its route by this much belongs to a client that returns.
+/// More than the network delays within a deployment, and less than the shortest wait of a rejected client.
+constexpr core::duration min_retry_shortening{40};
 /// Another router can serve the request at once.
 constexpr core::duration other_router_retry_after{50};
 
@@ -77,6 +80,8 @@
     std::set<std::string> full_fronts;
     /// When the client stops waiting, whatever the timeout of the route.
     core::time_point client_deadline;
+    /// Whether the client was probably rejected before.
+    bool is_retry = false;
     /// Whether an earlier send may have run.
     bool may_have_run = false;
     /// Answer of the backend server to an earlier send, a failure.
@@ -283,6 +288,7 @@
     context.client_deadline = context.arrived + deadline;
     const auto objective = route->objective.ms > 0 ? route->objective : timeout;
     context.objective_deadline = context.arrived + objective - (max_deadline - deadline);
+    context.is_retry = max_deadline - deadline >= min_retry_shortening;
     drop_connection_headers(message.headers);
     context.message = std::move(message);
     return std::nullopt;
@@ -331,6 +337,7 @@
     request.max_attempts = context.max_attempts;
     request.tried_servers.assign(context.tried_servers.begin(), context.tried_servers.end());
     request.client_time_left = context.client_deadline - now;
+    request.is_retry = context.is_retry;
     return request;
 }
 
--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -80,6 +80,11 @@
     waiting.objective_deadline = now + pending->request.objective;
     waiting.deadline = now + pending->request.deadline;
     waiting.ends_with_process = pending->request.is_entry_stopping;
+    waiting.is_retry = pending->request.is_retry;
+    if (pending->request.client_time_left.ms > 0)
+    {
+        waiting.client_deadline = now + pending->request.client_time_left;
+    }
     if (process_end)
     {
         cap_deadline(waiting, *process_end);
--- a/src/wire/frame_types.hpp
+++ b/src/wire/frame_types.hpp
@@ -53,6 +53,8 @@
     /// Time that the client itself still waits, which may exceed `deadline`. Zero when a rejection is not
     /// passed on to the client, because the entry asks another front then.
     core::duration client_time_left;
+    /// Whether the client was probably rejected before: its deadline is shorter than usual on its route.
+    bool is_retry = false;
 
     bool operator==(const forward_request&) const = default;
 };
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -130,6 +130,10 @@
     {
         fields.read(request.client_time_left.ms);
     }
+    if (fields.has_next())
+    {
+        fields.read(request.is_retry);
+    }
 }
 
 void read_result(field_cursor& fields, forward_result& result)
@@ -210,7 +214,7 @@
 
 void append_forward(std::string& out, std::uint64_t id, const forward_request& request)
 {
-    constexpr std::uint32_t fields = 19;
+    constexpr std::uint32_t fields = 20;
     append_frame(out, frame_type::forward, id, fields, [&](packer& pack) {
         pack.pack(request.customer);
         pack.pack(request.service);
@@ -231,6 +235,7 @@
         pack.pack(request.is_entry_stopping);
         pack.pack(request.tried_servers);
         pack.pack(request.client_time_left.ms);
+        pack.pack(request.is_retry);
     });
 }
 
--- a/src/wire/tests/wire_tests.cpp
+++ b/src/wire/tests/wire_tests.cpp
@@ -49,6 +49,7 @@
     request.is_idempotent = true;
     request.traceparent = "00-1-2-01";
     request.tried_servers = {"s1", "s2"};
+    request.is_retry = true;
     return request;
 }
 
