--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -80,6 +80,11 @@
     waiting.objective_deadline = now + pending->request.objective;
     waiting.deadline = now + pending->request.deadline;
     waiting.ends_with_process = pending->request.is_entry_stopping;
+    waiting.is_retry = pending->request.is_retry;
+    if (pending->request.client_time_left.ms > 0)
+    {
+        waiting.client_deadline = now + pending->request.client_time_left;
+    }
     if (process_end)
     {
         cap_deadline(waiting, *process_end);
@@ -173,6 +178,13 @@
         return std::nullopt;
     }
     const auto offer = pool.queue.offer(pending->waiting, count_slots(pool, now), now);
+    for (const auto& displaced : offer.displaced)
+    {
+        auto rejection = make_result(wire::outcome::refused_not_run, status_unavailable,
+                                     "a more urgent request took its place", "overload");
+        rejection.retry_after = displaced.retry_after;
+        end_waiting(pool, displaced.request, std::move(rejection));
+    }
     if (offer.is_accepted)
     {
         pool.waiting.emplace(pending->id, pending);
