Limit what the leader assigns to cold backend servers and read their load

Cause: a change of the warm-up time in a later registration was counted from the first one, so that the leader never took a backend server for cold again, and a front counted the time from when it received the entry. A cold backend server got keys for half of its speed, whatever it can handle. The load that backend servers report was not read.

Change: the leader keeps the end of the cold phase from the latest registration and sends the time that is left; a registration that states the same time again counts anew. A cold backend server is assigned keys for its configured rate. Learned work can be divided by the reported duration.

--- a/src/dispatch/internal/work_estimate.cpp
+++ b/src/dispatch/internal/work_estimate.cpp
@@ -16,6 +16,8 @@
 /// estimate.
 constexpr double max_slowness = 16;
 constexpr double min_slowness = 0.1;
+/// A machine does not work more than ten times faster than usual.
+constexpr double min_machine_duration = 0.1;
 
 double moving_average(double old, double value, double weight)
 {
@@ -24,8 +26,10 @@
 
 } // namespace
 
-void work_estimate::record(std::string_view route, std::string_view backend_server, double work_ms)
+void work_estimate::record(std::string_view route, std::string_view backend_server, double work_ms,
+                           double machine_duration)
 {
+    work_ms /= std::max(machine_duration, min_machine_duration);
     const double slow = slowness(backend_server);
     const auto mean = mean_ms_.try_emplace(std::string(route), work_ms / slow).first;
     const double ratio = std::clamp(work_ms / std::max(mean->second, 1.0), min_slowness, max_slowness);
--- a/src/edge/internal/leader_store.cpp
+++ b/src/edge/internal/leader_store.cpp
@@ -46,14 +46,20 @@
         packed_config_ = packed.empty() ? pack(document) : std::move(packed);
         config_version_ = config.version;
         std::set<std::string> keyed;
+        std::map<std::string, double> cold_rates;
         for (const auto& service : config.services)
         {
             if (service.has_key_ownership)
             {
                 keyed.insert(service.name);
             }
+            if (service.cold_requests_per_s > 0)
+            {
+                cold_rates[service.name] = service.cold_requests_per_s;
+            }
         }
         state_->set_keyed_services(std::move(keyed));
+        state_->set_cold_rates(std::move(cold_rates));
         log_.write("configuration read", {{"version", config.version},
                                           {"routes", config.routes.size()},
                                           {"packed_bytes", packed_config_.size()}});
--- a/src/edge/protocol.hpp
+++ b/src/edge/protocol.hpp
@@ -4,6 +4,7 @@
 
 #include "core/clock.hpp"
 #include "directory/directory_types.hpp"
+#include "dispatch/reported_load.hpp"
 #include "grants/server_grants.hpp"
 #include "http/http_types.hpp"
 #include "routes/route_types.hpp"
@@ -46,6 +47,12 @@
     core::duration retry_after;
     /// The backend server is about to end.
     bool is_leaving = false;
+    /// Its load, when it reports one.
+    std::optional<dispatch::reported_load> load;
+    /// Time for which it remains cold, when it states one; 0 when it is warm.
+    std::optional<core::duration> warmup_left;
+    /// Whether the load or the time for which it remains cold is stated but not valid.
+    bool has_malformed_load = false;
 
     bool operator==(const response_head&) const = default;
 };
--- a/src/leader/internal/key_assignment.cpp
+++ b/src/leader/internal/key_assignment.cpp
@@ -7,8 +7,10 @@
 
 namespace {
 
-/// Approximate share of its speed that a backend server has while it warms up.
-constexpr double warmup_speed_share = 0.5;
+/// Approximate share of its speed that a cold backend server has when no rate is configured for it.
+constexpr double cold_speed_share = 0.5;
+/// Mean work before the first report: between the work times of the current services, 64 to 290 ms.
+constexpr double default_mean_work_ms = 150;
 /// Withdrawals that may be in progress at the same time in one service. A move takes about a second, and hot
 /// keys spread over a large service within a few moves.
 constexpr std::size_t min_withdrawal_limit = 12;
@@ -43,6 +45,18 @@
     });
 }
 
+double leader_state::cold_capacity(const std::string& service, double warm_capacity) const
+{
+    const auto rate = cold_rates_.find(service);
+    if (rate == cold_rates_.end())
+    {
+        return cold_speed_share * warm_capacity;
+    }
+    constexpr double ms_per_s = 1000;
+    const auto mean = mean_work_ms_.find(service);
+    return rate->second * (mean == mean_work_ms_.end() ? default_mean_work_ms : mean->second) / ms_per_s;
+}
+
 std::vector<keyspace::holder> leader_state::holders(const std::string& service, core::time_point now) const
 {
     std::vector<keyspace::holder> list;
@@ -55,9 +69,11 @@
         const auto& state = entry_states_.at(id);
         keyspace::holder item;
         item.id = id;
-        const bool is_warming = now - state.listed_at < entry.server.warmup_left;
-        item.capacity =
-            entry.server.slots / std::max(state.slowness, 0.1) * (is_warming ? warmup_speed_share : 1.0);
+        item.capacity = entry.server.slots / std::max(state.slowness, 0.1);
+        if (now < std::max(state.cold_until, state.reported_cold_until))
+        {
+            item.capacity = std::min(item.capacity, cold_capacity(service, item.capacity));
+        }
         item.keys = keyspace::set_difference(state.next_keys, entry.withdrawn);
         item.can_receive = can_accept_keys(id, now);
         item.can_give = item.can_receive;
--- a/src/leader/internal/leader_json.cpp
+++ b/src/leader/internal/leader_json.cpp
@@ -55,6 +55,8 @@
             {"needs_proof", value.needs_proof},
             {"work", std::move(work)},
             {"answer_bytes", value.answer_bytes},
+            {"mean_work_ms", value.mean_work_ms},
+            {"cold", value.cold},
             {"slowness", value.slowness}};
 }
 
@@ -75,6 +77,8 @@
     result.leaving = processes_from_json(value.value("leaving", json::array()));
     result.needs_proof = value.value("needs_proof", false);
     result.answer_bytes = value.value("answer_bytes", std::map<std::string, std::int64_t>());
+    result.mean_work_ms = value.value("mean_work_ms", std::map<std::string, double>());
+    result.cold = value.value("cold", std::map<std::string, std::int64_t>());
     for (const auto& [service, list] : value.at("work").items())
     {
         auto& keys = result.work[service];
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -113,7 +113,6 @@
     state.written = published_.term;
     state.prior_grants_until = former_grants_end(now);
     state.next_keys = entry.keys;
-    state.listed_at = now;
     state.unregistered_at = now;
     entry_states_[id] = state;
     servers_by_front_[entry.front].insert(id);
@@ -264,7 +263,7 @@
         published_.entries.emplace(server.id, std::move(entry));
         servers_by_front_[""].insert(server.id);
         changes_.removed.erase(server.id);
-        entry_states_[server.id].listed_at = now;
+        entry_states_[server.id].cold_until = now + server.warmup_left;
         entry_states_[server.id].written = published_.term;
         update_token_base(server.id);
         last_registration_ = now;
@@ -283,7 +282,10 @@
     // written before the backend server said that it leaves.
     auto next = server;
     next.is_draining = server.is_draining || (is_same_process && entry.server.is_draining);
-    if (entry.server == next && entry.is_listed && !state.unregistered_at)
+    // Each registration states the time from when it was written, also the same time as the one before.
+    state.cold_until = now + server.warmup_left;
+    const bool is_cold = server.warmup_left.ms > 0;
+    if (entry.server == next && !is_cold && entry.is_listed && !state.unregistered_at)
     {
         return;
     }
@@ -365,6 +367,18 @@
             }
         }
     }
+    for (const auto& id : servers_by_front_[name])
+    {
+        const auto cold = report.cold.find(id);
+        entry_states_.at(id).reported_cold_until =
+            cold == report.cold.end() ? core::time_point() : now + core::duration{cold->second};
+    }
+    for (const auto& [service, mean_ms] : report.mean_work_ms)
+    {
+        constexpr double report_weight = 0.05;
+        auto& mean = mean_work_ms_.try_emplace(service, mean_ms).first->second;
+        mean += report_weight * (mean_ms - mean);
+    }
     for (const auto& [service, bytes] : report.answer_bytes)
     {
         answer_rates_[service].record(bytes, now);
@@ -608,6 +622,9 @@
     for (auto& [id, entry] : change.changed.entries)
     {
         entry.prior_grant_remaining = prior_grant_remaining(id, now);
+        const auto& state = entry_states_.at(id);
+        const auto cold_until = std::max(state.cold_until, state.reported_cold_until);
+        entry.server.warmup_left = std::max(cold_until - now, core::duration{0});
     }
     return change;
 }
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -77,6 +77,9 @@
 
     /// Sets the services with key ownership, as configured.
     void set_keyed_services(std::set<std::string> names) { keyed_services_ = std::move(names); }
+    /// Sets the requests a second that a cold backend server of a service can handle, as configured. Services
+    /// that are not named have no limit.
+    void set_cold_rates(std::map<std::string, double> per_s) { cold_rates_ = std::move(per_s); }
     /// Sets the interval at which routers report, which extends the time after which a router counts as lost.
     void set_report_interval(core::duration interval);
     void on_registered(const directory::backend_server& server, core::time_point now);
@@ -137,7 +140,9 @@
         std::vector<directory::handover> next_handovers;
         std::vector<withdrawal> withdrawals;
         keyspace::key_set freed;
-        core::time_point listed_at;
+        /// Until when the backend server is cold, according to its registration and to its front.
+        core::time_point cold_until;
+        core::time_point reported_cold_until;
         std::optional<core::time_point> unregistered_at;
         std::optional<core::time_point> unreachable_since;
         double slowness = 1;
@@ -259,6 +264,8 @@
         return keyed_services_.contains(item.server.service);
     }
     std::vector<keyspace::holder> holders(const std::string& service, core::time_point now) const;
+    /// Returns the load, in slots, that a cold backend server of the service can handle.
+    double cold_capacity(const std::string& service, double warm_capacity) const;
     keyspace::key_loads& loads_of(const std::string& service);
     /// Returns the name of the row that holds the keys of a backend server.
     std::string row_name(const std::string& id) const;
@@ -279,6 +286,9 @@
     /// Revision at which a router last lost a front role or began new terms of office, by name.
     std::map<std::string, std::int64_t> front_lost_at_;
     std::set<std::string> keyed_services_;
+    std::map<std::string, double> cold_rates_;
+    /// Mean work of a request, as reported, in milliseconds by service.
+    std::map<std::string, double> mean_work_ms_;
     /// Services whose keys have been assigned before.
     std::set<std::string> initialized_services_;
     std::map<std::string, keyspace::key_loads> loads_;
--- a/src/leader/leader_types.hpp
+++ b/src/leader/leader_types.hpp
@@ -62,6 +62,11 @@
     std::map<std::string, std::vector<key_work>> work;
     /// Bytes of the answers of backend servers since the last report, by service.
     std::map<std::string, std::int64_t> answer_bytes;
+    /// Time for which backend servers remain cold, in milliseconds by id. Health checks tell the front before
+    /// the registration tells the leader.
+    std::map<std::string, std::int64_t> cold;
+    /// Mean work of a request on an average backend server, in milliseconds, by service.
+    std::map<std::string, double> mean_work_ms;
     /// Processing time of a backend server relative to the average, by id.
     std::map<std::string, double> slowness;
 
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -1193,4 +1193,40 @@
     BOOST_CHECK_LT(shares[59], 0.1);
 }
 
+// Guards against a backend server that becomes cold in mid-life and states the same time as at its start: the
+// front learned nothing of it. Also guards against a front that counts the time from when it took over.
+BOOST_AUTO_TEST_CASE(a_later_cold_phase_reaches_the_front_with_the_time_that_is_left)
+{
+    start(2);
+    auto server = make_server("s0");
+    server.warmup_left.ms = 3000;
+    const auto state_cold = [&] {
+        const auto before = entry("s0").revision;
+        state->on_registered(server, now);
+        BOOST_CHECK_GT(entry("s0").revision, before);
+        now = now + duration{1000};
+        const auto update = state->update_for({}, 0, now);
+        BOOST_CHECK_EQUAL(update.changed.entries.at("s0").server.warmup_left.ms, 2000);
+    };
+    state_cold();
+    advance(10000);
+    BOOST_CHECK_EQUAL(state->update_for({}, 0, now).changed.entries.at("s0").server.warmup_left.ms, 0);
+    state_cold();
+}
+
+// Guards against the share of a warm backend server for one that is cold, as all of them are after a restart.
+BOOST_AUTO_TEST_CASE(a_cold_backend_server_gets_keys_for_its_rate_only)
+{
+    state->set_cold_rates({{"keyed", 4.4}});
+    auto cold = make_server("s0");
+    cold.warmup_left.ms = 60000;
+    state->on_registered(cold, now);
+    state->on_registered(make_server("s1", "b"), now);
+    advance(3000);
+    BOOST_REQUIRE(!entry("s1").keys.empty());
+    // 4.4 requests a second of 150 ms take 0.66 of a slot; s1 has 6.
+    const double share = static_cast<double>(keyspace::size(entry("s0").keys)) / keyspace::key_count;
+    BOOST_CHECK_LT(share, 0.15);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/routes/route_types.hpp
+++ b/src/routes/route_types.hpp
@@ -49,6 +49,10 @@
     bool has_key_ownership = false;
     /// Time for which keys that arrive without a handover token remain slow.
     core::duration warmup;
+    /// Requests a second that one backend server can handle while it is cold; 0 when that is not limited.
+    double cold_requests_per_s = 0;
+    /// Time for which a backend server is cold after its start.
+    core::duration cold_time{3000};
 
     bool operator==(const service&) const = default;
 };
--- a/src/settings/edge_settings.hpp
+++ b/src/settings/edge_settings.hpp
@@ -44,6 +44,10 @@
     core::duration max_grant_duration{10000};
     /// Time in which a change of the configuration has to be in force.
     core::duration max_config_delay{2000};
+    /// In no span of one second may a cold backend server get more requests than its rate times
+    /// `cold_rate_over`, plus `cold_rate_slack`.
+    double cold_rate_over = 1.5;
+    double cold_rate_slack = 8;
 
     bool operator==(const edge_settings&) const = default;
 };
@@ -57,6 +61,8 @@
     std::string grace_s = "grace_s";
     std::string max_grant_duration_ms = "longest_hold_ms";
     std::string max_config_delay_ms = "config_delay_ms";
+    std::string cold_rate_over = "cold_rate_over";
+    std::string cold_rate_slack = "cold_rate_slack";
 };
 
 /// Throws document::invalid_document with every error in the text; `name` appears in it.
--- a/src/settings/internal/edge_settings.cpp
+++ b/src/settings/internal/edge_settings.cpp
@@ -43,6 +43,8 @@
         number(names.max_grant_duration_ms, static_cast<double>(result.max_grant_duration.ms)));
     result.max_config_delay.ms = static_cast<std::int64_t>(
         number(names.max_config_delay_ms, static_cast<double>(result.max_config_delay.ms)));
+    result.cold_rate_over = number(names.cold_rate_over, result.cold_rate_over);
+    result.cold_rate_slack = number(names.cold_rate_slack, result.cold_rate_slack);
 }
 
 } // namespace
@@ -111,7 +113,9 @@
               {"repeat_slack", value.retry_budget_slack},
               {"grace_s", static_cast<double>(value.grace.ms) / ms_per_s},
               {"longest_hold_ms", value.max_grant_duration.ms},
-              {"config_delay_ms", value.max_config_delay.ms}}}};
+              {"config_delay_ms", value.max_config_delay.ms},
+              {"cold_rate_over", value.cold_rate_over},
+              {"cold_rate_slack", value.cold_rate_slack}}}};
 }
 
 } // namespace briarfold::settings
--- a/src/settings/tests/edge_settings_tests.cpp
+++ b/src/settings/tests/edge_settings_tests.cpp
@@ -36,6 +36,12 @@
     const auto settings = parse_edge_settings(text, "test", names);
     BOOST_CHECK_EQUAL(settings.retry_budget_ratio, 0.3);
     BOOST_CHECK_EQUAL(settings.max_config_delay.ms, 12);
+    names.cold_rate_over = "ratio";
+    names.cold_rate_slack = "other-bound";
+    BOOST_CHECK_EQUAL(parse_edge_settings(text, "test", names).cold_rate_over, 0.3);
+    BOOST_CHECK_EQUAL(parse_edge_settings(text, "test", names).cold_rate_slack, 12);
+    BOOST_CHECK_EQUAL(settings.cold_rate_over, 1.5);
+    BOOST_CHECK_EQUAL(settings.cold_rate_slack, 8);
     BOOST_CHECK_EQUAL(settings.name, "edge-a-1");
     BOOST_CHECK_EQUAL(settings.cpu, 0.2);
     BOOST_CHECK_EQUAL(settings.bandwidth_mbps, 0);
