Keep the rate of cold backend servers at their front

Cause: a cold backend server got as many requests as it has slots, several times what it can handle, and crashed. Noisy neighbours were learned as slow backend servers.

Change: every send to a cold backend server takes a token, also of a request that waited or is sent again and of a health check. Above the rate, other backend servers are chosen, or the request is refused with the time of a free token. Health checks show a later cold phase. Reported load counts in the choice while it is fresh, and learned work is divided by the reported duration.

--- a/src/edge/front_types.hpp
+++ b/src/edge/front_types.hpp
@@ -3,6 +3,8 @@
 
 #include "core/cancellation.hpp"
 #include "directory/directory_types.hpp"
+#include "dispatch/cold_phase.hpp"
+#include "dispatch/reported_load.hpp"
 #include "dispatch/slot_limit.hpp"
 #include "dispatch/slot_queue.hpp"
 #include "dispatch/work_estimate.hpp"
@@ -53,6 +55,8 @@
     std::vector<std::shared_ptr<fronted_server>> servers;
     /// Waiting requests whose key is not granted yet.
     std::vector<dispatch::waiting_request> awaiting_grant;
+    /// Mean work of the requests that arrive, on an average backend server; 0 before the first.
+    double mean_work_ms = 0;
 };
 
 /// Backend server for which this router is the front.
@@ -93,7 +97,22 @@
     /// When a deputy told that its registration is gone. It may register again.
     std::optional<core::time_point> gone_at;
     bool is_removed = false;
+    dispatch::cold_phase cold;
+    dispatch::load_record load;
+    /// Time for which it is cold after a start.
+    core::duration cold_time;
+    /// Path of its health checks; empty when it gets none.
+    std::string health_path;
+    core::time_point last_health_check;
+    bool is_health_check_pending = false;
 
+    /// Records that it may have become cold, which holds for `span` or until it answers a health check. The
+    /// next health check is due at once.
+    void assume_cold(core::time_point now, core::duration span)
+    {
+        cold.assume_cold(span, now);
+        last_health_check = {};
+    }
     bool is_keyed() const { return grants.has_value(); }
 };
 
--- a/src/edge/internal/front.cpp
+++ b/src/edge/internal/front.cpp
@@ -119,6 +119,10 @@
             report.leaving.push_back({id, server->entry.server.start_time_ms});
         }
         report.needs_proof = report.needs_proof || state_->needs_proof(*server);
+        if (const auto left = server->cold.left(now); left.ms > 0)
+        {
+            report.cold[id] = left.ms;
+        }
         const double slow = state_->estimate.slowness(id);
         if (server->is_keyed())
         {
@@ -145,6 +149,13 @@
     }
     state_->offered_work.clear();
     report.answer_bytes = std::exchange(state_->answer_bytes, {});
+    for (const auto& [name, pool] : state_->pools)
+    {
+        if (pool->mean_work_ms > 0)
+        {
+            report.mean_work_ms[pool->service] = pool->mean_work_ms;
+        }
+    }
 }
 
 front::state::state(asio::any_io_executor io_executor, settings::edge_settings initial_settings,
@@ -203,15 +214,19 @@
         }
         return;
     }
+    const auto service = std::ranges::find(config.services, entry.server.service, &routes::service::name);
     if (present != servers.end())
     {
+        if (service != config.services.end())
+        {
+            configure(*present->second, *service);
+        }
         update_server(*present->second, entry);
         return;
     }
-    const auto service = std::ranges::find(config.services, entry.server.service, &routes::service::name);
     if (service != config.services.end())
     {
-        add_server(entry, service->has_key_ownership);
+        add_server(entry, *service);
     }
 }
 
@@ -226,9 +241,24 @@
     std::erase_if(pools, [](const auto& item) { return item.second->servers.empty(); });
 }
 
-void front::state::add_server(const directory::entry& entry, bool is_keyed)
+void front::state::configure(fronted_server& server, const routes::service& service) const
 {
+    const dispatch::start_rate_settings limits{service.cold_requests_per_s, settings.cold_rate_over,
+                                               settings.cold_rate_slack};
+    server.cold.configure(limits, clock::now());
+    server.cold_time = service.cold_time;
+    // Without a rate, it does not matter whether the backend server is cold.
+    server.health_path = service.cold_requests_per_s > 0 ? service.health_path : "";
+}
+
+void front::state::add_server(const directory::entry& entry, const routes::service& service)
+{
+    const bool is_keyed = service.has_key_ownership;
+    const auto now = clock::now();
     const auto server = std::make_shared<fronted_server>(entry);
+    configure(*server, service);
+    server->cold.on_registration(entry.server.warmup_left, now);
+    server->last_health_check = now;
     const auto& name = is_keyed ? entry.server.id : entry.server.service;
     auto& pool = pools[name];
     if (!pool)
@@ -242,7 +272,7 @@
     open_links(*server);
     if (is_keyed)
     {
-        server->grants.emplace(entry, clock::now());
+        server->grants.emplace(entry, now);
     }
     servers[entry.server.id] = server;
     log.write("front taken", {{"backend_server", entry.server.id},
@@ -289,9 +319,12 @@
         server.has_ended = false;
         server.leaving_since.reset();
         server.gone_at.reset();
+        server.cold.reset();
+        server.load = {};
         estimate.forget(entry.server.id);
         callbacks.request_report();
     }
+    server.cold.on_registration(entry.server.warmup_left, clock::now());
     if (server.grants)
     {
         const auto now = clock::now();
--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -33,6 +33,7 @@
     {
         refuse_unfinishable(*pool, now);
         refuse_spared(*pool, now);
+        refuse_cold_surplus(*pool, now);
         auto expired = pool->queue.expire(now);
         std::erase_if(pool->awaiting_grant, [&](const auto& waiting) {
             const bool is_late = static_cast<double>((waiting.deadline - now).ms) < waiting.work_ms / 2;
@@ -50,6 +51,7 @@
         }
         start_waiting(pool);
     }
+    run_health_checks(now);
     const auto present = servers;
     for (const auto& [id, server] : present)
     {
--- a/src/edge/internal/front_outcomes.cpp
+++ b/src/edge/internal/front_outcomes.cpp
@@ -31,6 +31,10 @@
 {
     auto& server = *pending.server;
     const bool is_answer = outcome.outcome == exchange_outcome::answered;
+    if (is_answer && !outcome.head.is_misdirected)
+    {
+        record_load(server, outcome.head, clock::now());
+    }
     if (is_answer && !outcome.head.is_misdirected && outcome.head.is_leaving)
     {
         record_leaving(server);
@@ -55,7 +59,8 @@
         if (http::is_success(outcome.answer.status))
         {
             estimate.record(pending.request.route, server.entry.server.id,
-                            static_cast<double>(outcome.elapsed.ms));
+                            static_cast<double>(outcome.elapsed.ms),
+                            outcome.head.load ? outcome.head.load->duration : 1);
         }
         const bool is_server_failure = outcome.answer.status >= first_server_failure;
         wire::forward_result result;
@@ -142,6 +147,11 @@
                      {{"service", pending.request.service}})
             .add();
     }
+    if (!was_sent && outcome.is_new_connection)
+    {
+        // Its process may have ended. Another one may answer at the address before the directory shows it.
+        server.assume_cold(now, server.cold_time);
+    }
     if (was_sent)
     {
         auto result =
--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -20,6 +20,8 @@
 constexpr core::duration max_gone_time{4000};
 /// Time after the deadline of a request in which the backend server's own answer may still arrive.
 constexpr core::duration answer_grace{120};
+/// Weight of one request in the mean work of a pool, which covers about the last 50.
+constexpr double mean_work_weight = 0.02;
 
 std::chrono::milliseconds to_chrono(core::duration span)
 {
@@ -42,10 +44,17 @@
 dispatch::slot_state front::state::count_slots(const request_pool& pool, core::time_point now) const
 {
     dispatch::slot_state slots;
+    // While all are cold, the rate is checked before the slots.
+    const bool are_all_cold = !find_cold(pool, now).empty();
     for (const auto& server : pool.servers)
     {
-        slots.slots += server->limit.slots(now);
-        slots.running += static_cast<int>(server->running.size());
+        const int free_limit = server->limit.slots(now);
+        const int usable =
+            are_all_cold ? free_limit
+                         : static_cast<int>(server->cold.usable_slots(free_limit, pool.mean_work_ms, now));
+        const auto server_running = static_cast<int>(server->running.size());
+        slots.slots += usable;
+        slots.running += usable < free_limit ? std::min(server_running, usable) : server_running;
         for (const auto& pending : server->running)
         {
             const auto elapsed = static_cast<double>((now - pending->sent).ms);
@@ -86,7 +95,10 @@
     }
     const auto& first = pool->servers.front();
     const double slow = first->is_keyed() ? estimate.slowness(first->entry.server.id) : 1.0;
-    waiting.work_ms = estimate.mean_ms(pending->request.route) * slow;
+    const double mean_ms = estimate.mean_ms(pending->request.route);
+    waiting.work_ms = mean_ms * slow;
+    pool->mean_work_ms +=
+        pool->mean_work_ms > 0 ? mean_work_weight * (mean_ms - pool->mean_work_ms) : mean_ms;
     if (!pending->request.key.empty())
     {
         waiting.key = static_cast<std::uint32_t>(std::stoul(pending->request.key));
@@ -165,6 +177,10 @@
     {
         return refusal;
     }
+    if (auto refusal = refuse_above_cold_rate(*pending, pool, now))
+    {
+        return refusal;
+    }
     if (!pending->request.tried_servers.empty())
     {
         // A queue accepted it before.
@@ -276,6 +292,15 @@
     return refusal;
 }
 
+bool front::state::takes_requests(const fronted_server& server, core::time_point now)
+{
+    if (server.is_keyed())
+    {
+        return !must_spare(server, now);
+    }
+    return server.entry.is_listed && !server.entry.server.is_draining && !find_leaving_time(server, now);
+}
+
 std::shared_ptr<fronted_server>
 front::state::choose_server(const request_pool& pool, const pending_request* pending, core::time_point now)
 {
@@ -283,18 +308,15 @@
     double best_cost = 0;
     for (const auto& server : pool.servers)
     {
-        const int slots = server->limit.slots(now);
-        const bool is_usable =
-            server->entry.is_listed && !server->entry.server.is_draining && !find_leaving_time(*server, now);
-        const bool takes_requests = server->is_keyed() ? !must_spare(*server, now) : is_usable;
-        if (static_cast<int>(server->running.size()) >= slots || !takes_requests)
+        const bool has_free_slot = static_cast<int>(server->running.size()) < server->limit.slots(now);
+        if (!has_free_slot || !takes_requests(*server, now) || !server->cold.may_send(now))
         {
             continue;
         }
         // A backend server that failed this request is chosen last.
         constexpr double tried_cost = 100;
         const double cost =
-            estimate.slowness(server->entry.server.id) +
+            server->load.cost(estimate.slowness(server->entry.server.id), now) +
             (pending != nullptr && pending->tried_servers.contains(server->entry.server.id) ? tried_cost : 0);
         if (!best || cost < best_cost)
         {
@@ -337,6 +359,7 @@
 {
     pending->server = server;
     pending->sent = clock::now();
+    server->cold.on_send(pending->sent);
     pending->expected_ms =
         estimate.mean_ms(pending->request.route) * estimate.slowness(server->entry.server.id);
     pending->tried_servers.insert(server->entry.server.id);
@@ -392,6 +415,8 @@
         {
             // The answer is that of a former process.
             outcome.head.is_leaving = false;
+            outcome.head.load.reset();
+            outcome.head.warmup_left.reset();
         }
         auto result = handle_outcome(*pending, outcome);
         finish(pending);
--- a/src/edge/internal/front_state.hpp
+++ b/src/edge/internal/front_state.hpp
@@ -16,7 +16,9 @@
 
     // Directory.
     void apply(const directory::snapshot& snapshot, const routes::routing_config& config);
-    void add_server(const directory::entry& entry, bool is_keyed);
+    void add_server(const directory::entry& entry, const routes::service& service);
+    /// Applies what the configuration says of the backend servers of a service.
+    void configure(fronted_server& server, const routes::service& service) const;
     void open_links(fronted_server& server);
     void update_server(fronted_server& server, const directory::entry& entry);
     void remove_server(const std::string& id);
@@ -45,6 +47,22 @@
     /// asked for.
     static std::optional<wire::forward_result>
     refuse_during_pause(const pending_request& pending, const request_pool& pool, core::time_point now);
+    /// Refuses a request that would have to wait longer than its objective allows for the rate of cold
+    /// backend servers.
+    std::optional<wire::forward_result>
+    refuse_above_cold_rate(const pending_request& pending, const request_pool& pool, core::time_point now);
+    /// Refuses the waiting requests for which that holds since the backend servers became cold.
+    void refuse_cold_surplus(request_pool& pool, core::time_point now);
+    wire::forward_result make_cold_refusal(const pending_request& pending, const request_pool& pool,
+                                           std::size_t ahead, core::time_point now);
+    /// Returns the backend servers of the pool that take requests, if all of them are cold; else none.
+    static std::vector<std::shared_ptr<fronted_server>> find_cold(const request_pool& pool,
+                                                                  core::time_point now);
+    /// Returns the time until a request behind `ahead` others can be sent at the rate of the cold backend
+    /// servers; zero unless all are cold.
+    static core::duration cold_wait(const request_pool& pool, std::size_t ahead, core::time_point now);
+    /// Whether the backend server takes requests at all, when it has a free slot.
+    static bool takes_requests(const fronted_server& server, core::time_point now);
     void start_waiting(const std::shared_ptr<request_pool>& pool);
     void start(const std::shared_ptr<pending_request>& pending,
                const std::shared_ptr<fronted_server>& server);
@@ -58,6 +76,8 @@
     std::optional<wire::forward_result> handle_outcome(pending_request& pending, exchange_result& outcome);
     wire::forward_result handle_not_run(pending_request& pending, exchange_result& outcome);
     std::optional<wire::forward_result> handle_failure(pending_request& pending, exchange_result& outcome);
+    /// Records the load and the warm-up that an answer of the backend server states.
+    void record_load(fronted_server& server, const response_head& head, core::time_point now);
     static bool has_time_for_retry(const pending_request& pending, core::time_point now);
     void requeue(const std::shared_ptr<pending_request>& pending, const std::shared_ptr<request_pool>& pool);
     void cap_deadlines(core::time_point latest);
@@ -99,6 +119,9 @@
     core::asio::awaitable<void> open_control_link(std::shared_ptr<fronted_server> server);
     core::asio::awaitable<void> send_grant_call(std::shared_ptr<fronted_server> server,
                                                 grants::grant_call call);
+    /// Starts the health checks that are due: only they show that a backend server became cold in mid-life.
+    void run_health_checks(core::time_point now);
+    core::asio::awaitable<void> check_health(std::shared_ptr<fronted_server> server);
     core::asio::awaitable<void> probe(std::shared_ptr<fronted_server> server);
     core::asio::awaitable<bool> accepts_connections(const fronted_server& server);
     /// Whether the backend server answers the release of a key that an unanswered grant named. It has no keys
@@ -115,6 +138,8 @@
     std::map<std::string, std::shared_ptr<fronted_server>> servers;
     std::map<std::string, std::shared_ptr<request_pool>> pools;
     std::map<std::string, std::map<std::uint32_t, double>> offered_work;
+    /// Cold backend servers by service, also of services without any now, for the metric.
+    std::map<std::string, double> cold_servers;
     /// Bytes of answers since the last report, by service.
     std::map<std::string, std::int64_t> answer_bytes;
     dispatch::work_estimate estimate;
