Complete pipelining: responses to HEAD, failing connections, notes

Cause: a response to HEAD stated the length 0, and a connection that failed for lack of memory during a write removed one request too many. Change: the body of a response to HEAD is removed after its length is set; write_ready stops when the connection failed meanwhile.

--- a/src/edge/tests/entry_tests.cpp
+++ b/src/edge/tests/entry_tests.cpp
@@ -216,6 +216,27 @@
 
 BOOST_AUTO_TEST_SUITE(entries)
 
+// Guards against a request that may run only once and is forwarded beside others of its connection, which its
+// client repeats when the connection ends.
+BOOST_AUTO_TEST_CASE(only_requests_of_idempotent_routes_run_concurrently)
+{
+    asio::io_context context;
+    edge::event_log log({"entry"}, [](const char*, std::size_t size) { return size; });
+    metrics::registry metrics;
+    const auto adapter = make_protocol();
+    edge::entry entry(context.get_executor(), {"entry", "a", {}}, adapter, log, metrics, {});
+    const http::request message{"GET", "/book", {{"Host", "h.example"}}, ""};
+    BOOST_TEST(!entry.may_run_concurrently(message));
+    auto config = make_config();
+    entry.apply(config);
+    BOOST_TEST(entry.may_run_concurrently(message));
+    BOOST_TEST(!entry.may_run_concurrently({"GET", "/book", {{"Host", "other.example"}}, ""}));
+    config.version = 2;
+    config.routes.front().is_idempotent = false;
+    entry.apply(config);
+    BOOST_TEST(!entry.may_run_concurrently(message));
+}
+
 // Guards against a request that is refused because its front stops, although another front could serve it.
 BOOST_AUTO_TEST_CASE(request_refused_by_a_stopping_front_goes_to_another_one)
 {
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -612,10 +612,6 @@
         drop(connection, id, "the connection ended");
         return;
     }
-    if (item.is_head)
-    {
-        reply.body.clear();
-    }
     item.held_answer = std::make_unique<held_message>(hooks.budget, [&connection] {
         error_code ignored;
         connection.stream.socket().close(ignored);
@@ -648,6 +644,11 @@
             fail(connection, failure.what());
             co_return;
         }
+        if (connection.is_broken)
+        {
+            // The connection failed meanwhile, which dropped this response.
+            co_return;
+        }
         connection.order.end_write();
         connection.exchanges.erase(step->id);
         --in_flight;
@@ -664,7 +665,11 @@
 
 asio::awaitable<void> server::state::write(session& connection, exchange& item, bool keep_alive)
 {
-    const auto outgoing = make_message(std::move(item.answer), item.version, keep_alive);
+    auto outgoing = make_message(std::move(item.answer), item.version, keep_alive);
+    if (item.is_head)
+    {
+        outgoing.body().clear();
+    }
     beast::http::response_serializer<beast::http::string_body> serializer(outgoing);
     error_code code;
     connection.is_read_given_up = false;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -47,7 +47,7 @@
 };
 
 /// Whether a request may be processed concurrently with other requests of its connection. Such a request may
-/// run more than once, because a client repeats it when its connection ends.
+/// run more than once, because a client repeats it when its connection ends. Must not throw.
 using concurrency_handler = std::function<bool(const request& message)>;
 
 using loss_handler = std::function<void(const unanswered_request& request, const std::string& reason)>;
--- a/src/http/tests/pipelining_tests.cpp
+++ b/src/http/tests/pipelining_tests.cpp
@@ -4,6 +4,7 @@
 #include <boost/algorithm/string/find.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <list>
 #include <map>
 #include <memory>
 
@@ -14,6 +15,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr std::size_t budget_bytes = std::size_t{100} << 20U;
+
 std::string make_text(const std::string& target, const std::string& headers = "")
 {
     return "GET " + target + " HTTP/1.1\r\nHost: a\r\n" + headers + "\r\n";
@@ -31,7 +34,7 @@
         hooks.on_loss = [this](const http::unanswered_request& request, const std::string&) {
             lost.push_back(request.target);
         };
-        hooks.budget = std::make_shared<http::transfer_budget>(std::size_t{100} << 20U);
+        hooks.budget = std::make_shared<http::transfer_budget>(budget_bytes);
         server.emplace(context.get_executor(), http::endpoint{"127.0.0.1", 0},
                        http::watched_handler([this](http::request message, http::endpoint,
                                                     std::shared_ptr<core::cancellation> departure) {
@@ -246,6 +249,55 @@
     BOOST_TEST(connection.has_received({"200 OK", "/safe1", "HTTP/1.1 500", "200 OK", "/safe2"}));
 }
 
+// Guards against a response to HEAD that carries a body, which would be read as the next response, or that
+// states the length of its missing body as 0.
+BOOST_AUTO_TEST_CASE(response_to_head_states_its_length_without_a_body)
+{
+    pipelined_connection connection;
+    connection.send("HEAD /safe1 HTTP/1.1\r\nHost: a\r\n\r\n" + make_text("/safe22"));
+    connection.release("/safe22");
+    connection.release("/safe1");
+    BOOST_TEST(connection.has_received({"Content-Length: 6\r\n\r\nHTTP/1.1 200", "/safe22"}));
+}
+
+// Guards against a response that is cut off when the request read behind it is given up for lack of memory.
+BOOST_AUTO_TEST_CASE(request_given_up_leaves_the_response_before_it_whole)
+{
+    constexpr std::size_t piece_bytes = 100000;
+    constexpr std::size_t body_bytes = 160 * piece_bytes;
+    http::server_limits limits;
+    limits.body_bytes = 2 * body_bytes;
+    pipelined_connection connection(limits);
+    // More than the socket buffers hold, so that it is still being written; less than the body, as the
+    // largest message is given up.
+    connection.answer_bytes = 12000000;
+    connection.send(make_text("/safe1"));
+    connection.release("/safe1");
+    connection.send("POST /safe2 HTTP/1.1\r\nHost: a\r\nContent-Length: 17000000\r\n\r\n");
+    for (std::size_t sent = 0; sent < body_bytes; sent += piece_bytes)
+    {
+        asio::write(connection.caller, asio::buffer(std::string(piece_bytes, 'b')));
+        connection.run(milliseconds(5));
+    }
+    const auto held = connection.hooks.budget->held_bytes();
+    BOOST_TEST(held > connection.answer_bytes + body_bytes);
+    // Smaller messages fill the budget and cannot be given up themselves.
+    std::list<http::held_message> others;
+    for (std::size_t total = held; total <= budget_bytes; total += body_bytes / 2)
+    {
+        BOOST_TEST(others.emplace_back(connection.hooks.budget).resize(body_bytes / 2));
+    }
+    BOOST_TEST(connection.hooks.budget->given_up() == 1U);
+    for (int i = 0; i < 50; ++i)
+    {
+        connection.receive();
+        connection.run(milliseconds(10));
+    }
+    BOOST_TEST(connection.has_received({"200 OK", "/safe1", "HTTP/1.1 503", "Connection: close"}));
+    BOOST_TEST(connection.received.size() > connection.answer_bytes);
+    BOOST_TEST(connection.started == names({"/safe1"}), boost::test_tools::per_element());
+}
+
 // Guards against a client that sends requests without end and reads no response.
 BOOST_AUTO_TEST_CASE(client_that_reads_nothing_is_bounded)
 {
