Withdraw the keys of evacuated zones

Keys of a backend server moved only when it drained, was lost or was overloaded, so a whole zone could not be emptied before its machines fail.

The leader withdraws the keys of the zones that it is told of at once, as for a draining backend server, and assigns none there. While no zone can take keys they stay. After the return, ordinary planning moves keys back by load.

--- a/src/leader/internal/key_assignment.cpp
+++ b/src/leader/internal/key_assignment.cpp
@@ -32,7 +32,7 @@
 {
     const auto& entry = published_.entries.at(id);
     const auto& state = entry_states_.at(id);
-    return entry.is_listed && !entry.server.is_draining && !state.unregistered_at &&
+    return entry.is_listed && !entry.server.is_draining && !is_evacuated(entry) && !state.unregistered_at &&
            !state.unreachable_since && !entry.front.empty() && is_alive(entry.front, now);
 }
 
@@ -170,7 +170,7 @@
                               now - *state.unregistered_at >= settings_.reregistration_grace;
         const bool is_unreachable =
             state.unreachable_since && now - *state.unreachable_since >= settings_.unreachable_timeout;
-        if (!has_left && !entry.server.is_draining && !is_unreachable)
+        if (!has_left && !entry.server.is_draining && !is_unreachable && !is_evacuated(entry))
         {
             continue;
         }
@@ -183,7 +183,8 @@
             withdraw(id, entry.keys,
                      has_left                   ? "gone"
                      : entry.server.is_draining ? "draining"
-                                                : "unreachable");
+                     : is_unreachable           ? "unreachable"
+                                                : "evacuated");
         }
     }
 }
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -77,6 +77,8 @@
 
     /// Sets the services with key ownership, as configured.
     void set_keyed_services(std::set<std::string> names) { keyed_services_ = std::move(names); }
+    /// Sets the availability zones whose backend servers must hold no keys.
+    void set_evacuated_zones(std::set<std::string> zones) { evacuated_zones_ = std::move(zones); }
     /// Sets the interval at which routers report, which extends the time after which a router counts as lost.
     void set_report_interval(core::duration interval);
     void on_registered(const directory::backend_server& server, core::time_point now);
@@ -254,6 +256,10 @@
     void assign_keys(const std::string& id, const keyspace::key_range& range, const std::string& handover);
     bool can_accept_keys(const std::string& id, core::time_point now) const;
     bool can_any_accept_keys(const std::string& service, core::time_point now) const;
+    bool is_evacuated(const directory::entry& item) const
+    {
+        return evacuated_zones_.contains(item.server.zone);
+    }
     bool is_keyed(const directory::entry& item) const
     {
         return keyed_services_.contains(item.server.service);
@@ -279,6 +285,7 @@
     /// Revision at which a router last lost a front role or began new terms of office, by name.
     std::map<std::string, std::int64_t> front_lost_at_;
     std::set<std::string> keyed_services_;
+    std::set<std::string> evacuated_zones_;
     /// Services whose keys have been assigned before.
     std::set<std::string> initialized_services_;
     std::map<std::string, keyspace::key_loads> loads_;
