--- a/src/settings/edge_settings.hpp
+++ b/src/settings/edge_settings.hpp
@@ -44,6 +44,8 @@
     core::duration max_grant_duration{10000};
     /// Time in which a change of the configuration has to be in force.
     core::duration max_config_delay{2000};
+    /// Time from the decision to evacuate a zone after which its backend servers must get no requests.
+    core::duration evacuation_time{5000};
 
     bool operator==(const edge_settings&) const = default;
 };
@@ -57,6 +59,7 @@
     std::string grace_s = "grace_s";
     std::string max_grant_duration_ms = "longest_hold_ms";
     std::string max_config_delay_ms = "config_delay_ms";
+    std::string evacuation_time_ms = "evacuation_time_ms";
 };
 
 /// Throws document::invalid_document with every error in the text; `name` appears in it.
--- a/src/settings/internal/edge_settings.cpp
+++ b/src/settings/internal/edge_settings.cpp
@@ -43,6 +43,8 @@
         number(names.max_grant_duration_ms, static_cast<double>(result.max_grant_duration.ms)));
     result.max_config_delay.ms = static_cast<std::int64_t>(
         number(names.max_config_delay_ms, static_cast<double>(result.max_config_delay.ms)));
+    result.evacuation_time.ms = static_cast<std::int64_t>(
+        number(names.evacuation_time_ms, static_cast<double>(result.evacuation_time.ms)));
 }
 
 } // namespace
@@ -111,7 +113,8 @@
               {"repeat_slack", value.retry_budget_slack},
               {"grace_s", static_cast<double>(value.grace.ms) / ms_per_s},
               {"longest_hold_ms", value.max_grant_duration.ms},
-              {"config_delay_ms", value.max_config_delay.ms}}}};
+              {"config_delay_ms", value.max_config_delay.ms},
+              {"evacuation_time_ms", value.evacuation_time.ms}}}};
 }
 
 } // namespace briarfold::settings
--- a/src/settings/tests/edge_settings_tests.cpp
+++ b/src/settings/tests/edge_settings_tests.cpp
@@ -21,6 +21,7 @@
 [bounds]
 ratio = 0.3
 other-bound = 12
+leave-ms = 4000
 )";
 
 } // namespace
@@ -33,9 +34,12 @@
     bound_names names;
     names.retry_budget_ratio = "ratio";
     names.max_config_delay_ms = "other-bound";
+    names.evacuation_time_ms = "leave-ms";
     const auto settings = parse_edge_settings(text, "test", names);
     BOOST_CHECK_EQUAL(settings.retry_budget_ratio, 0.3);
     BOOST_CHECK_EQUAL(settings.max_config_delay.ms, 12);
+    BOOST_CHECK_EQUAL(settings.evacuation_time.ms, 4000);
+    BOOST_CHECK_EQUAL(parse_edge_settings(text, "test").evacuation_time.ms, 5000);
     BOOST_CHECK_EQUAL(settings.name, "edge-a-1");
     BOOST_CHECK_EQUAL(settings.cpu, 0.2);
     BOOST_CHECK_EQUAL(settings.bandwidth_mbps, 0);
