Stop requests for evacuated zones on every router

Each router decides by itself: it takes the rows of evacuations from the feed of the configuration, and from reports, their answers, updates and questions about the configuration, all of which pass the state on.

The tests with a cluster in one process were not run for this commit.

--- a/apps/edge/main.cpp
+++ b/apps/edge/main.cpp
@@ -53,6 +53,7 @@
     tables.cluster_state = std::make_shared<row_table>(pool, "briarfold");
     tables.config = std::make_shared<row_table>(pool, "op");
     tables.registry = std::make_shared<row_table>(pool, "servers");
+    tables.evacuation_prefix = briarfold::platform::evacuation_prefix;
     return tables;
 }
 
--- a/src/directory/internal/owner_index.cpp
+++ b/src/directory/internal/owner_index.cpp
@@ -66,9 +66,18 @@
 void owner_index::rebuild_groups(const snapshot& known)
 {
     groups_.clear();
+    evacuated_services_.clear();
     for (const auto& [id, item] : known.entries)
     {
-        if (!item.front.empty() && item.keys.empty() && item.is_listed && !item.server.is_draining)
+        if (item.front.empty() || !item.keys.empty() || !item.is_listed || item.server.is_draining)
+        {
+            continue;
+        }
+        if (evacuated_zones_.contains(item.server.zone))
+        {
+            evacuated_services_.insert(item.server.service);
+        }
+        else
         {
             groups_[item.server.service][item.front] += item.server.slots;
         }
@@ -120,6 +129,17 @@
     return owner{found.backend_server, found.front, number % 2 == 1, found.is_unreachable};
 }
 
+void owner_index::set_evacuated_zones(const snapshot& known, std::set<std::string> zones)
+{
+    evacuated_zones_ = std::move(zones);
+    rebuild_groups(known);
+}
+
+bool owner_index::is_evacuated(const std::string& service) const
+{
+    return evacuated_services_.contains(service) && !groups_.contains(service);
+}
+
 const std::map<std::string, int>* owner_index::find_group(const std::string& service) const
 {
     const auto group = groups_.find(service);
--- a/src/directory/owner_index.hpp
+++ b/src/directory/owner_index.hpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,10 @@
 public:
     /// Updates the index. `change` is the update that led to `known`.
     void apply(const snapshot& known, const update& change);
+    /// Leaves the backend servers of these zones out of the groups.
+    void set_evacuated_zones(const snapshot& known, std::set<std::string> zones);
+    /// Whether the service has available backend servers without keys, all of them in evacuated zones.
+    bool is_evacuated(const std::string& service) const;
     /// Returns the owner of the key; nullopt if the key has no front.
     std::optional<owner> find(const std::string& service, std::uint32_t key) const;
     /// Returns, for a service without key ownership, the number of slots of its available backend servers by
@@ -58,6 +63,9 @@
     std::vector<std::size_t> free_positions_;
     std::map<std::string, std::size_t> positions_;
     std::map<std::string, std::map<std::string, int>> groups_;
+    std::set<std::string> evacuated_zones_;
+    /// Services without key ownership that have available backend servers in evacuated zones.
+    std::set<std::string> evacuated_services_;
 };
 
 } // namespace briarfold::directory
--- a/src/edge/entry.hpp
+++ b/src/edge/entry.hpp
@@ -16,6 +16,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace briarfold::edge {
@@ -54,6 +55,9 @@
 
     /// Applies the directory update that led to `snapshot` and wakes the requests that wait for a change.
     void apply(const directory::snapshot& snapshot, const directory::update& change);
+    /// Leaves the backend servers of these availability zones out; those with keys stay until their keys are
+    /// moved. `snapshot` is the directory in force.
+    void set_evacuated_zones(const directory::snapshot& snapshot, std::set<std::string> zones);
     /// Applies a configuration. Returns false when it is not newer than the one in force.
     bool apply(routes::routing_config config);
     const routes::route_table& routes() const { return routes_; }
@@ -93,8 +97,11 @@
     /// Whether another front may have room for a request that one front has no room for.
     bool may_ask_another_front(const request_context& context, const std::string& front,
                                core::time_point now) const;
-    /// Waits at most `limit` for a change of the directory.
+    /// Waits at most `limit` for a change of the directory or of the evacuated zones.
     core::asio::awaitable<void> await_change(core::duration limit);
+    void wake_waiting();
+    /// Whether the front gave the request back since it has no room or no backend server for it.
+    static bool has_no_room(const wire::forward_result& result);
     /// Returns a refusal, or nothing when the request can be routed or has no route.
     std::optional<http::response> prepare(request_context& context, http::request& message);
     /// The same for a request without a route, once the configuration in force is known to be current.
--- a/src/edge/front.hpp
+++ b/src/edge/front.hpp
@@ -14,6 +14,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace briarfold::edge {
 
@@ -29,6 +31,8 @@
     std::function<core::time_point()> last_proof;
     /// Whether grants need a longer duration because no other router could take over.
     std::function<bool()> needs_outage_grants;
+    /// Returns when the evacuation of an availability zone was learned of; nothing for a zone in service.
+    std::function<std::optional<core::time_point>(const std::string& zone)> evacuated_since;
     /// Requests a report to the leader at once: keys were freed, a backend server became unreachable, or the
     /// assignments have to be confirmed.
     std::function<void()> request_report;
--- a/src/edge/internal/entry.cpp
+++ b/src/edge/internal/entry.cpp
@@ -36,6 +36,8 @@
 constexpr core::duration unconfirmed_retry_after{500};
 /// Another router can serve the request at once.
 constexpr core::duration other_router_retry_after{50};
+/// A zone that is returned to service is in use on all routers within about this time.
+constexpr core::duration evacuated_retry_after{600};
 
 bool is_connection_header(std::string_view name)
 {
@@ -117,10 +119,27 @@
     term_ = snapshot.term;
     if (is_changed)
     {
-        std::ranges::for_each(waiting_, [](asio::steady_timer* timer) { timer->cancel(); });
+        wake_waiting();
     }
 }
 
+void entry::set_evacuated_zones(const directory::snapshot& snapshot, std::set<std::string> zones)
+{
+    owners_.set_evacuated_zones(snapshot, std::move(zones));
+    wake_waiting();
+}
+
+void entry::wake_waiting()
+{
+    std::ranges::for_each(waiting_, [](asio::steady_timer* timer) { timer->cancel(); });
+}
+
+bool entry::has_no_room(const wire::forward_result& result)
+{
+    return result.outcome == wire::outcome::refused_not_run &&
+           (result.not_run_reason == "overload" || result.not_run_reason == "evacuated");
+}
+
 asio::awaitable<void> entry::await_change(core::duration limit)
 {
     asio::steady_timer timer(executor_, std::chrono::milliseconds(std::max<std::int64_t>(limit.ms, 1)));
@@ -197,7 +216,7 @@
     const auto now = clock::now();
     auto& choice = front_choices_[context.service];
     choice.on_result(to.front, result.queue_load, now);
-    if (result.outcome == wire::outcome::refused_not_run && result.not_run_reason == "overload")
+    if (has_no_room(result))
     {
         constexpr core::duration least_wait{50};
         choice.on_full(to.front, std::max(result.retry_after, least_wait), now);
@@ -423,6 +442,11 @@
             break;
         }
         const auto to = find_destination(context);
+        if (!to && !context.is_keyed && owners_.is_evacuated(context.service))
+        {
+            co_return end_unanswered(context, status_unavailable, evacuated_retry_after,
+                                     "all zones of the service are evacuated");
+        }
         if (!to)
         {
             const auto waited = now - context.arrived;
@@ -477,8 +501,7 @@
                 continue;
             }
         }
-        if (result.outcome == wire::outcome::refused_not_run && result.not_run_reason == "overload" &&
-            may_ask_another_front(context, to->front, clock::now()))
+        if (has_no_room(result) && may_ask_another_front(context, to->front, clock::now()))
         {
             context.full_fronts.insert(to->front);
             continue;
--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -81,13 +81,18 @@
 
 void front::state::refuse_spared(request_pool& pool, core::time_point now)
 {
-    if (pool.servers.empty() || !must_spare(*pool.servers.front(), now))
+    if (pool.servers.empty() || pool.waiting.empty())
+    {
+        return;
+    }
+    const auto refusal = refuse_unavailable(pool, now);
+    if (!refusal)
     {
         return;
     }
     for (const auto& waiting : extract_waiting(pool, [](const auto&) { return true; }))
     {
-        end_waiting(pool, waiting, make_leaving_refusal());
+        end_waiting(pool, waiting, *refusal);
     }
 }
 
--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -1,4 +1,5 @@
 #include "edge/internal/front_state.hpp"
+#include "routes/evacuations.hpp"
 
 #include <algorithm>
 #include <ranges>
@@ -15,6 +16,8 @@
 /// the leader is slow or lost.
 constexpr core::duration max_leaving_time{1000};
 constexpr core::duration leaving_retry_after{600};
+/// Time in which a leader that works has moved the keys of an evacuated zone to other backend servers.
+constexpr core::duration evacuation_retry_after{600};
 /// Time for which the word of a deputy that a registration is gone goes before the directory. It is repeated
 /// until the leader has read the registry.
 constexpr core::duration max_gone_time{4000};
@@ -44,7 +47,7 @@
     dispatch::slot_state slots;
     for (const auto& server : pool.servers)
     {
-        slots.slots += server->limit.slots(now);
+        slots.slots += is_evacuated(*server, now) ? 0 : server->limit.slots(now);
         slots.running += static_cast<int>(server->running.size());
         for (const auto& pending : server->running)
         {
@@ -153,9 +156,9 @@
         return make_unreachable_refusal(*first,
                                         {std::max<std::int64_t>(pending->request.deadline.ms / 3, 0)});
     }
-    if (must_spare(*first, now))
+    if (auto refusal = refuse_unavailable(pool, now))
     {
-        return make_leaving_refusal();
+        return refusal;
     }
     if (ends_before_answer(pending->waiting, now))
     {
@@ -262,12 +265,40 @@
     return server.leaving_since ? server.leaving_since : is_gone ? server.gone_at : std::nullopt;
 }
 
-bool front::state::must_spare(const fronted_server& server, core::time_point now)
+bool front::state::has_left(const fronted_server& server, core::time_point now)
 {
     const auto since = find_leaving_time(server, now);
     return server.is_keyed() && since && now - *since > max_leaving_time;
 }
 
+bool front::state::is_evacuated(const fronted_server& server, core::time_point now) const
+{
+    const auto since = callbacks.evacuated_since(server.entry.server.zone);
+    return since && (!server.is_keyed() || now >= routes::last_keyed_send(*since, settings.evacuation_time));
+}
+
+bool front::state::must_spare(const fronted_server& server, core::time_point now) const
+{
+    return has_left(server, now) || is_evacuated(server, now);
+}
+
+std::optional<wire::forward_result> front::state::refuse_unavailable(const request_pool& pool,
+                                                                     core::time_point now) const
+{
+    if (has_left(*pool.servers.front(), now))
+    {
+        return make_leaving_refusal();
+    }
+    if (!std::ranges::all_of(pool.servers, [&](const auto& server) { return is_evacuated(*server, now); }))
+    {
+        return std::nullopt;
+    }
+    auto refusal =
+        make_result(wire::outcome::refused_not_run, status_unavailable, "the zone is evacuated", "evacuated");
+    refusal.retry_after = evacuation_retry_after;
+    return refusal;
+}
+
 wire::forward_result front::state::make_leaving_refusal()
 {
     auto refusal = make_result(wire::outcome::refused_not_run, status_unavailable,
@@ -286,7 +317,7 @@
         const int slots = server->limit.slots(now);
         const bool is_usable =
             server->entry.is_listed && !server->entry.server.is_draining && !find_leaving_time(*server, now);
-        const bool takes_requests = server->is_keyed() ? !must_spare(*server, now) : is_usable;
+        const bool takes_requests = (server->is_keyed() || is_usable) && !must_spare(*server, now);
         if (static_cast<int>(server->running.size()) >= slots || !takes_requests)
         {
             continue;
--- a/src/edge/internal/front_state.hpp
+++ b/src/edge/internal/front_state.hpp
@@ -84,7 +84,14 @@
     /// still has its keys.
     static std::optional<core::time_point> find_leaving_time(const fronted_server& server,
                                                              core::time_point now);
-    static bool must_spare(const fronted_server& server, core::time_point now);
+    static bool has_left(const fronted_server& server, core::time_point now);
+    /// Whether its zone is evacuated, for so long that also a backend server with keys must get no requests.
+    bool is_evacuated(const fronted_server& server, core::time_point now) const;
+    bool must_spare(const fronted_server& server, core::time_point now) const;
+    /// Returns a refusal if no backend server of the pool may get requests, because they leave or their zones
+    /// are evacuated.
+    std::optional<wire::forward_result> refuse_unavailable(const request_pool& pool,
+                                                           core::time_point now) const;
     static wire::forward_result make_leaving_refusal();
     /// Handles an answer of another backend server to a call for this one that was sent at `sent`. The
     /// platform gives an address to another backend server only after the former one has ended.
--- a/src/edge/internal/leader_service.cpp
+++ b/src/edge/internal/leader_service.cpp
@@ -81,14 +81,14 @@
 
 leader_service::leader_service(asio::any_io_executor executor, directory::router self,
                                const protocol& adapter, store_tables tables, store_health& health,
-                               event_log& log, leader_callbacks callbacks, leadership_start start,
-                               std::string packed_config)
+                               event_log& log, evacuation_tracker& evacuations, leader_callbacks callbacks,
+                               leadership_start start, std::string packed_config)
     : executor_(std::move(executor)), self_(std::move(self)), adapter_(adapter), tables_(std::move(tables)),
-      health_(health), log_(log), callbacks_(std::move(callbacks)), term_(start.record.written),
-      written_(term_), leadership_version_(start.version), assigned_era_(start.record.assigned_era),
-      rewritten_era_(start.record.assigned_era), secret_(std::move(start.secret)),
-      former_leaders_(std::move(start.record.former_leaders)), confirmation_(clock::now()),
-      last_handover_(clock::now()), packed_config_(std::move(packed_config))
+      health_(health), log_(log), evacuations_(evacuations), callbacks_(std::move(callbacks)),
+      term_(start.record.written), written_(term_), leadership_version_(start.version),
+      assigned_era_(start.record.assigned_era), rewritten_era_(start.record.assigned_era),
+      secret_(std::move(start.secret)), former_leaders_(std::move(start.record.former_leaders)),
+      confirmation_(clock::now()), last_handover_(clock::now()), packed_config_(std::move(packed_config))
 {}
 
 asio::awaitable<void> leader_service::start(directory::snapshot former)
@@ -102,6 +102,7 @@
                        log_.write(decision, std::move(fields));
                    });
     state_->set_former_leaders(former_leaders_);
+    state_->set_evacuated_zones(evacuations_.known().zones());
     bool is_loaded = false;
     while (is_running())
     {
@@ -233,8 +234,9 @@
         }
     }
     // Each published change makes every router read its directory again, so changes are batched.
-    const bool has_new_config = config_version_ != published_config_;
-    if (now - last_publish_ < publish_interval() && !has_new_config)
+    const bool is_urgent =
+        config_version_ != published_config_ || evacuations_.changes() != published_evacuations_;
+    if (now - last_publish_ < publish_interval() && !is_urgent)
     {
         return;
     }
@@ -247,6 +249,7 @@
         published_config_ = config_version_;
         callbacks_.on_directory_change(*state_);
     }
+    published_evacuations_ = evacuations_.changes();
     start_pushes();
 }
 
@@ -256,7 +259,8 @@
     const auto start = followers_.upper_bound(last_pushed_);
     const auto try_push = [&](auto& item) {
         auto& [name, recipient] = item;
-        const bool is_behind = recipient.revision < current.revision || recipient.config < config_version_;
+        const bool is_behind = recipient.revision < current.revision || recipient.config < config_version_ ||
+                               recipient.evacuations < evacuations_.changes();
         if (running_pushes_ >= max_running_pushes || !is_behind || recipient.is_pushing ||
             recipient.revision < 0 || !current.routers.contains(name))
         {
@@ -290,8 +294,10 @@
 const std::string& leader_service::make_update(std::int64_t revision, std::int64_t config)
 {
     const auto now = clock::now();
-    if (updates_revision_ != state_->current().revision || now - updates_built_at_ > update_lifetime)
+    if (updates_revision_ != state_->current().revision || updates_evacuations_ != evacuations_.changes() ||
+        now - updates_built_at_ > update_lifetime)
     {
+        updates_evacuations_ = evacuations_.changes();
         updates_.clear();
         updates_revision_ = state_->current().revision;
         updates_built_at_ = now;
@@ -314,7 +320,9 @@
 
 json leader_service::update_header() const
 {
-    return {{"kind", "update"}, {"term", term_}, {"leader", directory::to_json(self_)}};
+    json header = {{"kind", "update"}, {"term", term_}, {"leader", directory::to_json(self_)}};
+    evacuations_.add_to(header);
+    return header;
 }
 
 asio::awaitable<void> leader_service::push(std::string name)
@@ -326,6 +334,7 @@
     {
         const auto sent_revision = state_->current().revision;
         const auto sent_config = config_version_;
+        const auto sent_evacuations = evacuations_.changes();
         const auto peer = router->second.peer;
         auto message = make_update(recipient.revision, recipient.config);
         try
@@ -341,6 +350,7 @@
                 auto& record = followers_[name];
                 record.revision = reply.value("revision", std::int64_t{-1});
                 record.config = std::max(record.config, sent_config);
+                record.evacuations = std::max(record.evacuations, sent_evacuations);
             }
         }
         catch (const std::exception& failure)
@@ -359,6 +369,15 @@
     }
 }
 
+void leader_service::on_evacuations_changed()
+{
+    if (state_)
+    {
+        state_->set_evacuated_zones(evacuations_.known().zones());
+    }
+    propagate_changes();
+}
+
 asio::awaitable<std::string> leader_service::handle_report(json message)
 {
     const auto self = shared_from_this();
--- a/src/edge/internal/leader_service.hpp
+++ b/src/edge/internal/leader_service.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "edge/internal/evacuation_tracker.hpp"
 #include "edge/internal/store_health.hpp"
 #include "edge/member.hpp"
 #include "leader/leader_state.hpp"
@@ -59,8 +60,8 @@
 {
 public:
     leader_service(core::asio::any_io_executor executor, directory::router self, const protocol& adapter,
-                   store_tables tables, store_health& health, event_log& log, leader_callbacks callbacks,
-                   leadership_start start, std::string packed_config);
+                   store_tables tables, store_health& health, event_log& log, evacuation_tracker& evacuations,
+                   leader_callbacks callbacks, leadership_start start, std::string packed_config);
 
     /// Reads the rows of the store, retrying until it succeeds, and starts. `former` is the directory known
     /// so far; its routers are kept.
@@ -79,6 +80,8 @@
     {
         config_confirmed_at_ = std::max(config_confirmed_at_, at);
     }
+    /// Moves the keys of zones that were evacuated and tells all routers.
+    void on_evacuations_changed();
     core::time_point config_confirmed_at() const { return config_confirmed_at_; }
     const directory::generation& term() const { return term_; }
     /// Returns when the leadership was last known to be undisputed.
@@ -121,6 +124,8 @@
         /// Revision that the router has; 0 when it needs the whole directory, -1 until its next report.
         std::int64_t revision = 0;
         std::int64_t config = 0;
+        /// Number of changes of evacuations that it was sent.
+        std::int64_t evacuations = 0;
         bool is_pushing = false;
     };
 
@@ -177,6 +182,7 @@
     store_tables tables_;
     store_health& health_;
     event_log& log_;
+    evacuation_tracker& evacuations_;
     leader_callbacks callbacks_;
     directory::generation term_;
     /// Generation of the last write of the leadership row by this leader.
@@ -205,6 +211,7 @@
     core::time_point last_handover_;
     std::int64_t published_revision_ = 0;
     std::int64_t published_config_ = 0;
+    std::int64_t published_evacuations_ = 0;
     core::time_point last_publish_;
     core::time_point last_write_;
     core::time_point last_tick_;
@@ -212,6 +219,7 @@
     /// contain the configuration. Most routers have the same versions, so one message is sent to many.
     std::map<std::pair<std::int64_t, bool>, std::string> updates_;
     std::int64_t updates_revision_ = 0;
+    std::int64_t updates_evacuations_ = 0;
     /// Name of the router to which the last push went; the next one goes to a router after it.
     std::string last_pushed_;
     std::size_t running_pushes_ = 0;
--- a/src/edge/internal/leader_store.cpp
+++ b/src/edge/internal/leader_store.cpp
@@ -83,6 +83,8 @@
             apply_config(row.value);
         }
     }
+    const auto evacuated = co_await tables_.config->read_prefix(evacuations_.key_prefix(), store_timeout);
+    evacuations_.apply_all(evacuated);
     config_position_ = std::max(config_position_, rows.position());
     on_config_confirmed(sent);
     co_return rows.position();
@@ -225,6 +227,7 @@
                 const auto waited_until = sent + config_feed_wait;
                 const bool has_waited = batch.rows.empty() && clock::now() >= waited_until;
                 on_config_confirmed(has_waited ? waited_until : sent);
+                evacuations_.apply_changes(batch);
                 for (const auto& row : batch.rows)
                 {
                     if (row.key == tables_.config_key && !row.value.is_null())
--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -140,13 +140,30 @@
     return state_->snapshot;
 }
 
+std::set<std::string> member::evacuated_zones() const
+{
+    return state_->evacuations.known().zones();
+}
+
+std::optional<core::time_point> member::evacuated_since(const std::string& zone) const
+{
+    return state_->evacuations.known().evacuated_since(zone);
+}
+
+std::int64_t member::malformed_evacuations() const
+{
+    return state_->evacuations.malformed();
+}
+
 member::state::state(asio::any_io_executor io_executor, settings::edge_settings initial_settings,
                      const protocol& message_adapter, store_tables all_tables, event_log& decision_log,
                      member_callbacks owner_callbacks)
     : executor(std::move(io_executor)), settings(std::move(initial_settings)), adapter(message_adapter),
       tables(std::move(all_tables)), log(decision_log), callbacks(std::move(owner_callbacks)),
-      report_timer(executor), currency(settings.max_config_delay, clock::now())
+      report_timer(executor), currency(settings.max_config_delay, clock::now()),
+      evacuations(log, tables.evacuation_prefix)
 {
+    evacuations.set_change_hook([this] { on_evacuations_changed(); });
     self.name = settings.name;
     self.incarnation = core::make_id("run");
     self.zone = settings.zone;
@@ -331,6 +348,7 @@
                     {"config", config_version},
                     {"report", leader::to_json(make_report())}};
     add_deputy_rows(message);
+    evacuations.add_to(message);
     const auto sent = clock::now();
     const auto recipient = leader;
     const auto link = network;
@@ -338,6 +356,8 @@
     {
         const auto text = co_await link->send_message(recipient.peer, message.dump(), report_timeout);
         const auto reply = internal::decode_message(text);
+        // Later changes win wherever they come from, also from a leader that has been replaced.
+        evacuations.apply_message(reply, recipient.name);
         const auto kind = reply.value("kind", "");
         const bool is_superseded =
             kind == "update" && reply.at("term").get<directory::generation>() < promised_term;
@@ -451,6 +471,7 @@
 {
     const auto message = internal::decode_message(text);
     const auto kind = message.at("kind").get<std::string>();
+    evacuations.apply_message(message, from);
     if (kind == "report" && leadership && leadership->is_started())
     {
         const auto term = message.at("term").get<directory::generation>();
--- a/src/edge/internal/member_config.cpp
+++ b/src/edge/internal/member_config.cpp
@@ -81,12 +81,27 @@
 void member::state::on_config_confirmed(core::time_point at)
 {
     currency.on_confirmed(at);
+    // Rows that are found from now on are new.
+    evacuations.apply_changes({});
     if (leadership)
     {
         leadership->on_config_confirmed(at);
     }
 }
 
+void member::state::on_evacuations_changed()
+{
+    if (is_ended)
+    {
+        return;
+    }
+    callbacks.on_evacuations();
+    if (leadership)
+    {
+        leadership->on_evacuations_changed();
+    }
+}
+
 core::duration member::state::config_age()
 {
     if (leadership)
@@ -221,7 +236,8 @@
     bool does_store_fail = false;
     try
     {
-        const json question = {{"kind", "configuration"}, {"version", config_version}};
+        json question = {{"kind", "configuration"}, {"version", config_version}};
+        evacuations.add_to(question);
         const auto asked = clock::now();
         const auto reply = internal::decode_message(
             co_await link->send_message(reader.peer, question.dump(), question_timeout));
@@ -229,6 +245,7 @@
         {
             co_return config_answer::none;
         }
+        evacuations.apply_message(reply, reader.name);
         if (reply.contains("config"))
         {
             adopt_packed_config(reply.at("config").get<std::string>(), reader.name);
@@ -255,6 +272,7 @@
     {
         const auto asked = clock::now();
         store::row_batch batch;
+        std::optional<store::row_batch> all_evacuations;
         batch.is_truncated = true;
         if (config_position.number > 0)
         {
@@ -264,6 +282,7 @@
         if (batch.is_truncated || batch.era != config_position.era)
         {
             batch = co_await tables.config->read_prefix(tables.config_key, read_timeout);
+            all_evacuations = co_await tables.config->read_prefix(evacuations.key_prefix(), read_timeout);
         }
         if (is_ended)
         {
@@ -277,6 +296,14 @@
                 adopt_config(row.value, "", "store");
             }
         }
+        if (all_evacuations)
+        {
+            evacuations.apply_all(*all_evacuations);
+        }
+        else
+        {
+            evacuations.apply_changes(batch);
+        }
         config_position = std::max(config_position, batch.position());
         on_config_confirmed(asked);
         co_return true;
@@ -304,6 +331,7 @@
     {
         reply["config"] = packed_config;
     }
+    evacuations.add_to(reply);
     co_return internal::encode_message(reply.dump());
 }
 
--- a/src/edge/internal/member_deputy.cpp
+++ b/src/edge/internal/member_deputy.cpp
@@ -45,6 +45,12 @@
             if (!position)
             {
                 const auto all = co_await rows->read_prefix(prefix, store_timeout);
+                if (is_config)
+                {
+                    const auto evacuated =
+                        co_await rows->read_prefix(evacuations.key_prefix(), store_timeout);
+                    evacuations.apply_all(evacuated);
+                }
                 position = all.position();
             }
             const auto batch = co_await rows->changes(position->number, deputy_feed_wait);
@@ -56,6 +62,10 @@
                 continue;
             }
             position = batch.position();
+            if (is_config)
+            {
+                evacuations.apply_changes(batch);
+            }
             for (const auto& row : batch.rows)
             {
                 if (!is_config || row.key == tables.config_key)
--- a/src/edge/internal/member_election.cpp
+++ b/src/edge/internal/member_election.cpp
@@ -319,7 +319,7 @@
         }
     };
     leadership =
-        std::make_shared<internal::leader_service>(executor, self, adapter, tables, health, log,
+        std::make_shared<internal::leader_service>(executor, self, adapter, tables, health, log, evacuations,
                                                    std::move(new_callbacks), std::move(start), packed_config);
     asio::co_spawn(
         executor, [service = leadership, former = snapshot] { return service->start(former); },
--- a/src/edge/internal/member_state.hpp
+++ b/src/edge/internal/member_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "edge/internal/evacuation_tracker.hpp"
 #include "edge/internal/leader_service.hpp"
 #include "edge/internal/store_health.hpp"
 #include "edge/member.hpp"
@@ -77,6 +78,7 @@
     /// Handles what an answer to a question or report that was sent at `asked` tells of the newest version.
     void confirm_config(const nlohmann::json& reply, core::time_point asked);
     void on_config_confirmed(core::time_point at);
+    void on_evacuations_changed();
     core::duration config_age();
     core::asio::awaitable<void> watch_config();
     core::asio::awaitable<bool> await_current_config();
@@ -122,6 +124,9 @@
     routes::config_currency currency;
     /// Position in the store up to which the configuration in force contains all changes.
     store::position config_position;
+    /// Evacuated zones. Their rows come with those of the configuration, so that whatever confirms the
+    /// configuration confirms them too.
+    internal::evacuation_tracker evacuations;
     bool is_checking_config = false;
     std::list<core::asio::steady_timer*> config_waits;
     core::time_point confirmed_at;
--- a/src/edge/internal/router_node.cpp
+++ b/src/edge/internal/router_node.cpp
@@ -118,6 +118,10 @@
     result.on_leaving = [this](const leader::server_process& process, bool is_gone) {
         front.note_leaving(process, is_gone);
     };
+    result.on_evacuations = [this] {
+        entry.set_evacuated_zones(member.directory(), member.evacuated_zones());
+        front.tick();
+    };
     result.fill_report = [this](leader::router_report& report) { front.fill_report(report); };
     result.on_network = [this](std::shared_ptr<wire::peer_network> created) {
         network = std::move(created);
@@ -143,6 +147,7 @@
     result.last_proof = [this] { return member.last_proof(); };
     result.needs_outage_grants = [this] { return member.is_store_failing(); };
     result.request_report = [this] { member.request_report(); };
+    result.evacuated_since = [this](const std::string& zone) { return member.evacuated_since(zone); };
     return result;
 }
 
@@ -263,6 +268,11 @@
     metrics.computed_gauge("briarfold_edge_configuration_age_milliseconds",
                            "Time since the configuration in force was known to be the newest one.", {},
                            [this] { return static_cast<double>(member.config_age().ms); });
+    metrics.computed_gauge("briarfold_edge_evacuated_zones", "Evacuated availability zones.", {},
+                           [this] { return static_cast<double>(member.evacuated_zones().size()); });
+    metrics.computed_gauge("briarfold_edge_evacuations_malformed",
+                           "Malformed rows and messages of evacuations so far.", {},
+                           [this] { return static_cast<double>(member.malformed_evacuations()); });
     metrics.computed_gauge("briarfold_edge_leader", "1 while this router is the leader.", {},
                            [this] { return member.is_leader() ? 1.0 : 0.0; });
     metrics.computed_gauge("briarfold_edge_store_era",
--- a/src/edge/member.hpp
+++ b/src/edge/member.hpp
@@ -13,6 +13,9 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <set>
+#include <string>
 
 namespace briarfold::edge {
 
@@ -24,6 +27,9 @@
     /// The operator's configuration, in one row.
     std::shared_ptr<store::itable_store> config;
     std::string config_key = "config";
+    /// Prefix of the keys of rows in the table of the configuration, each of which evacuates the availability
+    /// zone that its key names.
+    std::string evacuation_prefix = "evacuated-zone/";
     /// Registrations of backend servers, one row each.
     std::shared_ptr<store::itable_store> registry;
 };
@@ -34,6 +40,8 @@
     std::function<void(const directory::snapshot&, const directory::update&)> on_directory;
     /// Applies a configuration. Returns false when it is not newer than the one in force.
     std::function<bool(routes::routing_config)> on_config;
+    /// Called when an availability zone is evacuated or returned to service.
+    std::function<void()> on_evacuations;
     /// Called when a deputy tells that a backend server of this router leaves, or that its registration is
     /// gone.
     std::function<void(const leader::server_process&, bool is_gone)> on_leaving;
@@ -80,6 +88,12 @@
     /// Returns the latest era in which the store answered this router.
     std::int64_t store_era() const;
     const directory::snapshot& directory() const;
+    /// Returns the evacuated availability zones.
+    std::set<std::string> evacuated_zones() const;
+    /// Returns when the evacuation of the zone was learned of; nothing for a zone that is in service.
+    std::optional<core::time_point> evacuated_since(const std::string& zone) const;
+    /// Returns the number of malformed rows and messages of evacuations so far.
+    std::int64_t malformed_evacuations() const;
 
 private:
     struct state;
--- a/standins/edge/keyed_backend.hpp
+++ b/standins/edge/keyed_backend.hpp
@@ -64,6 +64,7 @@
     const std::map<std::string, int>& runs() const { return runs_; }
     const std::vector<arrival>& arrivals() const { return arrivals_; }
     const std::string& service() const { return service_; }
+    const std::string& zone() const { return zone_; }
     /// Returns all spans in which it held keys, including ended ones.
     std::vector<held_span> spans() const;
     int max_running() const { return max_running_; }
--- a/standins/edge/tests/edge_cluster.hpp
+++ b/standins/edge/tests/edge_cluster.hpp
@@ -91,6 +91,7 @@
         tables.cluster_state = std::make_shared<platform::row_table>(pool, "briarfold");
         tables.config = std::make_shared<platform::row_table>(pool, "op");
         tables.registry = std::make_shared<platform::row_table>(pool, "servers");
+        tables.evacuation_prefix = platform::evacuation_prefix;
         nodes[i] = std::make_unique<edge::router_node>(context, settings[i], platform::make_protocol(),
                                                        tables, *logs[i]);
     }
