--- a/src/edge/front_types.hpp
+++ b/src/edge/front_types.hpp
@@ -96,6 +96,7 @@
     std::optional<core::time_point> leaving_since;
     /// When a deputy told that its registration is gone. It may register again.
     std::optional<core::time_point> gone_at;
+    bool is_in_evacuated_zone = false;
     bool is_removed = false;
     dispatch::cold_phase cold;
     dispatch::load_record load;
--- a/src/edge/internal/front_cold.cpp
+++ b/src/edge/internal/front_cold.cpp
@@ -30,17 +30,18 @@
 } // namespace
 
 std::vector<std::shared_ptr<fronted_server>> front::state::find_cold(const request_pool& pool,
-                                                                     core::time_point now)
+                                                                     core::time_point now) const
 {
     std::vector<std::shared_ptr<fronted_server>> active;
     std::ranges::copy_if(pool.servers, std::back_inserter(active),
-                         [now](const auto& server) { return takes_requests(*server, now); });
+                         [this, now](const auto& server) { return takes_requests(*server, now); });
     const bool are_all_cold =
         std::ranges::all_of(active, [now](const auto& server) { return server->cold.is_cold(now); });
     return are_all_cold ? active : std::vector<std::shared_ptr<fronted_server>>();
 }
 
-core::duration front::state::cold_wait(const request_pool& pool, std::size_t ahead, core::time_point now)
+core::duration front::state::cold_wait(const request_pool& pool, std::size_t ahead,
+                                       core::time_point now) const
 {
     const auto cold = find_cold(pool, now);
     if (cold.empty())
--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -28,6 +28,7 @@
 void front::state::tick()
 {
     const auto now = clock::now();
+    note_returned_zones(now);
     const auto all = pools;
     for (const auto& [name, pool] : all)
     {
@@ -71,6 +72,19 @@
     }
 }
 
+void front::state::note_returned_zones(core::time_point now)
+{
+    for (const auto& [id, server] : servers)
+    {
+        const bool is_in_evacuated_zone = callbacks.evacuated_since(server->entry.server.zone).has_value();
+        if (std::exchange(server->is_in_evacuated_zone, is_in_evacuated_zone) && !is_in_evacuated_zone)
+        {
+            // It got no requests for a while, and its registration may not show yet that it is cold.
+            server->assume_cold(now, server->cold_time);
+        }
+    }
+}
+
 void front::state::refuse_unfinishable(request_pool& pool, core::time_point now)
 {
     const auto unfinishable =
@@ -83,13 +97,18 @@
 
 void front::state::refuse_spared(request_pool& pool, core::time_point now)
 {
-    if (pool.servers.empty() || !must_spare(*pool.servers.front(), now))
+    if (pool.servers.empty() || pool.waiting.empty())
+    {
+        return;
+    }
+    const auto refusal = refuse_unavailable(pool, now);
+    if (!refusal)
     {
         return;
     }
     for (const auto& waiting : extract_waiting(pool, [](const auto&) { return true; }))
     {
-        end_waiting(pool, waiting, make_leaving_refusal());
+        end_waiting(pool, waiting, *refusal);
     }
 }
 
--- a/src/edge/internal/front_state.hpp
+++ b/src/edge/internal/front_state.hpp
@@ -56,13 +56,13 @@
     wire::forward_result make_cold_refusal(const pending_request& pending, const request_pool& pool,
                                            std::size_t ahead, core::time_point now);
     /// Returns the backend servers of the pool that take requests, if all of them are cold; else none.
-    static std::vector<std::shared_ptr<fronted_server>> find_cold(const request_pool& pool,
-                                                                  core::time_point now);
+    std::vector<std::shared_ptr<fronted_server>> find_cold(const request_pool& pool,
+                                                           core::time_point now) const;
     /// Returns the time until a request behind `ahead` others can be sent at the rate of the cold backend
     /// servers; zero unless all are cold.
-    static core::duration cold_wait(const request_pool& pool, std::size_t ahead, core::time_point now);
+    core::duration cold_wait(const request_pool& pool, std::size_t ahead, core::time_point now) const;
     /// Whether the backend server takes requests at all, when it has a free slot.
-    static bool takes_requests(const fronted_server& server, core::time_point now);
+    bool takes_requests(const fronted_server& server, core::time_point now) const;
     void start_waiting(const std::shared_ptr<request_pool>& pool);
     void start(const std::shared_ptr<pending_request>& pending,
                const std::shared_ptr<fronted_server>& server);
@@ -104,7 +104,14 @@
     /// still has its keys.
     static std::optional<core::time_point> find_leaving_time(const fronted_server& server,
                                                              core::time_point now);
-    static bool must_spare(const fronted_server& server, core::time_point now);
+    static bool has_left(const fronted_server& server, core::time_point now);
+    /// Whether its zone is evacuated, for so long that also a backend server with keys must get no requests.
+    bool is_evacuated(const fronted_server& server, core::time_point now) const;
+    bool must_spare(const fronted_server& server, core::time_point now) const;
+    /// Returns a refusal if no backend server of the pool may get requests, because they leave or their zones
+    /// are evacuated.
+    std::optional<wire::forward_result> refuse_unavailable(const request_pool& pool,
+                                                           core::time_point now) const;
     static wire::forward_result make_leaving_refusal();
     /// Handles an answer of another backend server to a call for this one that was sent at `sent`. The
     /// platform gives an address to another backend server only after the former one has ended.
@@ -113,6 +120,8 @@
 
     // Grants.
     void tick();
+    /// Takes the backend servers for cold whose zone has been returned from an evacuation.
+    void note_returned_zones(core::time_point now);
     void run_grants(const std::shared_ptr<fronted_server>& server);
     /// Whether its keys can only be granted after the leader has proved that it leads.
     bool needs_proof(const fronted_server& server) const;
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -80,6 +80,8 @@
     /// Sets the requests a second that a cold backend server of a service can handle, as configured. Services
     /// that are not named have no limit.
     void set_cold_rates(std::map<std::string, double> per_s) { cold_rates_ = std::move(per_s); }
+    /// Sets the availability zones whose backend servers must hold no keys.
+    void set_evacuated_zones(std::set<std::string> zones) { evacuated_zones_ = std::move(zones); }
     /// Sets the interval at which routers report, which extends the time after which a router counts as lost.
     void set_report_interval(core::duration interval);
     void on_registered(const directory::backend_server& server, core::time_point now);
@@ -259,6 +261,10 @@
     void assign_keys(const std::string& id, const keyspace::key_range& range, const std::string& handover);
     bool can_accept_keys(const std::string& id, core::time_point now) const;
     bool can_any_accept_keys(const std::string& service, core::time_point now) const;
+    bool is_evacuated(const directory::entry& item) const
+    {
+        return evacuated_zones_.contains(item.server.zone);
+    }
     bool is_keyed(const directory::entry& item) const
     {
         return keyed_services_.contains(item.server.service);
@@ -289,6 +295,7 @@
     std::map<std::string, double> cold_rates_;
     /// Mean work of a request, as reported, in milliseconds by service.
     std::map<std::string, double> mean_work_ms_;
+    std::set<std::string> evacuated_zones_;
     /// Services whose keys have been assigned before.
     std::set<std::string> initialized_services_;
     std::map<std::string, keyspace::key_loads> loads_;
--- a/src/settings/edge_settings.hpp
+++ b/src/settings/edge_settings.hpp
@@ -48,6 +48,8 @@
     /// `cold_rate_over`, plus `cold_rate_slack`.
     double cold_rate_over = 1.5;
     double cold_rate_slack = 8;
+    /// Time from the decision to evacuate a zone after which its backend servers must get no requests.
+    core::duration evacuation_time{5000};
 
     bool operator==(const edge_settings&) const = default;
 };
@@ -63,6 +65,7 @@
     std::string max_config_delay_ms = "config_delay_ms";
     std::string cold_rate_over = "cold_rate_over";
     std::string cold_rate_slack = "cold_rate_slack";
+    std::string evacuation_time_ms = "evacuation_time_ms";
 };
 
 /// Throws document::invalid_document with every error in the text; `name` appears in it.
--- a/src/settings/internal/edge_settings.cpp
+++ b/src/settings/internal/edge_settings.cpp
@@ -45,6 +45,8 @@
         number(names.max_config_delay_ms, static_cast<double>(result.max_config_delay.ms)));
     result.cold_rate_over = number(names.cold_rate_over, result.cold_rate_over);
     result.cold_rate_slack = number(names.cold_rate_slack, result.cold_rate_slack);
+    result.evacuation_time.ms = static_cast<std::int64_t>(
+        number(names.evacuation_time_ms, static_cast<double>(result.evacuation_time.ms)));
 }
 
 } // namespace
@@ -115,7 +117,8 @@
               {"longest_hold_ms", value.max_grant_duration.ms},
               {"config_delay_ms", value.max_config_delay.ms},
               {"cold_rate_over", value.cold_rate_over},
-              {"cold_rate_slack", value.cold_rate_slack}}}};
+              {"cold_rate_slack", value.cold_rate_slack},
+              {"evacuation_time_ms", value.evacuation_time.ms}}}};
 }
 
 } // namespace briarfold::settings
