--- a/src/edge/front.hpp
+++ b/src/edge/front.hpp
@@ -32,7 +32,8 @@
     /// Whether grants need a longer duration because no other router could take over.
     std::function<bool()> needs_outage_grants;
     /// Returns when the evacuation of an availability zone was learned of; nothing for a zone in service.
-    std::function<std::optional<core::time_point>(const std::string& zone)> evacuated_since;
+    std::function<std::optional<core::time_point>(const std::string& zone)> evacuated_since =
+        [](const std::string&) { return std::optional<core::time_point>(); };
     /// Requests a report to the leader at once: keys were freed, a backend server became unreachable, or the
     /// assignments have to be confirmed.
     std::function<void()> request_report;
--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -2,6 +2,7 @@
 #include "edge/internal/front_state.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace briarfold::edge {
 
