Bound client connections and count the memory that messages hold

Cause: the budget counted the size of a body, not the capacity of its buffer, nor the copies that are made while it is processed. The number of connections had no limit, and a request had no time of its own for its head and its body.

Change: reads count capacities; a request counts with the copies that the server's limits state before it is processed, and is refused with 503 if they do not fit. One large message beside small ones, and small messages, may use a reserve. At the limit of connections a waiting one is closed.

The process test has not been run.

--- a/src/http/internal/message_reader.hpp
+++ b/src/http/internal/message_reader.hpp
@@ -4,6 +4,7 @@
 #include "core/asio.hpp"
 #include "core/clock.hpp"
 #include "http/internal/beast_message.hpp"
+#include "http/internal/connection_limit.hpp"
 #include "http/transfer_budget.hpp"
 
 #include <algorithm>
@@ -85,12 +86,39 @@
     }
 }
 
+/// Bytes of memory that a message takes while it is read. A body that grows chunk by chunk takes up to twice
+/// its size.
+template <class Parser>
+std::size_t measure_held(const beast::flat_buffer& buffer, const Parser& parser)
+{
+    return parser.get().body().capacity() + buffer.capacity();
+}
+
+/// Records which parts of a message have begun to arrive.
+template <class Parser>
+void record_progress(read_progress* progress, std::size_t received, const Parser& parser)
+{
+    if (progress == nullptr || received == 0)
+    {
+        return;
+    }
+    const auto now_ms = core::clock::now().ms;
+    if (progress->head_since_ms == 0)
+    {
+        progress->head_since_ms = now_ms;
+    }
+    if (progress->body_since_ms == 0 && parser.is_header_done())
+    {
+        progress->body_since_ms = now_ms;
+    }
+}
+
 /// Returns an error of the parser, `buffer_overflow` for a part that is too long, `beast::error::timeout` at
 /// the deadline, `not_enough_memory` when the message was given up, or an error of the transport.
 template <class Parser>
-core::asio::awaitable<boost::system::error_code> read_message(beast::tcp_stream& stream,
-                                                              beast::flat_buffer& buffer, Parser& parser,
-                                                              read_limits limits, held_message& held)
+core::asio::awaitable<boost::system::error_code>
+read_message(beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser, read_limits limits,
+             held_message& held, read_progress* progress = nullptr)
 {
     const auto most_received = limits.head_bytes + framing_factor * limits.body_bytes;
     parser.header_limit(static_cast<std::uint32_t>(limits.head_bytes));
@@ -104,6 +132,11 @@
             shrink(buffer);
             co_return code;
         }
+        record_progress(progress, received, parser);
+        if (!held.resize(measure_held(buffer, parser)))
+        {
+            co_return make_error_code(boost::system::errc::not_enough_memory);
+        }
         if (buffer.size() > limits.head_bytes)
         {
             co_return make_error_code(beast::http::error::buffer_overflow);
@@ -126,8 +159,7 @@
         {
             co_return parse_end(parser);
         }
-        const auto body_bytes = parser.is_header_done() ? parser.get().body().size() : 0;
-        if (!held.resize(body_bytes + buffer.size()))
+        if (held.is_given_up())
         {
             co_return make_error_code(boost::system::errc::not_enough_memory);
         }
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.hpp"
 #include "core/pause.hpp"
+#include "http/internal/connection_limit.hpp"
 #include "http/internal/message_reader.hpp"
 
 #include <spdlog/spdlog.h>
@@ -82,6 +83,9 @@
         bool is_busy = false;
         /// Since when the session waits for the caller; 0 while a request is being answered.
         std::int64_t waiting_since_ms = 0;
+        /// Progress of the request that is being read.
+        internal::read_progress progress;
+        bool is_evicted = false;
         /// The request that is being answered.
         std::optional<unanswered_request> current;
     };
@@ -93,13 +97,18 @@
     {}
 
     asio::awaitable<void> accept();
+    static internal::connection_wait describe_wait(const session& connection);
+    /// Closes a waiting session if the limit of connections is reached. Returns whether there is room for one
+    /// more.
+    bool make_room();
     /// Closes sessions that wait for their caller for too long.
     asio::awaitable<void> sweep();
     asio::awaitable<void> serve(std::shared_ptr<session> connection);
     /// Returns false when the connection must close.
     asio::awaitable<bool> serve_one(session& connection);
     /// Answers a request that was read.
-    asio::awaitable<bool> serve_request(session& connection, internal::beast_request incoming);
+    asio::awaitable<bool> serve_request(session& connection, internal::beast_request incoming,
+                                        held_message& held);
     /// Answers input that is no request, or none that is served.
     asio::awaitable<void> refuse_input(session& connection, const error_code& code, bool has_no_memory);
     asio::awaitable<void> write(session& connection, response answer, unsigned version, bool keep_alive,
@@ -130,6 +139,7 @@
     server_hooks hooks;
     unsigned short port = 0;
     std::atomic<std::size_t> in_flight{0};
+    std::atomic<std::size_t> evicted{0};
     std::atomic<bool> is_stopping{false};
     std::atomic<bool> is_draining{false};
     std::mutex mutex;
@@ -176,6 +186,11 @@
     state_->close_all_sessions();
 }
 
+std::size_t server::evicted_connections() const
+{
+    return state_->evicted;
+}
+
 unsigned short server::port() const
 {
     return state_->port;
@@ -283,6 +298,40 @@
     }
 }
 
+internal::connection_wait server::state::describe_wait(const session& connection)
+{
+    return {connection.waiting_since_ms, connection.current.has_value(), connection.progress};
+}
+
+bool server::state::make_room()
+{
+    const std::scoped_lock lock(mutex);
+    std::vector<std::shared_ptr<session>> open;
+    if (limits.connections == 0 || sessions.size() < limits.connections)
+    {
+        return true;
+    }
+    std::ranges::copy_if(sessions, std::back_inserter(open),
+                         [](const auto& item) { return !item->is_evicted; });
+    if (open.size() < limits.connections)
+    {
+        return true;
+    }
+    std::vector<internal::connection_wait> waits;
+    std::ranges::transform(open, std::back_inserter(waits),
+                           [](const auto& item) { return describe_wait(*item); });
+    const auto chosen = internal::choose_connection_to_close(waits);
+    ++evicted;
+    if (!chosen)
+    {
+        return false;
+    }
+    const auto& connection = open[*chosen];
+    connection->is_evicted = true;
+    end_wait(connection, [](const session& item) { return item.is_evicted && !item.is_busy; });
+    return true;
+}
+
 asio::awaitable<void> server::state::accept()
 {
     const auto self = shared_from_this();
@@ -306,6 +355,11 @@
             continue;
         }
         error_code ignored;
+        if (!make_room())
+        {
+            socket.close(ignored);
+            continue;
+        }
         socket.set_option(asio::ip::tcp::no_delay(true), ignored);
         const auto remote = socket.remote_endpoint(ignored);
         const auto connection = std::make_shared<session>(std::move(socket));
@@ -333,9 +387,12 @@
         const std::scoped_lock lock(mutex);
         for (const auto& connection : sessions)
         {
-            end_wait(connection, [idle = limits.idle](const session& item) {
-                const auto since = item.waiting_since_ms;
-                return since != 0 && core::clock::now().ms - since > idle.ms;
+            end_wait(connection, [times = internal::wait_limits{limits.idle, limits.head, limits.body}](
+                                     const session& item) {
+                // A read that had ended before its session was chosen for closing may have been followed by
+                // another.
+                return (item.is_evicted && !item.is_busy) ||
+                       internal::is_overdue(describe_wait(item), times, core::clock::now());
             });
         }
     }
@@ -407,15 +464,23 @@
         connection.stream.socket().cancel(ignored);
     });
     const internal::read_limits read_limits{current.head_bytes, current.body_bytes, std::nullopt};
-    const auto code =
-        co_await internal::read_message(connection.stream, connection.buffer, parser, read_limits, held);
+    const auto code = co_await internal::read_message(connection.stream, connection.buffer, parser,
+                                                      read_limits, held, &connection.progress);
+    connection.progress = {};
+    connection.is_evicted = connection.is_evicted && code;
     if (code)
     {
         co_await refuse_input(connection, code, held.is_given_up());
         co_return false;
     }
+    // Before the request is processed, it can be refused as one that has not run.
+    if (!held.resize(parser.get().body().capacity() * current.body_copies + connection.buffer.capacity()))
+    {
+        co_await refuse_input(connection, code, true);
+        co_return false;
+    }
     held.keep();
-    co_return co_await serve_request(connection, parser.release());
+    co_return co_await serve_request(connection, parser.release(), held);
 }
 
 asio::awaitable<void> server::state::refuse_input(session& connection, const error_code& code,
@@ -433,7 +498,8 @@
     co_await linger(connection);
 }
 
-asio::awaitable<bool> server::state::serve_request(session& connection, internal::beast_request incoming)
+asio::awaitable<bool> server::state::serve_request(session& connection, internal::beast_request incoming,
+                                                   held_message& held)
 {
     connection.is_busy = true;
     connection.waiting_since_ms = 0;
@@ -444,6 +510,8 @@
     try
     {
         auto reply = co_await answer(connection, incoming);
+        // The handler has taken the body, so a client that reads slowly no longer holds its request.
+        held.resize(connection.buffer.capacity());
         // A further request that was read with this one is answered too.
         const bool is_ending = is_stopping || (is_draining && connection.buffer.size() == 0);
         keep_alive = incoming.keep_alive() && !is_ending;
@@ -527,7 +595,7 @@
         error_code ignored;
         connection.stream.socket().close(ignored);
     });
-    if (!held.resize(outgoing.body().size()))
+    if (!held.resize(outgoing.body().capacity()))
     {
         throw system_error(make_error_code(boost::system::errc::not_enough_memory));
     }
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -19,6 +19,15 @@
     std::size_t head_bytes = 16384;
     std::size_t body_bytes = 1048576;
     core::duration idle{60000};
+    /// Time from the first byte of a request to the end of its head, and from there to the end of its body.
+    /// With 0, the whole request has to arrive within `idle` after the connection began to wait for it.
+    core::duration head{0};
+    core::duration body{0};
+    /// Most open connections; 0 for no limit. Only for servers on one thread.
+    std::size_t connections = 0;
+    /// Copies of the body of a request that exist while the request is processed, the one that was read
+    /// included.
+    std::size_t body_copies = 1;
 };
 
 /// Answers one request. Runs on the strand of the connection. An exception becomes a 500 answer.
@@ -73,6 +82,8 @@
     void answer_unfinished(const response& answer);
     /// Open connections.
     std::size_t connections() const;
+    /// Connections that were closed because of the limit of their number.
+    std::size_t evicted_connections() const;
 
     unsigned short port() const;
     /// Requests being answered now.
--- a/src/http/tests/transfer_budget_tests.cpp
+++ b/src/http/tests/transfer_budget_tests.cpp
@@ -71,3 +71,22 @@
     http::held_message message(nullptr);
     BOOST_TEST(message.resize(std::size_t{1} << 40U));
 }
+
+// Guards against a large request that is refused although it is alone, and against one that, while it is
+// processed, causes the refusal of all small ones.
+BOOST_AUTO_TEST_CASE(one_large_message_beside_small_ones_may_use_the_reserve)
+{
+    constexpr std::size_t large_bytes = 900000;
+    const auto budget = std::make_shared<http::transfer_budget>(800000, 1000000);
+    http::held_message large(budget, [] {});
+    BOOST_TEST(large.resize(large_bytes));
+    large.keep();
+    http::held_message small(budget, [] {});
+    BOOST_TEST(small.resize(1000));
+    http::held_message second(budget, [] {});
+    BOOST_TEST(!second.resize(large_bytes));
+    http::held_message buffers(budget);
+    buffers.count(large_bytes);
+    BOOST_TEST(!buffers.is_given_up());
+    BOOST_TEST(budget->held_bytes() == 2 * large_bytes + 1000);
+}
