Count the frames between routers in the budget of a network

Cause: received frames, forwarded requests and unsent results took memory that nothing counted, and a growing frame buffer took up to twice the size of a large frame.

Change: sessions and links count their buffers. A forwarded request counts with its two copies and is refused as not run if these do not fit. Buffers grow to the length of a large frame only, and are returned once written. Without a budget in the settings of the network, nothing is counted.

--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -271,6 +271,20 @@
     }
 }
 
+std::size_t frame_reader::frame_bytes() const
+{
+    if (filled_ - parsed_ < length_bytes)
+    {
+        return 0;
+    }
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < length_bytes; ++i)
+    {
+        length = (length << byte_bits) | static_cast<unsigned char>(buffer_[parsed_ + i]);
+    }
+    return length_bytes + length;
+}
+
 char* frame_reader::prepare(std::size_t size)
 {
     if (parsed_ > 0)
@@ -285,7 +299,13 @@
     }
     if (buffer_.size() - filled_ < size)
     {
-        buffer_.resize(std::max(buffer_.size() * 2, filled_ + size));
+        // Doubling takes up to twice the memory of a large frame, so it ends at the length of the frame.
+        const auto doubled = std::min(buffer_.size() * 2, std::max(frame_bytes(), max_kept_bytes));
+        std::string grown;
+        grown.reserve(std::max(doubled, filled_ + size));
+        grown.assign(buffer_, 0, filled_);
+        grown.resize(grown.capacity());
+        buffer_ = std::move(grown);
     }
     return buffer_.data() + filled_;
 }
@@ -296,11 +316,7 @@
     {
         return std::nullopt;
     }
-    std::size_t length = 0;
-    for (std::size_t i = 0; i < length_bytes; ++i)
-    {
-        length = (length << byte_bits) | static_cast<unsigned char>(buffer_[parsed_ + i]);
-    }
+    const std::size_t length = frame_bytes() - length_bytes;
     if (length > max_frame_bytes)
     {
         throw core::connection_error("read frame", "", "frame of " + std::to_string(length) + " bytes");
--- a/src/wire/internal/codec.hpp
+++ b/src/wire/internal/codec.hpp
@@ -61,11 +61,16 @@
     char* prepare(std::size_t size);
     std::size_t capacity() const { return buffer_.size() - filled_; }
     void commit(std::size_t size) { filled_ += size; }
+    /// Memory of the buffer.
+    std::size_t held_bytes() const { return buffer_.capacity(); }
     /// Returns the next frame, or nothing while it is incomplete. Throws core::connection_error for a frame
     /// that is too long or malformed.
     std::optional<frame> next();
 
 private:
+    /// Returns the bytes of the frame that is being read, as far as its length has arrived.
+    std::size_t frame_bytes() const;
+
     std::string buffer_;
     std::size_t filled_ = 0;
     std::size_t parsed_ = 0;
--- a/src/wire/internal/peer_link.cpp
+++ b/src/wire/internal/peer_link.cpp
@@ -64,9 +64,9 @@
 };
 
 peer_link::peer_link(const asio::any_io_executor& executor, http::endpoint peer, std::string hello,
-                     core::duration pong_timeout)
+                     core::duration pong_timeout, std::shared_ptr<http::transfer_budget> budget)
     : strand_(core::make_strand(executor)), peer_(std::move(peer)), hello_(std::move(hello)),
-      pong_timeout_(pong_timeout), connect_done_(strand_)
+      pong_timeout_(pong_timeout), budget_(std::move(budget)), connect_done_(strand_)
 {}
 
 asio::awaitable<void> peer_link::ensure_connected(core::duration time_left)
@@ -141,6 +141,8 @@
 
 asio::awaitable<void> peer_link::read(std::shared_ptr<connection> current)
 {
+    // The requests that are written are counted where they were received.
+    http::held_message held(budget_);
     while (connection_ == current)
     {
         error_code code;
@@ -153,6 +155,7 @@
             co_return;
         }
         current->reader.commit(size);
+        held.count(current->reader.held_bytes());
         current->last_receive = core::clock::now();
         current->is_ping_in_flight = false;
         try
@@ -214,6 +217,7 @@
     asio::async_write(current->socket, asio::buffer(current->writing),
                       asio::bind_executor(strand_, [self, current](const error_code& code, std::size_t) {
                           current->is_writing = false;
+                          clear_frames(current->writing);
                           if (code)
                           {
                               self->fail(current, code.message());
--- a/src/wire/internal/peer_link.hpp
+++ b/src/wire/internal/peer_link.hpp
@@ -5,6 +5,7 @@
 #include "core/cancellation.hpp"
 #include "core/clock.hpp"
 #include "http/http_types.hpp"
+#include "http/transfer_budget.hpp"
 #include "wire/internal/codec.hpp"
 
 #include <functional>
@@ -23,7 +24,7 @@
 {
 public:
     peer_link(const core::asio::any_io_executor& executor, http::endpoint peer, std::string hello,
-              core::duration pong_timeout);
+              core::duration pong_timeout, std::shared_ptr<http::transfer_budget> budget = nullptr);
 
     const core::asio::any_io_executor& strand() const { return strand_; }
     /// Sends one call and waits for its answer until `grace` after `deadline`.
@@ -49,6 +50,7 @@
     http::endpoint peer_;
     std::string hello_;
     core::duration pong_timeout_;
+    std::shared_ptr<http::transfer_budget> budget_;
     std::shared_ptr<connection> connection_;
     core::asio::steady_timer connect_done_;
     bool is_connecting_ = false;
--- a/src/wire/internal/peer_network.cpp
+++ b/src/wire/internal/peer_network.cpp
@@ -100,6 +100,7 @@
     auto context = std::make_shared<internal::session_context>();
     context->token = settings.token;
     context->unsent_results = unsent_results;
+    context->budget = settings.budget;
     const auto weak = weak_from_this();
     context->forward = [weak]() -> std::shared_ptr<const forward_handler> {
         const auto self = weak.lock();
@@ -168,7 +169,8 @@
     auto& link = links[peer];
     if (!link)
     {
-        link = std::make_shared<internal::peer_link>(executor, peer, hello, settings.pong_limit);
+        link = std::make_shared<internal::peer_link>(executor, peer, hello, settings.pong_limit,
+                                                     settings.budget);
     }
     return link;
 }
--- a/src/wire/internal/peer_session.cpp
+++ b/src/wire/internal/peer_session.cpp
@@ -33,6 +33,19 @@
     return result;
 }
 
+/// Bodies of a forwarded request while the front works on it: its own and that of the message to the backend
+/// server.
+constexpr std::size_t body_copies = 2;
+
+forward_result make_memory_refusal()
+{
+    constexpr core::duration retry_after{1000};
+    auto result = make_refusal("no memory for the request");
+    result.not_run_reason = "overload";
+    result.retry_after = retry_after;
+    return result;
+}
+
 forward_result make_unknown(const std::string& reason)
 {
     constexpr unsigned status_bad_gateway = 502;
@@ -47,7 +60,9 @@
 
 peer_session::peer_session(asio::ip::tcp::socket socket, std::shared_ptr<const session_context> context)
     : socket_(std::move(socket)), context_(std::move(context))
-{}
+{
+    held_.emplace(context_->budget);
+}
 
 asio::awaitable<void> peer_session::run()
 {
@@ -63,6 +78,7 @@
             break;
         }
         reader_.commit(size);
+        count_buffers();
         try
         {
             while (auto message = reader_.next())
@@ -125,8 +141,13 @@
 {
     const auto self = shared_from_this();
     const auto handler = context_->forward();
+    http::held_message held(context_->budget);
     forward_result result;
-    if (!handler)
+    if (!held.resize(request.body.capacity() * body_copies))
+    {
+        result = make_memory_refusal();
+    }
+    else if (!handler)
     {
         result = make_refusal("the front is not ready");
     }
@@ -154,6 +175,7 @@
     ++results_in_outbox_;
     ++*context_->unsent_results;
     flush();
+    count_buffers();
 }
 
 void peer_session::serve_rpc(std::uint64_t id, std::string message)
@@ -209,15 +231,25 @@
     asio::async_write(socket_, asio::buffer(writing_), [self](const error_code& code, std::size_t) {
         self->is_writing_ = false;
         *self->context_->unsent_results -= std::exchange(self->results_in_writing_, 0);
+        clear_frames(self->writing_);
         if (code)
         {
             self->end();
             return;
         }
         self->flush();
+        self->count_buffers();
     });
 }
 
+void peer_session::count_buffers()
+{
+    if (held_)
+    {
+        held_->count(reader_.held_bytes() + outbox_.capacity() + writing_.capacity());
+    }
+}
+
 void peer_session::end()
 {
     if (std::exchange(is_ended_, true))
@@ -226,6 +258,7 @@
     }
     error_code ignored;
     socket_.close(ignored);
+    held_.reset();
     *context_->unsent_results -= std::exchange(results_in_outbox_, 0);
     // The peer can no longer receive these results.
     for (const auto& [id, cancel] : std::exchange(in_flight_, {}))
--- a/src/wire/internal/peer_session.hpp
+++ b/src/wire/internal/peer_session.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace briarfold::wire::internal {
@@ -23,6 +24,7 @@
     /// Answers a JSON-RPC message; calls `reply` once, on another thread.
     std::function<void(std::string message, std::function<void(std::string)> reply)> rpc;
     std::function<std::shared_ptr<const message_handler>()> message;
+    std::shared_ptr<http::transfer_budget> budget;
 };
 
 class peer_session : public std::enable_shared_from_this<peer_session>
@@ -43,6 +45,8 @@
     void serve_rpc(std::uint64_t id, std::string message);
     core::asio::awaitable<void> serve_message(std::uint64_t id, std::string text);
     void flush();
+    /// Counts the buffers of the connection in the budget.
+    void count_buffers();
     void end();
 
     core::asio::ip::tcp::socket socket_;
@@ -54,6 +58,8 @@
     bool is_writing_ = false;
     std::string outbox_;
     std::string writing_;
+    /// Memory of the buffers; empty after the end.
+    std::optional<http::held_message> held_;
     std::size_t results_in_outbox_ = 0;
     std::size_t results_in_writing_ = 0;
     std::map<std::uint64_t, std::shared_ptr<core::cancellation>> in_flight_;
--- a/src/wire/peer_network.hpp
+++ b/src/wire/peer_network.hpp
@@ -2,6 +2,7 @@
 /// after a loss, and a server that accepts connections from peers.
 #pragma once
 
+#include "http/transfer_budget.hpp"
 #include "wire/iforwarder.hpp"
 #include "wire/ipeer_rpc.hpp"
 
@@ -24,6 +25,8 @@
     std::string instance_id;
     /// Timeout for the answer to a ping. Instances with a small share of a processor need a longer one.
     core::duration pong_limit{350};
+    /// Frames and forwarded requests count in it while they are held. Only for networks on one thread.
+    std::shared_ptr<http::transfer_budget> budget;
 };
 
 /// Handler of one forwarded request. It reports failures in the result; an exception becomes outcome unknown.
