Test the evacuation of a zone in a cluster

Two cases guard against requests that reach an evacuated zone after its bound: one with a working leader and a return, one in which the leader ends and no zone can take the keys. A case of the index guards the groups of fronts.

--- a/src/directory/tests/directory_tests.cpp
+++ b/src/directory/tests/directory_tests.cpp
@@ -186,3 +186,30 @@
         }
     }
 }
+
+// Guards against requests that are sent to a front all of whose backend servers are in an evacuated zone.
+BOOST_AUTO_TEST_CASE(groups_leave_out_evacuated_zones)
+{
+    snapshot known;
+    for (const auto* zone : {"a", "b"})
+    {
+        entry item;
+        item.server.id = std::string("server ") + zone;
+        item.server.service = "plain";
+        item.server.zone = zone;
+        item.front = std::string("front ") + zone;
+        known.entries[item.server.id] = item;
+    }
+    owner_index index;
+    index.apply(known, make_update(known, {}, {}, 0));
+    index.set_evacuated_zones(known, {"a"});
+    BOOST_REQUIRE(index.find_group("plain") != nullptr);
+    BOOST_CHECK(*index.find_group("plain") == (std::map<std::string, int>{{"front b", 1}}));
+    BOOST_CHECK(!index.is_evacuated("plain"));
+    index.set_evacuated_zones(known, {"a", "b"});
+    BOOST_CHECK(index.find_group("plain") == nullptr);
+    BOOST_CHECK(index.is_evacuated("plain"));
+    BOOST_CHECK(!index.is_evacuated("other"));
+    index.set_evacuated_zones(known, {});
+    BOOST_CHECK_EQUAL(index.find_group("plain")->size(), 2U);
+}
--- a/standins/edge/tests/edge_cluster_tests.cpp
+++ b/standins/edge/tests/edge_cluster_tests.cpp
@@ -25,6 +25,19 @@
     return ids;
 }
 
+/// Returns the number of requests that reached backend servers of the zone since `from`.
+std::size_t count_arrivals(const edge_cluster& cluster, const std::string& zone, core::time_point from)
+{
+    std::size_t count = 0;
+    for (const auto& item : cluster.backends)
+    {
+        const bool is_in_zone = item->zone() == zone;
+        const auto is_late = [from](const auto& arrival) { return arrival.at >= from; };
+        count += is_in_zone ? static_cast<std::size_t>(std::ranges::count_if(item->arrivals(), is_late)) : 0;
+    }
+    return count;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(edge_clusters)
@@ -467,4 +480,45 @@
     check_exclusive_ownership(cluster);
 }
 
+// Guards against requests that reach an evacuated zone or are lost while its keys move, and against a zone
+// that stays without load after its return.
+BOOST_AUTO_TEST_CASE(an_evacuated_zone_gets_no_requests_until_it_is_returned)
+{
+    edge_cluster cluster(3, 4);
+    BOOST_REQUIRE(cluster.await_ready());
+    cluster.start_load(6, 14000);
+    cluster.run_for(1500);
+    cluster.store.put("op", "evacuate/", nlohmann::json::object());
+    cluster.store.put("op", "evacuate/a", nlohmann::json::object());
+    const auto deadline = core::clock::now() + cluster.settings.front().evacuation_time;
+    cluster.run_for(6500);
+    const auto returned = core::clock::now();
+    BOOST_CHECK_EQUAL(count_arrivals(cluster, "a", deadline), 0U);
+    BOOST_CHECK_GT(count_arrivals(cluster, "b", deadline), 0U);
+    cluster.store.remove("op", "evacuate/a");
+    cluster.run_for(7000);
+    BOOST_CHECK_GT(count_arrivals(cluster, "a", returned), 0U);
+    BOOST_CHECK_GT(success_ratio(cluster), 0.99);
+    check_invariants(cluster);
+    check_exclusive_ownership(cluster);
+}
+
+// Guards against fronts that rely on the leader to stop requests for an evacuated zone.
+BOOST_AUTO_TEST_CASE(fronts_stop_requests_when_no_leader_moves_the_keys)
+{
+    edge_cluster cluster(4, 4);
+    BOOST_REQUIRE(cluster.await_ready());
+    // With nowhere to go, the leader leaves the keys where they are.
+    cluster.store.put("op", "evacuate/a", nlohmann::json::object());
+    cluster.store.put("op", "evacuate/b", nlohmann::json::object());
+    const auto deadline = core::clock::now() + cluster.settings.front().evacuation_time;
+    cluster.nodes[find_leader(cluster)]->kill();
+    cluster.start_load(6, 7000);
+    cluster.run_for(8000);
+    BOOST_CHECK_EQUAL(count_arrivals(cluster, "a", deadline), 0U);
+    BOOST_CHECK_EQUAL(count_arrivals(cluster, "b", deadline), 0U);
+    BOOST_CHECK_GT(cluster.count(503), 0U);
+    check_invariants(cluster);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
