Send a due health check with the next token of a cold backend server

Cause: under full demand, requests took every token as it came, so that a backend server that had become warm got no health check and stayed limited until its stated time. The case a_health_check_ends_the_cold_phase failed: no health check in 7 s.

Change: while a health check of a cold backend server is due, requests leave it the next token.

Measured: the three cases of front_cold_tests.cpp pass, linked with the front's objects only; the whole of edge_tests was not built.

--- a/src/edge/internal/front_cold.cpp
+++ b/src/edge/internal/front_cold.cpp
@@ -159,18 +159,21 @@
     }
 }
 
+bool front::state::is_health_check_due(const fronted_server& server, core::time_point now)
+{
+    const auto interval = server.load.has_reported() ? cheap_health_check_interval : health_check_interval;
+    return !server.health_path.empty() && !server.is_health_check_pending && !server.unreachable_since &&
+           now - server.last_health_check >= interval;
+}
+
 void front::state::run_health_checks(core::time_point now)
 {
     std::ranges::for_each(std::views::values(cold_servers), [](double& count) { count = 0; });
     for (const auto& [id, server] : servers)
     {
         cold_servers[server->entry.server.service] += server->cold.is_cold(now) ? 1 : 0;
-        const auto interval =
-            server->load.has_reported() ? cheap_health_check_interval : health_check_interval;
-        const bool is_due = !server->health_path.empty() && !server->is_health_check_pending &&
-                            !server->unreachable_since && now - server->last_health_check >= interval;
         // A health check counts as one more request that a cold backend server gets.
-        if (is_due && server->cold.may_send(now))
+        if (is_health_check_due(*server, now) && server->cold.may_send(now))
         {
             server->cold.on_send(now);
             server->last_health_check = now;
--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -309,7 +309,9 @@
     for (const auto& server : pool.servers)
     {
         const bool has_free_slot = static_cast<int>(server->running.size()) < server->limit.slots(now);
-        if (!has_free_slot || !takes_requests(*server, now) || !server->cold.may_send(now))
+        // The next token is for the health check, which under full demand would never get one.
+        const bool is_token_taken = server->cold.is_cold(now) && is_health_check_due(*server, now);
+        if (!has_free_slot || !takes_requests(*server, now) || !server->cold.may_send(now) || is_token_taken)
         {
             continue;
         }
--- a/src/edge/internal/front_state.hpp
+++ b/src/edge/internal/front_state.hpp
@@ -121,6 +121,7 @@
                                                 grants::grant_call call);
     /// Starts the health checks that are due: only they show that a backend server became cold in mid-life.
     void run_health_checks(core::time_point now);
+    static bool is_health_check_due(const fronted_server& server, core::time_point now);
     core::asio::awaitable<void> check_health(std::shared_ptr<fronted_server> server);
     core::asio::awaitable<void> probe(std::shared_ptr<fronted_server> server);
     core::asio::awaitable<bool> accepts_connections(const fronted_server& server);
