Limit clients of the edge router by its memory and descriptors

Cause: a router had no limit for the number of clients, no time for heads and bodies of their own, and counted a part of the memory of messages.

The program has not been linked and no test of the edge router has been run on this commit.

--- a/apps/edge/main.cpp
+++ b/apps/edge/main.cpp
@@ -13,6 +13,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <malloc.h>
 #include <sys/stat.h>
 
 namespace {
@@ -174,6 +175,10 @@
 {
     // Until the application handles it, a reload signal would end the process.
     std::signal(SIGHUP, SIG_IGN);
+    // A fixed threshold returns the memory of each large buffer to the system at once. By default the
+    // threshold rises with the buffers, whose memory then stays with the process.
+    constexpr int large_buffer_bytes = 262144;
+    ::mallopt(M_MMAP_THRESHOLD, large_buffer_bytes);
     options::options_description all_options(
         "Edge router of briarfold.\n\nUsage: briarfold-edge [--config FILE] [options]\n"
         "Example: briarfold-edge --check --config edge.toml\n\nOptions");
--- a/src/edge/internal/member.cpp
+++ b/src/edge/internal/member.cpp
@@ -218,6 +218,7 @@
     wire::peer_settings peers(settings.peer, secret, settings.name);
     // A process with a small share of a processor may be throttled for most of a second.
     peers.pong_limit = core::duration{900};
+    peers.budget = callbacks.budget;
     network = std::make_shared<wire::peer_network>(executor, std::move(peers));
     network->on_message(
         [weak = weak_from_this()](std::string from, std::string text) -> asio::awaitable<std::string> {
--- a/src/edge/internal/router_node.cpp
+++ b/src/edge/internal/router_node.cpp
@@ -7,6 +7,7 @@
 #include "metrics/registry.hpp"
 
 #include <algorithm>
+#include <sys/resource.h>
 
 namespace briarfold::edge {
 
@@ -38,12 +39,44 @@
 /// A frame between routers carries the body together with the head.
 constexpr std::size_t max_body_bytes = std::size_t{60} << 20U;
 
-/// Messages are held in up to three copies, beside what the process needs itself.
-std::size_t choose_transfer_bytes(double memory_mb)
+/// Copies of a body between entry and front: in the request, in the forwarded one, and in the frame or the
+/// message to the backend server.
+constexpr std::size_t body_copies = 3;
+/// Time for the body of a request: 60 MB at 10 Mbit/s take 48 s.
+constexpr core::duration body_timeout{60000};
+/// Open connections of a port that only the platform uses.
+constexpr std::size_t max_platform_connections = 64;
+
+constexpr double bytes_per_mb = 1e6;
+
+/// A quarter of the memory holds messages; the rest is for what the process needs itself, and for memory that
+/// a growing buffer takes twice for a moment. A request that is alone may take half.
+std::shared_ptr<http::transfer_budget> make_budget(double memory_mb)
 {
-    constexpr double bytes_per_mb = 1e6;
     constexpr double messages_share = 0.25;
-    return static_cast<std::size_t>(memory_mb * bytes_per_mb * messages_share);
+    constexpr double reserve_share = 0.5;
+    const auto memory = memory_mb * bytes_per_mb;
+    return std::make_shared<http::transfer_budget>(static_cast<std::size_t>(memory * messages_share),
+                                                   static_cast<std::size_t>(memory * reserve_share));
+}
+
+/// Returns how many clients may be connected: what is left of the descriptors beside files, and connections
+/// to backend servers, the store and other routers, and no more than an eighth of the memory takes.
+std::size_t choose_client_connections(const settings::edge_settings& settings)
+{
+    constexpr std::size_t file_descriptors = 200;
+    // 630 other routers, each with a connection in both directions, leave the rest to backend servers.
+    constexpr std::size_t most_own_connections = 1500;
+    constexpr double connections_share = 0.125;
+    constexpr double connection_bytes = 8192;
+    rlimit system{};
+    ::getrlimit(RLIMIT_NOFILE, &system);
+    const auto limit = settings.max_fds > 0 ? std::min<std::size_t>(system.rlim_cur, settings.max_fds)
+                                            : static_cast<std::size_t>(system.rlim_cur);
+    const auto open = limit > file_descriptors ? limit - file_descriptors : limit / 2;
+    const auto clients = open - std::min(open / 2, most_own_connections);
+    const auto memory = settings.memory_mb * bytes_per_mb * connections_share / connection_bytes;
+    return std::max<std::size_t>(std::min(clients, static_cast<std::size_t>(memory)), 1);
 }
 
 } // namespace
@@ -62,6 +95,7 @@
     bool is_ready() const;
     void record_loss(const http::unanswered_request& request, const std::string& reason);
     void apply_limits();
+    http::server_limits make_limits(const routes::input_limits& input) const;
     member_callbacks make_member_callbacks();
     front_callbacks make_front_callbacks();
     entry_callbacks make_entry_callbacks();
@@ -87,8 +121,7 @@
 router_node::state::state(asio::io_context& context, settings::edge_settings initial_settings,
                           protocol message_adapter, store_tables tables, event_log& decision_log)
     : executor(context.get_executor()), settings(std::move(initial_settings)),
-      adapter(std::move(message_adapter)), log(decision_log),
-      budget(std::make_shared<http::transfer_budget>(choose_transfer_bytes(settings.memory_mb))),
+      adapter(std::move(message_adapter)), log(decision_log), budget(make_budget(settings.memory_mb)),
       member(executor, settings, adapter, std::move(tables), log, make_member_callbacks()),
       front(executor, settings, adapter, log, metrics, make_front_callbacks()),
       entry(executor,
@@ -101,6 +134,7 @@
 member_callbacks router_node::state::make_member_callbacks()
 {
     member_callbacks result;
+    result.budget = budget;
     result.on_directory = [this](const directory::snapshot& snapshot, const directory::update& change) {
         front.apply_change(snapshot, change, entry.routes().config());
         entry.apply(snapshot, change);
@@ -173,12 +207,20 @@
     {
         return;
     }
-    const auto& input = entry.routes().config().limits;
+    frontend->set_limits(make_limits(entry.routes().config().limits));
+}
+
+http::server_limits router_node::state::make_limits(const routes::input_limits& input) const
+{
     http::server_limits limits;
     limits.head_bytes = input.head_bytes;
     limits.body_bytes = std::min(input.body_bytes, max_body_bytes);
     limits.idle = input.idle_timeout;
-    frontend->set_limits(limits);
+    limits.head = input.head_timeout;
+    limits.body = body_timeout;
+    limits.connections = choose_client_connections(settings);
+    limits.body_copies = body_copies;
+    return limits;
 }
 
 void router_node::state::record_loss(const http::unanswered_request& request, const std::string& reason)
@@ -222,7 +264,9 @@
                 }
                 co_return co_await self->entry.handle(std::move(message), std::move(cancellation));
             }),
-        http::server_limits(), std::move(hooks));
+        make_limits(routes::input_limits()), std::move(hooks));
+    http::server_limits platform_limits;
+    platform_limits.connections = max_platform_connections;
     readiness.emplace(
         executor, settings.readiness,
         http::handler([weak](http::request message, http::endpoint) -> asio::awaitable<http::response> {
@@ -233,7 +277,7 @@
             }
             co_return co_await self->serve_readiness(std::move(message));
         }),
-        http::server_limits(), internal_hooks);
+        platform_limits, internal_hooks);
     metrics_server.emplace(
         executor, settings.metrics,
         http::handler([weak](http::request message, http::endpoint) -> asio::awaitable<http::response> {
@@ -244,7 +288,7 @@
             }
             co_return co_await self->serve_metrics(std::move(message));
         }),
-        http::server_limits(), internal_hooks);
+        platform_limits, internal_hooks);
     metrics.computed_gauge("briarfold_edge_queued_requests", "Requests that wait for a slot.", {},
                            [this] { return static_cast<double>(front.queued()); });
     metrics.computed_gauge("briarfold_edge_running_requests", "Requests at backend servers.", {},
@@ -258,6 +302,12 @@
     metrics.computed_gauge("briarfold_edge_messages_given_up",
                            "Messages given up because the memory for messages was full.", {},
                            [this] { return static_cast<double>(budget->given_up()); });
+    metrics.computed_gauge("briarfold_edge_client_connections", "Open connections of clients.", {},
+                           [this] { return frontend ? static_cast<double>(frontend->connections()) : 0.0; });
+    metrics.computed_gauge(
+        "briarfold_edge_client_connections_evicted",
+        "Connections of clients that were closed because of the limit of their number.", {},
+        [this] { return frontend ? static_cast<double>(frontend->evicted_connections()) : 0.0; });
     metrics.computed_gauge("briarfold_edge_configuration_version", "Configuration in force.", {},
                            [this] { return static_cast<double>(entry.routes().config().version); });
     metrics.computed_gauge("briarfold_edge_configuration_age_milliseconds",
--- a/src/edge/member.hpp
+++ b/src/edge/member.hpp
@@ -41,6 +41,8 @@
     std::function<void(leader::router_report&)> fill_report;
     /// Called with the network to other routers, which is created once the shared secret is known.
     std::function<void(std::shared_ptr<wire::peer_network>)> on_network;
+    /// Memory for the messages of other routers.
+    std::shared_ptr<http::transfer_budget> budget;
 };
 
 /// Not thread-safe: all calls on the executor's thread.
--- a/src/settings/edge_settings.hpp
+++ b/src/settings/edge_settings.hpp
@@ -32,6 +32,8 @@
     double bandwidth_mbps = 0;
     /// Memory that the process may use, in MB.
     double memory_mb = 256;
+    /// Descriptors that the process may open; 0 when only the limit of the operating system is known.
+    int max_fds = 0;
     /// Arrivals beyond the first of each request: share of the requests, window, and number on top.
     double retry_budget_ratio = 0.2;
     core::duration retry_budget_window{10000};
--- a/src/settings/internal/edge_settings.cpp
+++ b/src/settings/internal/edge_settings.cpp
@@ -70,6 +70,8 @@
     constexpr double least_memory_mb = 16;
     constexpr double most_memory_mb = 1e6;
     result.memory_mb = reader.number("memory_mb", least_memory_mb, most_memory_mb, result.memory_mb);
+    constexpr std::int64_t most_fds = 10000000;
+    result.max_fds = static_cast<int>(reader.integer("max_fds", 0, most_fds, result.max_fds));
     reader.allow("bounds");
     reader.allow("start");
     if (object.contains("start") && object.at("start").is_object())
@@ -104,6 +106,7 @@
             {"cpu", value.cpu},
             {"bandwidth_mbps", value.bandwidth_mbps},
             {"memory_mb", value.memory_mb},
+            {"max_fds", value.max_fds},
             {"start", {{"is_first", value.is_first_start}}},
             {"bounds",
              {{"repeat_ratio", value.retry_budget_ratio},
