--- a/scenarios/child_process.cpp
+++ b/scenarios/child_process.cpp
@@ -130,6 +130,14 @@
     return 0;
 }
 
+std::size_t child_process::open_descriptors() const
+{
+    std::error_code absent;
+    const std::filesystem::directory_iterator files("/proc/" + std::to_string(state_->child.id()) + "/fd",
+                                                    absent);
+    return absent ? 0 : static_cast<std::size_t>(std::distance(begin(files), end(files)));
+}
+
 bool child_process::wait(core::duration limit)
 {
     const auto end = core::clock::now() + limit;
--- a/scenarios/child_process.hpp
+++ b/scenarios/child_process.hpp
@@ -35,6 +35,8 @@
     void hang_up();
     /// Most memory that the process has used so far, in bytes; 0 after its end.
     std::size_t peak_memory() const;
+    /// Open descriptors of the process; 0 after its end.
+    std::size_t open_descriptors() const;
     /// Returns whether the process ended within `limit`.
     bool wait(core::duration limit);
     /// Exit status; negative signal number when a signal ended it. Only after the end.
--- a/standins/edge/tests/process_cluster.hpp
+++ b/standins/edge/tests/process_cluster.hpp
@@ -22,8 +22,12 @@
 class process_cluster : public edge_cluster
 {
 public:
+    /// Changes the settings of a router before its first start.
+    using settings_change = std::function<void(settings::edge_settings&)>;
+
     /// Writes the settings and logs of the routers to `folder`.
-    process_cluster(std::size_t routers, std::size_t backends, std::filesystem::path folder)
+    process_cluster(std::size_t routers, std::size_t backends, std::filesystem::path folder,
+                    const settings_change& change = {})
         : edge_cluster(0, 0), folder_(std::move(folder))
     {
         std::filesystem::create_directories(folder_);
@@ -35,6 +39,10 @@
         {
             names.push_back("r" + std::to_string(i));
             settings.push_back(make_process_settings(i));
+            if (change)
+            {
+                change(settings.back());
+            }
             relays.push_back(std::make_unique<relay_pair>());
             relays.back()->listen = settings.back().advertised_peer;
             relays.back()->target = settings.back().peer;
