--- a/src/routes/internal/route_table.cpp
+++ b/src/routes/internal/route_table.cpp
@@ -68,6 +68,8 @@
         return matched.services.front().service;
     }
     const auto [position, is_new] = split_weights_.try_emplace(matched.name, matched.services.size());
+    // Two routes of a configuration may have the same name.
+    position->second.resize(matched.services.size());
     if (is_new)
     {
         // Routes differ in their start as well, or they would all take the same turn after a change.
