Mend lint findings in the server of pipelined requests

Cause: lint reported a parameter copied without need and a vector that grows in a loop. Change: the parameter is a reference, the vector reserves its size.

--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -144,7 +144,7 @@
     asio::awaitable<bool> read_next(session& connection);
     /// Waits until the request may start behind those before it. Returns false when it never may.
     asio::awaitable<bool> wait_to_start(session& connection, bool is_concurrent);
-    void start_request(session& connection, internal::beast_request incoming, request message,
+    void start_request(session& connection, const internal::beast_request& incoming, request message,
                        bool is_concurrent, std::unique_ptr<held_message> held);
     /// Answers input that is no request, or none that is served, after the requests before it.
     asio::awaitable<void> refuse_input(session& connection, const error_code& code, bool has_no_memory);
@@ -505,7 +505,7 @@
     {
         co_return false;
     }
-    start_request(connection, std::move(incoming), std::move(message), is_concurrent, std::move(held));
+    start_request(connection, incoming, std::move(message), is_concurrent, std::move(held));
     co_return true;
 }
 
@@ -522,8 +522,8 @@
     co_return !is_over(connection);
 }
 
-void server::state::start_request(session& connection, internal::beast_request incoming, request message,
-                                  bool is_concurrent, std::unique_ptr<held_message> held)
+void server::state::start_request(session& connection, const internal::beast_request& incoming,
+                                  request message, bool is_concurrent, std::unique_ptr<held_message> held)
 {
     exchange item;
     item.request = {connection.caller, message.method, message.target, std::nullopt, core::clock::now()};
@@ -760,6 +760,7 @@
     connection.is_departed = true;
     // The hooks of the cancellations may end requests at once.
     std::vector<std::shared_ptr<core::cancellation>> departures;
+    departures.reserve(connection.exchanges.size());
     for (const auto& [id, item] : connection.exchanges)
     {
         departures.push_back(item.departure);
