Make the chunks of the corrupt-heap test neighbours

Change: the chunks are larger than any free one, so they are neighbours at the end of the heap. The check of the message also matches behind other output.

--- a/apps/edge/tests/crash_report_tests.cpp
+++ b/apps/edge/tests/crash_report_tests.cpp
@@ -70,8 +70,9 @@
 /// merges both and makes the C library abort with "corrupted double-linked list".
 void corrupt_heap()
 {
-    // Above the sizes that the thread's cache takes, so that the chunk gets into a linked list.
-    constexpr std::size_t chunk_bytes = 4096;
+    // Larger than any free chunk of the child, so that the chunks are neighbours at the end of the heap, and
+    // too large for the thread's cache, so that the released one gets into a linked list.
+    constexpr std::size_t chunk_bytes = std::size_t{96} * 1024;
     static std::array<std::uintptr_t, 8> other_chunk{};
     void* const released = std::malloc(chunk_bytes);
     // The compiler would report a plain pointer that is used after the release.
@@ -103,7 +104,7 @@
 BOOST_AUTO_TEST_CASE(corrupt_heap_prints_a_trace)
 {
     const auto end = run_child(corrupt_heap);
-    BOOST_TEST(end.errors.starts_with("corrupted double-linked list"));
+    BOOST_TEST(end.errors.find("corrupted double-linked list") != std::string::npos, end.errors);
     check_trace(end, SIGABRT, "fault (SIGABRT)");
 }
 
