--- a/apps/edge/main.cpp
+++ b/apps/edge/main.cpp
@@ -13,6 +13,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <malloc.h>
 #include <sys/stat.h>
 
 namespace {
@@ -53,6 +54,7 @@
     tables.cluster_state = std::make_shared<row_table>(pool, "briarfold");
     tables.config = std::make_shared<row_table>(pool, "op");
     tables.registry = std::make_shared<row_table>(pool, "servers");
+    tables.evacuation_prefix = briarfold::platform::evacuation_prefix;
     return tables;
 }
 
@@ -174,6 +176,10 @@
 {
     // Until the application handles it, a reload signal would end the process.
     std::signal(SIGHUP, SIG_IGN);
+    // A fixed threshold returns the memory of each large buffer to the system at once. By default the
+    // threshold rises with the buffers, whose memory then stays with the process.
+    constexpr int large_buffer_bytes = 262144;
+    ::mallopt(M_MMAP_THRESHOLD, large_buffer_bytes);
     options::options_description all_options(
         "Edge router of briarfold.\n\nUsage: briarfold-edge [--config FILE] [options]\n"
         "Example: briarfold-edge --check --config edge.toml\n\nOptions");
--- a/src/edge/entry.hpp
+++ b/src/edge/entry.hpp
@@ -4,6 +4,7 @@
 #include "core/asio.hpp"
 #include "core/cancellation.hpp"
 #include "directory/owner_index.hpp"
+#include "dispatch/front_choice.hpp"
 #include "dispatch/retry_budget.hpp"
 #include "edge/event_log.hpp"
 #include "edge/protocol.hpp"
@@ -15,6 +16,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace briarfold::edge {
@@ -53,6 +55,9 @@
 
     /// Applies the directory update that led to `snapshot` and wakes the requests that wait for a change.
     void apply(const directory::snapshot& snapshot, const directory::update& change);
+    /// Leaves the backend servers of these availability zones out; those with keys stay until their keys are
+    /// moved. `snapshot` is the directory in force.
+    void set_evacuated_zones(const directory::snapshot& snapshot, std::set<std::string> zones);
     /// Applies a configuration. Returns false when it is not newer than the one in force.
     bool apply(routes::routing_config config);
     const routes::route_table& routes() const { return routes_; }
@@ -60,6 +65,9 @@
     /// Handles one request of a caller and returns its answer.
     core::asio::awaitable<http::response> handle(http::request message,
                                                  std::shared_ptr<core::cancellation> cancellation);
+    /// Whether a request may be processed concurrently with others of its connection: its route is
+    /// idempotent. False while no route is known for it.
+    bool may_run_concurrently(const http::request& message) const;
     /// Refuses all later requests at once, since their answers would come after the end of this process.
     void refuse_new() { is_refusing_ = true; }
     /// Has all requests answered by `latest`, before this process ends. Those that have been passed on keep
@@ -84,11 +92,19 @@
     /// Whether the front refused a request within the last second because it ends before it could answer.
     bool is_stopping(const std::string& front, core::time_point now) const;
     /// Returns where to send the request, or nothing while no front can serve it.
-    std::optional<destination> find_destination(const request_context& context) const;
+    std::optional<destination> find_destination(const request_context& context);
     std::optional<destination> find_owner(const std::string& service, std::uint32_t key) const;
-    std::optional<destination> find_group(const request_context& context) const;
-    /// Waits at most `limit` for a change of the directory.
+    std::optional<destination> find_group(const request_context& context);
+    /// Returns the fronts of a service without key ownership.
+    std::vector<dispatch::front_option> list_fronts(const std::string& service, core::time_point now) const;
+    /// Whether another front may have room for a request that one front has no room for.
+    bool may_ask_another_front(const request_context& context, const std::string& front,
+                               core::time_point now) const;
+    /// Waits at most `limit` for a change of the directory or of the evacuated zones.
     core::asio::awaitable<void> await_change(core::duration limit);
+    void wake_waiting();
+    /// Whether the front gave the request back since it has no room or no backend server for it.
+    static bool has_no_room(const wire::forward_result& result);
     /// Returns a refusal, or nothing when the request can be routed or has no route.
     std::optional<http::response> prepare(request_context& context, http::request& message);
     /// The same for a request without a route, once the configuration in force is known to be current.
@@ -114,6 +130,8 @@
     /// Returns when the request must have its answer: at its deadline, or when this process ends.
     core::time_point answer_limit(const request_context& context) const;
     wire::forward_request make_forward(const request_context& context) const;
+    void record_result(const request_context& context, const destination& to,
+                       const wire::forward_result& result);
 
     core::asio::any_io_executor executor_;
     entry_settings settings_;
@@ -131,7 +149,8 @@
     std::map<std::string, http::endpoint> router_peers_;
     std::map<std::string, std::string> router_zones_;
     directory::owner_index owners_;
-    std::map<std::string, int> in_flight_by_group_;
+    /// By service without key ownership.
+    std::map<std::string, dispatch::front_choice> front_choices_;
     /// Longest deadline of all requests so far, by route: that of first attempts.
     std::map<std::string, core::duration> max_deadline_;
     /// Time at which a front last refused a request because it ends before it could answer.
--- a/src/edge/internal/front_grants.cpp
+++ b/src/edge/internal/front_grants.cpp
@@ -2,6 +2,7 @@
 #include "edge/internal/front_state.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace briarfold::edge {
 
@@ -28,11 +29,13 @@
 void front::state::tick()
 {
     const auto now = clock::now();
+    note_returned_zones(now);
     const auto all = pools;
     for (const auto& [name, pool] : all)
     {
         refuse_unfinishable(*pool, now);
         refuse_spared(*pool, now);
+        refuse_cold_surplus(*pool, now);
         auto expired = pool->queue.expire(now);
         std::erase_if(pool->awaiting_grant, [&](const auto& waiting) {
             const bool is_late = static_cast<double>((waiting.deadline - now).ms) < waiting.work_ms / 2;
@@ -50,6 +53,7 @@
         }
         start_waiting(pool);
     }
+    run_health_checks(now);
     const auto present = servers;
     for (const auto& [id, server] : present)
     {
@@ -69,6 +73,19 @@
     }
 }
 
+void front::state::note_returned_zones(core::time_point now)
+{
+    for (const auto& [id, server] : servers)
+    {
+        const bool is_in_evacuated_zone = callbacks.evacuated_since(server->entry.server.zone).has_value();
+        if (std::exchange(server->is_in_evacuated_zone, is_in_evacuated_zone) && !is_in_evacuated_zone)
+        {
+            // It got no requests for a while, and its registration may not show yet that it is cold.
+            server->assume_cold(now, server->cold_time);
+        }
+    }
+}
+
 void front::state::refuse_unfinishable(request_pool& pool, core::time_point now)
 {
     const auto unfinishable =
@@ -81,13 +98,18 @@
 
 void front::state::refuse_spared(request_pool& pool, core::time_point now)
 {
-    if (pool.servers.empty() || !must_spare(*pool.servers.front(), now))
+    if (pool.servers.empty() || pool.waiting.empty())
+    {
+        return;
+    }
+    const auto refusal = refuse_unavailable(pool, now);
+    if (!refusal)
     {
         return;
     }
     for (const auto& waiting : extract_waiting(pool, [](const auto&) { return true; }))
     {
-        end_waiting(pool, waiting, make_leaving_refusal());
+        end_waiting(pool, waiting, *refusal);
     }
 }
 
--- a/src/edge/internal/front_requests.cpp
+++ b/src/edge/internal/front_requests.cpp
@@ -1,6 +1,8 @@
 #include "edge/internal/front_state.hpp"
+#include "routes/evacuations.hpp"
 
 #include <algorithm>
+#include <ranges>
 
 namespace briarfold::edge {
 
@@ -14,11 +16,15 @@
 /// the leader is slow or lost.
 constexpr core::duration max_leaving_time{1000};
 constexpr core::duration leaving_retry_after{600};
+/// Time in which a leader that works has moved the keys of an evacuated zone to other backend servers.
+constexpr core::duration evacuation_retry_after{600};
 /// Time for which the word of a deputy that a registration is gone goes before the directory. It is repeated
 /// until the leader has read the registry.
 constexpr core::duration max_gone_time{4000};
 /// Time after the deadline of a request in which the backend server's own answer may still arrive.
 constexpr core::duration answer_grace{120};
+/// Weight of one request in the mean work of a pool, which covers about the last 50.
+constexpr double mean_work_weight = 0.02;
 
 std::chrono::milliseconds to_chrono(core::duration span)
 {
@@ -41,10 +47,17 @@
 dispatch::slot_state front::state::count_slots(const request_pool& pool, core::time_point now) const
 {
     dispatch::slot_state slots;
+    // While all are cold, the rate is checked before the slots.
+    const bool are_all_cold = !find_cold(pool, now).empty();
     for (const auto& server : pool.servers)
     {
-        slots.slots += server->limit.slots(now);
-        slots.running += static_cast<int>(server->running.size());
+        const int free_limit = is_evacuated(*server, now) ? 0 : server->limit.slots(now);
+        const int usable =
+            are_all_cold ? free_limit
+                         : static_cast<int>(server->cold.usable_slots(free_limit, pool.mean_work_ms, now));
+        const auto server_running = static_cast<int>(server->running.size());
+        slots.slots += usable;
+        slots.running += usable < free_limit ? std::min(server_running, usable) : server_running;
         for (const auto& pending : server->running)
         {
             const auto elapsed = static_cast<double>((now - pending->sent).ms);
@@ -79,13 +92,21 @@
     waiting.objective_deadline = now + pending->request.objective;
     waiting.deadline = now + pending->request.deadline;
     waiting.ends_with_process = pending->request.is_entry_stopping;
+    waiting.is_retry = pending->request.is_retry;
+    if (pending->request.client_time_left.ms > 0)
+    {
+        waiting.client_deadline = now + pending->request.client_time_left;
+    }
     if (process_end)
     {
         cap_deadline(waiting, *process_end);
     }
     const auto& first = pool->servers.front();
     const double slow = first->is_keyed() ? estimate.slowness(first->entry.server.id) : 1.0;
-    waiting.work_ms = estimate.mean_ms(pending->request.route) * slow;
+    const double mean_ms = estimate.mean_ms(pending->request.route);
+    waiting.work_ms = mean_ms * slow;
+    pool->mean_work_ms +=
+        pool->mean_work_ms > 0 ? mean_work_weight * (mean_ms - pool->mean_work_ms) : mean_ms;
     if (!pending->request.key.empty())
     {
         waiting.key = static_cast<std::uint32_t>(std::stoul(pending->request.key));
@@ -98,6 +119,7 @@
     }
     if (auto refusal = admit(pending, *pool))
     {
+        refusal->queue_load = measure_load(*pool);
         log_result(*pending, *refusal);
         co_return std::move(*refusal);
     }
@@ -130,10 +152,17 @@
     {
         cancellation->set_hook({});
     }
+    result.queue_load = measure_load(*pool);
     log_result(*pending, result);
     co_return result;
 }
 
+double front::state::measure_load(const request_pool& pool) const
+{
+    const auto slots = count_slots(pool, clock::now());
+    return (slots.running + static_cast<double>(pool.queue.size())) / std::max(slots.slots, 1);
+}
+
 std::optional<wire::forward_result> front::state::admit(const std::shared_ptr<pending_request>& pending,
                                                         request_pool& pool)
 {
@@ -144,14 +173,22 @@
         return make_unreachable_refusal(*first,
                                         {std::max<std::int64_t>(pending->request.deadline.ms / 3, 0)});
     }
-    if (must_spare(*first, now))
+    if (auto refusal = refuse_unavailable(pool, now))
     {
-        return make_leaving_refusal();
+        return refusal;
     }
     if (ends_before_answer(pending->waiting, now))
     {
         return make_stopping_refusal(now);
     }
+    if (auto refusal = refuse_during_pause(*pending, pool, now))
+    {
+        return refusal;
+    }
+    if (auto refusal = refuse_above_cold_rate(*pending, pool, now))
+    {
+        return refusal;
+    }
     if (!pending->request.tried_servers.empty())
     {
         // A queue accepted it before.
@@ -160,6 +197,13 @@
         return std::nullopt;
     }
     const auto offer = pool.queue.offer(pending->waiting, count_slots(pool, now), now);
+    for (const auto& displaced : offer.displaced)
+    {
+        auto rejection = make_result(wire::outcome::refused_not_run, status_unavailable,
+                                     "a more urgent request took its place", "overload");
+        rejection.retry_after = displaced.retry_after;
+        end_waiting(pool, displaced.request, std::move(rejection));
+    }
     if (offer.is_accepted)
     {
         pool.waiting.emplace(pending->id, pending);
@@ -175,6 +219,24 @@
     return refusal;
 }
 
+std::optional<wire::forward_result> front::state::refuse_during_pause(const pending_request& pending,
+                                                                      const request_pool& pool,
+                                                                      core::time_point now)
+{
+    const auto pause_left = [now](const auto& server) { return server->limit.rejection_pause_left(now); };
+    const auto pause = std::ranges::min(pool.servers | std::views::transform(pause_left));
+    const auto last_start =
+        pending.waiting.deadline - core::duration{static_cast<std::int64_t>(pending.waiting.work_ms)};
+    if (now + pause <= last_start || pause.ms == 0)
+    {
+        return std::nullopt;
+    }
+    auto refusal = make_result(wire::outcome::refused_not_run, status_unavailable,
+                               "the backend server asked for a pause", "overload");
+    refusal.retry_after = pause;
+    return refusal;
+}
+
 void front::state::cap_deadlines(core::time_point latest)
 {
     process_end = latest;
@@ -231,12 +293,40 @@
     return server.leaving_since ? server.leaving_since : is_gone ? server.gone_at : std::nullopt;
 }
 
-bool front::state::must_spare(const fronted_server& server, core::time_point now)
+bool front::state::has_left(const fronted_server& server, core::time_point now)
 {
     const auto since = find_leaving_time(server, now);
     return server.is_keyed() && since && now - *since > max_leaving_time;
 }
 
+bool front::state::is_evacuated(const fronted_server& server, core::time_point now) const
+{
+    const auto since = callbacks.evacuated_since(server.entry.server.zone);
+    return since && (!server.is_keyed() || now >= routes::last_keyed_send(*since, settings.evacuation_time));
+}
+
+bool front::state::must_spare(const fronted_server& server, core::time_point now) const
+{
+    return has_left(server, now) || is_evacuated(server, now);
+}
+
+std::optional<wire::forward_result> front::state::refuse_unavailable(const request_pool& pool,
+                                                                     core::time_point now) const
+{
+    if (has_left(*pool.servers.front(), now))
+    {
+        return make_leaving_refusal();
+    }
+    if (!std::ranges::all_of(pool.servers, [&](const auto& server) { return is_evacuated(*server, now); }))
+    {
+        return std::nullopt;
+    }
+    auto refusal =
+        make_result(wire::outcome::refused_not_run, status_unavailable, "the zone is evacuated", "evacuated");
+    refusal.retry_after = evacuation_retry_after;
+    return refusal;
+}
+
 wire::forward_result front::state::make_leaving_refusal()
 {
     auto refusal = make_result(wire::outcome::refused_not_run, status_unavailable,
@@ -245,6 +335,19 @@
     return refusal;
 }
 
+bool front::state::takes_requests(const fronted_server& server, core::time_point now) const
+{
+    if (must_spare(server, now))
+    {
+        return false;
+    }
+    if (server.is_keyed())
+    {
+        return true;
+    }
+    return server.entry.is_listed && !server.entry.server.is_draining && !find_leaving_time(server, now);
+}
+
 std::shared_ptr<fronted_server>
 front::state::choose_server(const request_pool& pool, const pending_request* pending, core::time_point now)
 {
@@ -252,18 +355,17 @@
     double best_cost = 0;
     for (const auto& server : pool.servers)
     {
-        const int slots = server->limit.slots(now);
-        const bool is_usable =
-            server->entry.is_listed && !server->entry.server.is_draining && !find_leaving_time(*server, now);
-        const bool takes_requests = server->is_keyed() ? !must_spare(*server, now) : is_usable;
-        if (static_cast<int>(server->running.size()) >= slots || !takes_requests)
+        const bool has_free_slot = static_cast<int>(server->running.size()) < server->limit.slots(now);
+        // The next token is for the health check, which under full demand would never get one.
+        const bool is_token_taken = server->cold.is_cold(now) && is_health_check_due(*server, now);
+        if (!has_free_slot || !takes_requests(*server, now) || !server->cold.may_send(now) || is_token_taken)
         {
             continue;
         }
         // A backend server that failed this request is chosen last.
         constexpr double tried_cost = 100;
         const double cost =
-            estimate.slowness(server->entry.server.id) +
+            server->load.cost(estimate.slowness(server->entry.server.id), now) +
             (pending != nullptr && pending->tried_servers.contains(server->entry.server.id) ? tried_cost : 0);
         if (!best || cost < best_cost)
         {
@@ -306,6 +408,7 @@
 {
     pending->server = server;
     pending->sent = clock::now();
+    server->cold.on_send(pending->sent);
     pending->expected_ms =
         estimate.mean_ms(pending->request.route) * estimate.slowness(server->entry.server.id);
     pending->tried_servers.insert(server->entry.server.id);
@@ -361,6 +464,8 @@
         {
             // The answer is that of a former process.
             outcome.head.is_leaving = false;
+            outcome.head.load.reset();
+            outcome.head.warmup_left.reset();
         }
         auto result = handle_outcome(*pending, outcome);
         finish(pending);
--- a/src/edge/internal/leader_store.cpp
+++ b/src/edge/internal/leader_store.cpp
@@ -46,14 +46,20 @@
         packed_config_ = packed.empty() ? pack(document) : std::move(packed);
         config_version_ = config.version;
         std::set<std::string> keyed;
+        std::map<std::string, double> cold_rates;
         for (const auto& service : config.services)
         {
             if (service.has_key_ownership)
             {
                 keyed.insert(service.name);
             }
+            if (service.cold_requests_per_s > 0)
+            {
+                cold_rates[service.name] = service.cold_requests_per_s;
+            }
         }
         state_->set_keyed_services(std::move(keyed));
+        state_->set_cold_rates(std::move(cold_rates));
         log_.write("configuration read", {{"version", config.version},
                                           {"routes", config.routes.size()},
                                           {"packed_bytes", packed_config_.size()}});
@@ -83,6 +89,8 @@
             apply_config(row.value);
         }
     }
+    const auto evacuated = co_await tables_.config->read_prefix(evacuations_.key_prefix(), store_timeout);
+    evacuations_.apply_all(evacuated);
     config_position_ = std::max(config_position_, rows.position());
     on_config_confirmed(sent);
     co_return rows.position();
@@ -225,6 +233,7 @@
                 const auto waited_until = sent + config_feed_wait;
                 const bool has_waited = batch.rows.empty() && clock::now() >= waited_until;
                 on_config_confirmed(has_waited ? waited_until : sent);
+                evacuations_.apply_changes(batch);
                 for (const auto& row : batch.rows)
                 {
                     if (row.key == tables_.config_key && !row.value.is_null())
--- a/src/edge/protocol.hpp
+++ b/src/edge/protocol.hpp
@@ -4,6 +4,7 @@
 
 #include "core/clock.hpp"
 #include "directory/directory_types.hpp"
+#include "dispatch/reported_load.hpp"
 #include "grants/server_grants.hpp"
 #include "http/http_types.hpp"
 #include "routes/route_types.hpp"
@@ -41,8 +42,17 @@
     std::optional<core::duration> keep_alive;
     /// The backend server closes the connection after this answer.
     bool closes_connection = false;
+    /// Time for which a backend server that rejected the request wants none from this router; zero when not
+    /// stated.
+    core::duration retry_after;
     /// The backend server is about to end.
     bool is_leaving = false;
+    /// Its load, when it reports one.
+    std::optional<dispatch::reported_load> load;
+    /// Time for which it remains cold, when it states one; 0 when it is warm.
+    std::optional<core::duration> warmup_left;
+    /// Whether the load or the time for which it remains cold is stated but not valid.
+    bool has_malformed_load = false;
 
     bool operator==(const response_head&) const = default;
 };
--- a/src/edge/tests/entry_tests.cpp
+++ b/src/edge/tests/entry_tests.cpp
@@ -216,6 +216,27 @@
 
 BOOST_AUTO_TEST_SUITE(entries)
 
+// Guards against a request that may run only once and is forwarded beside others of its connection, which its
+// client repeats when the connection ends.
+BOOST_AUTO_TEST_CASE(only_requests_of_idempotent_routes_run_concurrently)
+{
+    asio::io_context context;
+    edge::event_log log({"entry"}, [](const char*, std::size_t size) { return size; });
+    metrics::registry metrics;
+    const auto adapter = make_protocol();
+    edge::entry entry(context.get_executor(), {"entry", "a", {}}, adapter, log, metrics, {});
+    const http::request message{"GET", "/book", {{"Host", "h.example"}}, ""};
+    BOOST_TEST(!entry.may_run_concurrently(message));
+    auto config = make_config();
+    entry.apply(config);
+    BOOST_TEST(entry.may_run_concurrently(message));
+    BOOST_TEST(!entry.may_run_concurrently({"GET", "/book", {{"Host", "other.example"}}, ""}));
+    config.version = 2;
+    config.routes.front().is_idempotent = false;
+    entry.apply(config);
+    BOOST_TEST(!entry.may_run_concurrently(message));
+}
+
 // Guards against a request that is refused because its front stops, although another front could serve it.
 BOOST_AUTO_TEST_CASE(request_refused_by_a_stopping_front_goes_to_another_one)
 {
@@ -235,6 +256,28 @@
     BOOST_CHECK_EQUAL(served.by_front.at("f1"), 2);
 }
 
+// Guards against a request that is rejected because one front has no room, although another one has.
+BOOST_AUTO_TEST_CASE(a_request_goes_to_another_front_when_one_has_no_room)
+{
+    const auto respond = [](const std::string& front) {
+        auto result = make_result(wire::outcome::answered, status_ok);
+        if (front != "f3")
+        {
+            result = make_result(wire::outcome::refused_not_run, status_unavailable);
+            result.not_run_reason = "overload";
+            result.retry_after = 100_ms;
+        }
+        return result;
+    };
+    const auto served = send_requests(2, {"f1", "f2", "f3"}, respond);
+    BOOST_CHECK_EQUAL(served.answers.at(0).status, status_ok);
+    BOOST_CHECK_EQUAL(served.answers.at(1).status, status_ok);
+    BOOST_CHECK_EQUAL(served.sends(), 4);
+    const auto rejected = send_requests(1, {"f1", "f2"}, respond);
+    BOOST_CHECK_EQUAL(rejected.answers.at(0).status, status_unavailable);
+    BOOST_CHECK_EQUAL(http::find_header(rejected.answers.at(0).headers, "X-Retry-Ms"), "100");
+}
+
 // Guards against lost links to a front that repeat the requests on them without a budget.
 BOOST_AUTO_TEST_CASE(requests_on_lost_links_are_repeated_within_the_budget_only)
 {
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -19,6 +19,21 @@
     std::size_t head_bytes = 16384;
     std::size_t body_bytes = 1048576;
     core::duration idle{60000};
+    /// Requests of one connection that are processed concurrently. Each of their responses is held until
+    /// those before it are written.
+    std::size_t pipelined_requests = 8;
+    /// Bytes of the unanswered requests of one connection and of their responses at which no further request
+    /// is read. Responses to requests that already run come in addition.
+    std::size_t pipelined_bytes = 262144;
+    /// Time from the first byte of a request to the end of its head, and from there to the end of its body.
+    /// With 0, the whole request has to arrive within `idle` after the connection began to wait for it.
+    core::duration head{0};
+    core::duration body{0};
+    /// Most open connections; 0 for no limit. Only for servers on one thread.
+    std::size_t connections = 0;
+    /// Copies of the body of a request that exist while the request is processed, the one that was read
+    /// included.
+    std::size_t body_copies = 1;
 };
 
 /// Answers one request. Runs on the strand of the connection. An exception becomes a 500 answer.
@@ -40,13 +55,19 @@
     core::time_point arrived;
 };
 
+/// Whether a request may be processed concurrently with other requests of its connection. Such a request may
+/// run more than once, because a client repeats it when its connection ends. Must not throw.
+using concurrency_handler = std::function<bool(const request& message)>;
+
 using loss_handler = std::function<void(const unanswered_request& request, const std::string& reason)>;
 
 struct server_hooks
 {
     bad_input_handler on_bad_input;
-    /// Called on the strand of the connection.
+    /// Called on the strand of the connection, once for each unanswered request.
     loss_handler on_loss;
+    /// Without it, the requests of a connection are processed one after the other.
+    concurrency_handler may_run_concurrently;
     /// Messages count in it while they are read, answered and written. Only for servers on one thread.
     std::shared_ptr<transfer_budget> budget;
 };
@@ -64,7 +85,8 @@
 
     /// In force for requests that begin later.
     void set_limits(server_limits limits);
-    /// Answers carry `Connection: close`; new connections and requests are still taken.
+    /// The last answer of each connection carries `Connection: close`; new connections and requests are
+    /// still taken. With pipelining, requests behind the last started one are left unanswered.
     void begin_drain();
     /// Closes connections that wait for a request.
     void close_idle();
@@ -73,6 +95,8 @@
     void answer_unfinished(const response& answer);
     /// Open connections.
     std::size_t connections() const;
+    /// Connections that were closed because of the limit of their number.
+    std::size_t evicted_connections() const;
 
     unsigned short port() const;
     /// Requests being answered now.
--- a/src/leader/leader_state.hpp
+++ b/src/leader/leader_state.hpp
@@ -6,6 +6,7 @@
 #include "keyspace/move_planner.hpp"
 #include "leader/leader_types.hpp"
 #include "leader/leadership_confirmation.hpp"
+#include "leader/transfer_rate.hpp"
 
 #include <functional>
 #include <optional>
@@ -76,6 +77,11 @@
 
     /// Sets the services with key ownership, as configured.
     void set_keyed_services(std::set<std::string> names) { keyed_services_ = std::move(names); }
+    /// Sets the requests a second that a cold backend server of a service can handle, as configured. Services
+    /// that are not named have no limit.
+    void set_cold_rates(std::map<std::string, double> per_s) { cold_rates_ = std::move(per_s); }
+    /// Sets the availability zones whose backend servers must hold no keys.
+    void set_evacuated_zones(std::set<std::string> zones) { evacuated_zones_ = std::move(zones); }
     /// Sets the interval at which routers report, which extends the time after which a router counts as lost.
     void set_report_interval(core::duration interval);
     void on_registered(const directory::backend_server& server, core::time_point now);
@@ -136,7 +142,9 @@
         std::vector<directory::handover> next_handovers;
         std::vector<withdrawal> withdrawals;
         keyspace::key_set freed;
-        core::time_point listed_at;
+        /// Until when the backend server is cold, according to its registration and to its front.
+        core::time_point cold_until;
+        core::time_point reported_cold_until;
         std::optional<core::time_point> unregistered_at;
         std::optional<core::time_point> unreachable_since;
         double slowness = 1;
@@ -194,28 +202,48 @@
     void remove_lost_routers(core::time_point now);
     void publish_lost_routers(core::time_point now);
     void assign_fronts(core::time_point now);
+    /// Backend servers that change their front together: one with keys, or those of one queue and zone. A
+    /// queue that is split loses the shared slots.
+    struct front_unit
+    {
+        std::string service;
+        std::string zone;
+        std::string front;
+        double slots = 0;
+        bool has_withdrawn_keys = false;
+        std::vector<std::string> backend_servers;
+    };
     struct front_move
     {
-        std::string backend_server;
+        front_unit unit;
         std::string front;
     };
+    std::vector<front_unit> front_units() const;
     /// Assigns some backend servers to less loaded fronts, or to fronts in their own zones.
     void balance_fronts(core::time_point now);
     /// Returns the change of front that evens out the loads most; nothing when none is worthwhile.
     std::optional<front_move> find_balance_move(const std::map<std::string, double>& loads) const;
+    /// Returns the load that slots of a service are for a front, by its shares of a processor and of
+    /// bandwidth.
+    double slot_load(const std::string& service, double slots, const directory::router& router) const;
+    void update_slot_bandwidth(core::time_point now);
+    /// Returns the services without key ownership, with the zones that have enough backend servers of them to
+    /// share slots among themselves.
+    std::set<std::pair<std::string, std::string>> find_zone_groups() const;
     bool can_be_front(const directory::router& router, core::time_point now) const;
     void set_front(const std::string& id, const std::string& front, const char* reason, core::time_point now);
     /// Gives the front tokens above those of all earlier ones, its own former process included, and hides
     /// keys from it that an earlier one has freed.
     void begin_term_of_office(const std::string& id);
-    /// Returns the load of each possible front: slots of its backend servers divided by its share of a
-    /// processor.
+    /// Returns the load of each possible front.
     std::map<std::string, double> front_loads(core::time_point now) const;
-    /// Slots by front, and numbers of backend servers by front and service.
+    /// Numbers of backend servers by front and service.
     struct front_tally
     {
-        std::map<std::string, double> slots;
         std::map<std::pair<std::string, std::string>, std::size_t> groups;
+        /// Load of fronts, and the services and zones whose backend servers are grouped within the zone.
+        std::map<std::string, double> loads;
+        std::set<std::pair<std::string, std::string>> zone_groups;
     };
     front_tally tally_fronts() const;
     std::string choose_front(const directory::backend_server& server, front_tally& tally,
@@ -233,11 +261,17 @@
     void assign_keys(const std::string& id, const keyspace::key_range& range, const std::string& handover);
     bool can_accept_keys(const std::string& id, core::time_point now) const;
     bool can_any_accept_keys(const std::string& service, core::time_point now) const;
+    bool is_evacuated(const directory::entry& item) const
+    {
+        return evacuated_zones_.contains(item.server.zone);
+    }
     bool is_keyed(const directory::entry& item) const
     {
         return keyed_services_.contains(item.server.service);
     }
     std::vector<keyspace::holder> holders(const std::string& service, core::time_point now) const;
+    /// Returns the load, in slots, that a cold backend server of the service can handle.
+    double cold_capacity(const std::string& service, double warm_capacity) const;
     keyspace::key_loads& loads_of(const std::string& service);
     /// Returns the name of the row that holds the keys of a backend server.
     std::string row_name(const std::string& id) const;
@@ -258,9 +292,17 @@
     /// Revision at which a router last lost a front role or began new terms of office, by name.
     std::map<std::string, std::int64_t> front_lost_at_;
     std::set<std::string> keyed_services_;
+    std::map<std::string, double> cold_rates_;
+    /// Mean work of a request, as reported, in milliseconds by service.
+    std::map<std::string, double> mean_work_ms_;
+    std::set<std::string> evacuated_zones_;
     /// Services whose keys have been assigned before.
     std::set<std::string> initialized_services_;
     std::map<std::string, keyspace::key_loads> loads_;
+    /// Bytes of answers by service, and the bandwidth in Mbit/s that one slot of a service takes from a
+    /// front.
+    std::map<std::string, transfer_rate> answer_rates_;
+    std::map<std::string, double> mbps_per_slot_;
     /// Planned moves whose keys are not freed yet, by service.
     std::map<std::string, std::vector<keyspace::key_move>> planned_moves_;
     std::map<std::string, staged_entry> in_flight_entries_;
--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -788,6 +788,61 @@
     BOOST_CHECK_LE(busiest->second, 3 * static_cast<int>(servers) / routers);
 }
 
+// Load pattern: large answers, of which a few backend servers fill the link of a router with a strong
+// processor. Guards against fronts that are chosen by their processors alone.
+BOOST_AUTO_TEST_CASE(a_service_with_large_answers_gets_fronts_with_bandwidth)
+{
+    const auto join = [this](const std::string& name, double cpu, double mbps, std::int64_t bytes) {
+        router_report message;
+        message.router = make_router(name);
+        message.router.cpu = cpu;
+        message.router.bandwidth_mbps = mbps;
+        message.term = state->current().term;
+        message.revision = state->current().revision;
+        message.answer_bytes["images"] = bytes;
+        state->on_report(message, now);
+    };
+    constexpr int servers = 16;
+    for (int i = 0; i < servers; ++i)
+    {
+        state->on_registered(make_server("i" + std::to_string(i), "a", "images"), now);
+    }
+    constexpr std::int64_t bytes_per_report = 150000;
+    constexpr int steps = 100;
+    for (int step = 0; step < steps; ++step)
+    {
+        now = now + duration{100};
+        for (const auto* const name : {"0", "1", "2", "3"})
+        {
+            join("narrow" + std::string(name), 0.5, 10, bytes_per_report);
+            join("wide" + std::string(name), 0.2, 200, 0);
+        }
+        join("r1", 0.1, 10, 0);
+        state->tick(now);
+        write();
+    }
+    for (const auto& [id, item] : state->current().entries)
+    {
+        BOOST_CHECK_MESSAGE(item.front.starts_with("wide"), id << " has the front " << item.front);
+    }
+}
+
+// Guards against queues that mix the backend servers of several zones, so that answers cross between zones on
+// their way to the front.
+BOOST_AUTO_TEST_CASE(a_zone_with_enough_backend_servers_has_queues_of_its_own)
+{
+    constexpr int servers = 12;
+    for (int i = 0; i < servers; ++i)
+    {
+        state->on_registered(make_server("i" + std::to_string(i), i % 2 == 0 ? "a" : "b", "images"), now);
+    }
+    advance(5000);
+    for (const auto& [id, item] : state->current().entries)
+    {
+        BOOST_CHECK_EQUAL(item.front == "r2", item.server.zone == "b");
+    }
+}
+
 // Guards against a front that is confirmed although it does not know that another router is the front now: it
 // would go on renewing grants for longer than its successor reckons with.
 BOOST_AUTO_TEST_CASE(a_former_front_is_confirmed_only_when_it_knows_of_the_change)
@@ -1138,4 +1193,109 @@
     BOOST_CHECK_LT(shares[59], 0.1);
 }
 
-BOOST_AUTO_TEST_SUITE_END()
+// Guards against a backend server that becomes cold in mid-life and states the same time as at its start: the
+// front learned nothing of it. Also guards against a front that counts the time from when it took over.
+BOOST_AUTO_TEST_CASE(a_later_cold_phase_reaches_the_front_with_the_time_that_is_left)
+{
+    start(2);
+    auto server = make_server("s0");
+    server.warmup_left.ms = 3000;
+    const auto state_cold = [&] {
+        const auto before = entry("s0").revision;
+        state->on_registered(server, now);
+        BOOST_CHECK_GT(entry("s0").revision, before);
+        now = now + duration{1000};
+        const auto update = state->update_for({}, 0, now);
+        BOOST_CHECK_EQUAL(update.changed.entries.at("s0").server.warmup_left.ms, 2000);
+    };
+    state_cold();
+    advance(10000);
+    BOOST_CHECK_EQUAL(state->update_for({}, 0, now).changed.entries.at("s0").server.warmup_left.ms, 0);
+    state_cold();
+}
+
+// Guards against the share of a warm backend server for one that is cold, as all of them are after a restart.
+BOOST_AUTO_TEST_CASE(a_cold_backend_server_gets_keys_for_its_rate_only)
+{
+    state->set_cold_rates({{"keyed", 4.4}});
+    auto cold = make_server("s0");
+    cold.warmup_left.ms = 60000;
+    state->on_registered(cold, now);
+    state->on_registered(make_server("s1", "b"), now);
+    advance(3000);
+    BOOST_REQUIRE(!entry("s1").keys.empty());
+    // 4.4 requests a second of 150 ms take 0.66 of a slot; s1 has 6.
+    const double share = static_cast<double>(keyspace::size(entry("s0").keys)) / keyspace::key_count;
+    BOOST_CHECK_LT(share, 0.15);
+    // Guards against keys that stay in an evacuated zone or are assigned there, against moves that wait for
+    // one another, and against a returned zone that gets no load.
+    BOOST_AUTO_TEST_CASE(keys_leave_an_evacuated_zone_and_return_by_load)
+    {
+        start(6);
+        const auto free_withdrawn = [this] {
+            const auto entries = state->current().entries;
+            for (const auto& [id, item] : entries)
+            {
+                for (const auto& range : item.withdrawn)
+                {
+                    report(item.front, {{id, range, ""}});
+                }
+            }
+            advance(100);
+        };
+        const auto keys_in = [this](const std::string& zone) {
+            std::uint32_t sum = 0;
+            for (const auto& [id, item] : state->current().entries)
+            {
+                sum += item.server.zone == zone ? keyspace::size(item.keys) : 0;
+            }
+            return sum;
+        };
+        BOOST_CHECK_GT(keys_in("a"), 0U);
+        state->set_evacuated_zones({"a", "no such zone"});
+        advance(100);
+        for (const auto& [id, item] : state->current().entries)
+        {
+            BOOST_CHECK(item.withdrawn == (item.server.zone == "a" ? item.keys : keyspace::key_set()));
+        }
+        free_withdrawn();
+        BOOST_CHECK_EQUAL(keys_in("a"), 0U);
+        BOOST_CHECK_EQUAL(state->unassigned_keys(), 0U);
+        const auto work_for = [&](int rounds) {
+            for (int i = 0; i < rounds; ++i)
+            {
+                router_report message;
+                message.router = make_router("r1");
+                message.term = state->current().term;
+                message.revision = state->current().revision;
+                constexpr std::uint32_t key_step = 16;
+                for (std::uint32_t key = 0; key < keyspace::key_count; key += key_step)
+                {
+                    message.work["keyed"].push_back({key, 1500.0 * key_step / keyspace::key_count});
+                }
+                state->on_report(message, now);
+                free_withdrawn();
+            }
+        };
+        work_for(30);
+        BOOST_CHECK_EQUAL(keys_in("a"), 0U);
+        state->set_evacuated_zones({});
+        work_for(60);
+        BOOST_CHECK_GT(keys_in("a"), keyspace::key_count / 4);
+        BOOST_CHECK_EQUAL(state->unassigned_keys(), 0U);
+    }
+
+    // Guards against keys that nobody holds while no zone can take them.
+    BOOST_AUTO_TEST_CASE(keys_stay_while_all_zones_are_evacuated)
+    {
+        start(4);
+        state->set_evacuated_zones({"a", "b"});
+        advance(500);
+        BOOST_CHECK(std::ranges::all_of(state->current().entries,
+                                        [](const auto& item) { return item.second.withdrawn.empty(); }));
+        state->set_evacuated_zones({"a"});
+        advance(100);
+        BOOST_CHECK(entry("s0").withdrawn == entry("s0").keys);
+    }
+
+    BOOST_AUTO_TEST_SUITE_END()
--- a/src/settings/edge_settings.hpp
+++ b/src/settings/edge_settings.hpp
@@ -28,8 +28,12 @@
     http::endpoint store;
     /// Share of a processor core, by which fronts are distributed.
     double cpu = 1;
+    /// Bandwidth of the network link in Mbit/s; 0 when it is not known.
+    double bandwidth_mbps = 0;
     /// Memory that the process may use, in MB.
     double memory_mb = 256;
+    /// Descriptors that the process may open; 0 when only the limit of the operating system is known.
+    int max_fds = 0;
     /// Arrivals beyond the first of each request: share of the requests, window, and number on top.
     double retry_budget_ratio = 0.2;
     core::duration retry_budget_window{10000};
@@ -42,6 +46,12 @@
     core::duration max_grant_duration{10000};
     /// Time in which a change of the configuration has to be in force.
     core::duration max_config_delay{2000};
+    /// In no span of one second may a cold backend server get more requests than its rate times
+    /// `cold_rate_over`, plus `cold_rate_slack`.
+    double cold_rate_over = 1.5;
+    double cold_rate_slack = 8;
+    /// Time from the decision to evacuate a zone after which its backend servers must get no requests.
+    core::duration evacuation_time{5000};
 
     bool operator==(const edge_settings&) const = default;
 };
@@ -55,6 +65,9 @@
     std::string grace_s = "grace_s";
     std::string max_grant_duration_ms = "longest_hold_ms";
     std::string max_config_delay_ms = "config_delay_ms";
+    std::string cold_rate_over = "cold_rate_over";
+    std::string cold_rate_slack = "cold_rate_slack";
+    std::string evacuation_time_ms = "evacuation_time_ms";
 };
 
 /// Throws document::invalid_document with every error in the text; `name` appears in it.
--- a/src/settings/internal/edge_settings.cpp
+++ b/src/settings/internal/edge_settings.cpp
@@ -43,6 +43,10 @@
         number(names.max_grant_duration_ms, static_cast<double>(result.max_grant_duration.ms)));
     result.max_config_delay.ms = static_cast<std::int64_t>(
         number(names.max_config_delay_ms, static_cast<double>(result.max_config_delay.ms)));
+    result.cold_rate_over = number(names.cold_rate_over, result.cold_rate_over);
+    result.cold_rate_slack = number(names.cold_rate_slack, result.cold_rate_slack);
+    result.evacuation_time.ms = static_cast<std::int64_t>(
+        number(names.evacuation_time_ms, static_cast<double>(result.evacuation_time.ms)));
 }
 
 } // namespace
@@ -65,9 +69,13 @@
     constexpr double least_cpu = 0.001;
     constexpr double most_cpu = 1024;
     result.cpu = reader.number("cpu", least_cpu, most_cpu, 1);
+    constexpr double most_bandwidth_mbps = 1e6;
+    result.bandwidth_mbps = reader.number("bandwidth_mbps", 0, most_bandwidth_mbps, result.bandwidth_mbps);
     constexpr double least_memory_mb = 16;
     constexpr double most_memory_mb = 1e6;
     result.memory_mb = reader.number("memory_mb", least_memory_mb, most_memory_mb, result.memory_mb);
+    constexpr std::int64_t most_fds = 10000000;
+    result.max_fds = static_cast<int>(reader.integer("max_fds", 0, most_fds, result.max_fds));
     reader.allow("bounds");
     reader.allow("start");
     if (object.contains("start") && object.at("start").is_object())
@@ -100,7 +108,9 @@
             {"metrics", http::to_string(value.metrics)},
             {"store", http::to_string(value.store)},
             {"cpu", value.cpu},
+            {"bandwidth_mbps", value.bandwidth_mbps},
             {"memory_mb", value.memory_mb},
+            {"max_fds", value.max_fds},
             {"start", {{"is_first", value.is_first_start}}},
             {"bounds",
              {{"repeat_ratio", value.retry_budget_ratio},
@@ -108,7 +118,10 @@
               {"repeat_slack", value.retry_budget_slack},
               {"grace_s", static_cast<double>(value.grace.ms) / ms_per_s},
               {"longest_hold_ms", value.max_grant_duration.ms},
-              {"config_delay_ms", value.max_config_delay.ms}}}};
+              {"config_delay_ms", value.max_config_delay.ms},
+              {"cold_rate_over", value.cold_rate_over},
+              {"cold_rate_slack", value.cold_rate_slack},
+              {"evacuation_time_ms", value.evacuation_time.ms}}}};
 }
 
 } // namespace briarfold::settings
--- a/src/wire/internal/codec.cpp
+++ b/src/wire/internal/codec.cpp
@@ -126,6 +126,14 @@
     {
         fields.read(request.tried_servers);
     }
+    if (fields.has_next())
+    {
+        fields.read(request.client_time_left.ms);
+    }
+    if (fields.has_next())
+    {
+        fields.read(request.is_retry);
+    }
 }
 
 void read_result(field_cursor& fields, forward_result& result)
@@ -149,6 +157,10 @@
     {
         fields.read(result.may_send_again);
     }
+    if (fields.has_next())
+    {
+        fields.read(result.queue_load);
+    }
 }
 
 frame decode(const char* data, std::size_t size)
@@ -202,7 +214,7 @@
 
 void append_forward(std::string& out, std::uint64_t id, const forward_request& request)
 {
-    constexpr std::uint32_t fields = 18;
+    constexpr std::uint32_t fields = 20;
     append_frame(out, frame_type::forward, id, fields, [&](packer& pack) {
         pack.pack(request.customer);
         pack.pack(request.service);
@@ -222,12 +234,14 @@
         pack.pack(request.max_attempts);
         pack.pack(request.is_entry_stopping);
         pack.pack(request.tried_servers);
+        pack.pack(request.client_time_left.ms);
+        pack.pack(request.is_retry);
     });
 }
 
 void append_result(std::string& out, std::uint64_t id, const forward_result& result)
 {
-    constexpr std::uint32_t fields = 10;
+    constexpr std::uint32_t fields = 11;
     append_frame(out, frame_type::result, id, fields, [&](packer& pack) {
         pack.pack(static_cast<std::uint8_t>(result.outcome));
         pack.pack(result.status);
@@ -239,6 +253,7 @@
         pack.pack(result.not_run_reason);
         pack.pack(result.retry_after.ms);
         pack.pack(result.may_send_again);
+        pack.pack(result.queue_load);
     });
 }
 
@@ -261,6 +276,20 @@
     }
 }
 
+std::size_t frame_reader::frame_bytes() const
+{
+    if (filled_ - parsed_ < length_bytes)
+    {
+        return 0;
+    }
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < length_bytes; ++i)
+    {
+        length = (length << byte_bits) | static_cast<unsigned char>(buffer_[parsed_ + i]);
+    }
+    return length_bytes + length;
+}
+
 char* frame_reader::prepare(std::size_t size)
 {
     if (parsed_ > 0)
@@ -275,7 +304,13 @@
     }
     if (buffer_.size() - filled_ < size)
     {
-        buffer_.resize(std::max(buffer_.size() * 2, filled_ + size));
+        // Doubling takes up to twice the memory of a large frame, so it ends at the length of the frame.
+        const auto doubled = std::min(buffer_.size() * 2, std::max(frame_bytes(), max_kept_bytes));
+        std::string grown;
+        grown.reserve(std::max(doubled, filled_ + size));
+        grown.assign(buffer_, 0, filled_);
+        grown.resize(grown.capacity());
+        buffer_ = std::move(grown);
     }
     return buffer_.data() + filled_;
 }
@@ -286,11 +321,7 @@
     {
         return std::nullopt;
     }
-    std::size_t length = 0;
-    for (std::size_t i = 0; i < length_bytes; ++i)
-    {
-        length = (length << byte_bits) | static_cast<unsigned char>(buffer_[parsed_ + i]);
-    }
+    const std::size_t length = frame_bytes() - length_bytes;
     if (length > max_frame_bytes)
     {
         throw core::connection_error("read frame", "", "frame of " + std::to_string(length) + " bytes");
