--- a/src/leader/tests/leader_state_tests.cpp
+++ b/src/leader/tests/leader_state_tests.cpp
@@ -1227,75 +1227,77 @@
     // 4.4 requests a second of 150 ms take 0.66 of a slot; s1 has 6.
     const double share = static_cast<double>(keyspace::size(entry("s0").keys)) / keyspace::key_count;
     BOOST_CHECK_LT(share, 0.15);
-    // Guards against keys that stay in an evacuated zone or are assigned there, against moves that wait for
-    // one another, and against a returned zone that gets no load.
-    BOOST_AUTO_TEST_CASE(keys_leave_an_evacuated_zone_and_return_by_load)
-    {
-        start(6);
-        const auto free_withdrawn = [this] {
-            const auto entries = state->current().entries;
-            for (const auto& [id, item] : entries)
-            {
-                for (const auto& range : item.withdrawn)
-                {
-                    report(item.front, {{id, range, ""}});
-                }
-            }
-            advance(100);
-        };
-        const auto keys_in = [this](const std::string& zone) {
-            std::uint32_t sum = 0;
-            for (const auto& [id, item] : state->current().entries)
+}
+
+// Guards against keys that stay in an evacuated zone or are assigned there, against moves that wait for
+// one another, and against a returned zone that gets no load.
+BOOST_AUTO_TEST_CASE(keys_leave_an_evacuated_zone_and_return_by_load)
+{
+    start(6);
+    const auto free_withdrawn = [this] {
+        const auto entries = state->current().entries;
+        for (const auto& [id, item] : entries)
+        {
+            for (const auto& range : item.withdrawn)
             {
-                sum += item.server.zone == zone ? keyspace::size(item.keys) : 0;
+                report(item.front, {{id, range, ""}});
             }
-            return sum;
-        };
-        BOOST_CHECK_GT(keys_in("a"), 0U);
-        state->set_evacuated_zones({"a", "no such zone"});
+        }
         advance(100);
+    };
+    const auto keys_in = [this](const std::string& zone) {
+        std::uint32_t sum = 0;
         for (const auto& [id, item] : state->current().entries)
         {
-            BOOST_CHECK(item.withdrawn == (item.server.zone == "a" ? item.keys : keyspace::key_set()));
+            sum += item.server.zone == zone ? keyspace::size(item.keys) : 0;
         }
-        free_withdrawn();
-        BOOST_CHECK_EQUAL(keys_in("a"), 0U);
-        BOOST_CHECK_EQUAL(state->unassigned_keys(), 0U);
-        const auto work_for = [&](int rounds) {
-            for (int i = 0; i < rounds; ++i)
+        return sum;
+    };
+    BOOST_CHECK_GT(keys_in("a"), 0U);
+    state->set_evacuated_zones({"a", "no such zone"});
+    advance(100);
+    for (const auto& [id, item] : state->current().entries)
+    {
+        BOOST_CHECK(item.withdrawn == (item.server.zone == "a" ? item.keys : keyspace::key_set()));
+    }
+    free_withdrawn();
+    BOOST_CHECK_EQUAL(keys_in("a"), 0U);
+    BOOST_CHECK_EQUAL(state->unassigned_keys(), 0U);
+    const auto work_for = [&](int rounds) {
+        for (int i = 0; i < rounds; ++i)
+        {
+            router_report message;
+            message.router = make_router("r1");
+            message.term = state->current().term;
+            message.revision = state->current().revision;
+            constexpr std::uint32_t key_step = 16;
+            for (std::uint32_t key = 0; key < keyspace::key_count; key += key_step)
             {
-                router_report message;
-                message.router = make_router("r1");
-                message.term = state->current().term;
-                message.revision = state->current().revision;
-                constexpr std::uint32_t key_step = 16;
-                for (std::uint32_t key = 0; key < keyspace::key_count; key += key_step)
-                {
-                    message.work["keyed"].push_back({key, 1500.0 * key_step / keyspace::key_count});
-                }
-                state->on_report(message, now);
-                free_withdrawn();
+                message.work["keyed"].push_back({key, 1500.0 * key_step / keyspace::key_count});
             }
-        };
-        work_for(30);
-        BOOST_CHECK_EQUAL(keys_in("a"), 0U);
-        state->set_evacuated_zones({});
-        work_for(60);
-        BOOST_CHECK_GT(keys_in("a"), keyspace::key_count / 4);
-        BOOST_CHECK_EQUAL(state->unassigned_keys(), 0U);
-    }
+            state->on_report(message, now);
+            free_withdrawn();
+        }
+    };
+    work_for(30);
+    BOOST_CHECK_EQUAL(keys_in("a"), 0U);
+    state->set_evacuated_zones({});
+    work_for(60);
+    BOOST_CHECK_GT(keys_in("a"), keyspace::key_count / 4);
+    BOOST_CHECK_EQUAL(state->unassigned_keys(), 0U);
+}
 
-    // Guards against keys that nobody holds while no zone can take them.
-    BOOST_AUTO_TEST_CASE(keys_stay_while_all_zones_are_evacuated)
-    {
-        start(4);
-        state->set_evacuated_zones({"a", "b"});
-        advance(500);
-        BOOST_CHECK(std::ranges::all_of(state->current().entries,
-                                        [](const auto& item) { return item.second.withdrawn.empty(); }));
-        state->set_evacuated_zones({"a"});
-        advance(100);
-        BOOST_CHECK(entry("s0").withdrawn == entry("s0").keys);
-    }
+// Guards against keys that nobody holds while no zone can take them.
+BOOST_AUTO_TEST_CASE(keys_stay_while_all_zones_are_evacuated)
+{
+    start(4);
+    state->set_evacuated_zones({"a", "b"});
+    advance(500);
+    BOOST_CHECK(std::ranges::all_of(state->current().entries,
+                                    [](const auto& item) { return item.second.withdrawn.empty(); }));
+    state->set_evacuated_zones({"a"});
+    advance(100);
+    BOOST_CHECK(entry("s0").withdrawn == entry("s0").keys);
+}
 
-    BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
