--- a/src/edge/internal/front_cold.cpp
+++ b/src/edge/internal/front_cold.cpp
@@ -14,11 +14,13 @@
 
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
-/// The registration shows within about two seconds that a backend server became cold, so that checks are
-/// seldom needed: one is due at once when it is assumed to be cold. A check waits for a slot and takes work
-/// time. At backend servers that report their load it does neither, so that it is sent more often.
-constexpr core::duration health_check_interval{30000};
-constexpr core::duration cheap_health_check_interval{10000};
+/// A check waits for a slot and takes work time. At backend servers that report their load it does neither,
+/// so that it is sent more often.
+constexpr core::duration health_check_interval{5000};
+constexpr core::duration cheap_health_check_interval{1000};
+/// The registration shows within about two seconds that a warm backend server became cold, so that warm ones
+/// are checked this many times less often.
+constexpr std::int64_t warm_interval_factor = 10;
 constexpr core::duration health_check_timeout{1000};
 
 /// Whether a request that is sent after `wait` probably meets its objective.
