--- a/apps/edge/tests/crash_report_tests.cpp
+++ b/apps/edge/tests/crash_report_tests.cpp
@@ -76,11 +76,11 @@
     static std::array<std::uintptr_t, 8> other_chunk{};
     void* const released = std::malloc(chunk_bytes);
     // The compiler would report a plain pointer that is used after the release.
-    const volatile auto address = reinterpret_cast<std::uintptr_t>(released);
+    void* volatile const address = released;
     void* const neighbour = std::malloc(chunk_bytes);
     void* volatile guard = std::malloc(chunk_bytes);
     std::free(released);
-    auto* const links = reinterpret_cast<volatile std::uintptr_t*>(address);
+    auto* const links = static_cast<volatile std::uintptr_t*>(address);
     links[0] = reinterpret_cast<std::uintptr_t>(other_chunk.data());
     links[1] = reinterpret_cast<std::uintptr_t>(other_chunk.data());
     std::free(neighbour);
