Publish the warm-up of a backend server only when its end is later

Each registration of a cold backend server was published to all routers, about every 870 ms. The interval for warm servers was not applied either.

--- a/src/edge/internal/front_cold.cpp
+++ b/src/edge/internal/front_cold.cpp
@@ -165,7 +165,9 @@
 
 bool front::state::is_health_check_due(const fronted_server& server, core::time_point now)
 {
-    const auto interval = server.load.has_reported() ? cheap_health_check_interval : health_check_interval;
+    const auto cold_interval =
+        server.load.has_reported() ? cheap_health_check_interval : health_check_interval;
+    const auto interval = cold_interval * (server.cold.is_cold(now) ? 1 : warm_interval_factor);
     return !server.health_path.empty() && !server.is_health_check_pending && !server.unreachable_since &&
            now - server.last_health_check >= interval;
 }
--- a/src/leader/internal/leader_state.cpp
+++ b/src/leader/internal/leader_state.cpp
@@ -282,13 +282,19 @@
     // written before the backend server said that it leaves.
     auto next = server;
     next.is_draining = server.is_draining || (is_same_process && entry.server.is_draining);
-    // Each registration states the time from when it was written, also the same time as the one before.
-    state.cold_until = now + server.warmup_left;
-    const bool is_cold = server.warmup_left.ms > 0;
-    if (entry.server == next && !is_cold && entry.is_listed && !state.unregistered_at)
+    // Each registration states the time from when it was written. Of repeated ones, only those that tell of a
+    // later end are published: each reaches all routers.
+    constexpr core::duration max_unpublished_delay{1500};
+    const auto cold_until = now + server.warmup_left;
+    const bool is_cold_longer =
+        server.warmup_left.ms > 0 && cold_until - state.cold_until > max_unpublished_delay;
+    auto known = entry.server;
+    known.warmup_left = next.warmup_left;
+    if (known == next && !is_cold_longer && entry.is_listed && !state.unregistered_at)
     {
         return;
     }
+    state.cold_until = cold_until;
     if (!is_same_process || entry.server.is_draining != next.is_draining)
     {
         on_decision_("backend server changed", server.id,
