--- a/src/http/tests/pipelining_tests.cpp
+++ b/src/http/tests/pipelining_tests.cpp
@@ -37,8 +37,8 @@
         hooks.budget = std::make_shared<http::transfer_budget>(budget_bytes);
         server.emplace(context.get_executor(), http::endpoint{"127.0.0.1", 0},
                        http::watched_handler([this](http::request message, http::endpoint,
-                                                    std::shared_ptr<core::cancellation> departure) {
-                           return answer(std::move(message), std::move(departure));
+                                                    const std::shared_ptr<core::cancellation>& departure) {
+                           return answer(std::move(message), departure);
                        }),
                        limits, hooks);
         caller.connect({asio::ip::make_address("127.0.0.1"), server->port()});
