--- a/standins/edge/tests/client_limits_tests.cpp
+++ b/standins/edge/tests/client_limits_tests.cpp
@@ -67,9 +67,9 @@
     void check_bounds_and_service()
     {
         constexpr double bytes_per_mb = 1e6;
-        for (std::size_t i = 0; i < cluster.processes.size(); ++i)
+        for (const auto& item : cluster.processes)
         {
-            auto& process = *cluster.processes[i];
+            auto& process = *item;
             BOOST_REQUIRE_MESSAGE(process.is_running(), process.name() << " ended");
             const auto memory = static_cast<double>(process.peak_memory()) / bytes_per_mb;
             const auto descriptors = process.open_descriptors();
